Read settings with every key checked; add the stand-in server

Cause: a daemon must refuse to start on a typo or a value out of bounds, and local systems and tests need a server that warms up, sheds, drains, slows down, truncates and misreports on request.

Ruled out: mapping settings by struct tags, because they hide bounds and the documentation would be written twice. One table of keys drives the reader, and a spec compares docs/settings.md with it.

--- /dev/null
+++ b/internal/base/opts/keys.go
@@ -0,0 +1,227 @@
+package opts
+
+import (
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Key describes one setting.
+type Key struct {
+	Section string
+	Name    string
+	Default string // empty with Required
+	Bound   string // for people
+	Meaning string
+
+	Required bool
+	set      func(s *Settings, value string) error
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
+
+// Keys returns every setting in the order of the documentation.
+func Keys() []Key {
+	keys := daemonKeys()
+	keys = append(keys, serverKeys()...)
+	keys = append(keys, fleetKeys()...)
+	return append(keys, limitKeys()...)
+}
+
+func daemonKeys() []Key {
+	return []Key{
+		required("daemon", "service", "kebab case", "service that the server beside this daemon runs",
+			func(s *Settings, v string) error { return setName(&s.Service, v) }),
+		required("daemon", "zone", "kebab case", "availability zone of this daemon and its server",
+			func(s *Settings, v string) error { return setName(&s.Zone, v) }),
+		optional("daemon", "region", "local", "kebab case", "region of the zone",
+			func(s *Settings, v string) error { return setName(&s.Region, v) }),
+		required("listen", "callers", "IP:PORT", "address for callers",
+			func(s *Settings, v string) error { return setAddress(&s.Callers, v) }),
+		required("listen", "daemons", "IP:PORT", "address for other daemons; it identifies this daemon",
+			func(s *Settings, v string) error { return setAddress(&s.Daemons, v) }),
+		required("listen", "admin", "IP:PORT", "address of the administration API; loopback unless admin-token-file is set",
+			func(s *Settings, v string) error { return setAddress(&s.Admin, v) }),
+		optional("listen", "admin-token-file", "", "path", "file whose first line is the administration token",
+			func(s *Settings, v string) error { s.AdminFile = v; return nil }),
+		optional("log", "level", "info", "debug, info, warn or error", "lowest level that is logged",
+			func(s *Settings, v string) error { return setLevel(&s.LogLevel, v) }),
+	}
+}
+
+func serverKeys() []Key {
+	return []Key{
+		required("server", "address", "IP:PORT", "address of the server",
+			func(s *Settings, v string) error { return setAddress(&s.Server, v) }),
+		optional("server", "health-path", "/health", "starts with /", "health endpoint",
+			func(s *Settings, v string) error { return setPath(&s.HealthPath, v) }),
+		optional("server", "load-path", "/load", "starts with /", "load endpoint",
+			func(s *Settings, v string) error { return setPath(&s.LoadPath, v) }),
+		optional("server", "connections", "250", "1 to 10000", "connections to the server at most",
+			func(s *Settings, v string) error { return setCount(&s.ServerConnections, v, 1, 10000) }),
+		optional("server", "connection-pace", "1ms", "0s to 1s", "time between new connections to the server",
+			func(s *Settings, v string) error { return setDuration(&s.ServerPace, v, 0, time.Second) }),
+		optional("server", "idle-bound", "2s", "10ms to 1m", "non-idempotent requests avoid connections idle for longer",
+			func(s *Settings, v string) error {
+				return setDuration(&s.ServerIdle, v, 10*time.Millisecond, time.Minute)
+			}),
+		optional("server", "response-timeout", "1m", "100ms to 1h", "time for the response header without an earlier deadline",
+			func(s *Settings, v string) error {
+				return setDuration(&s.ServerResponse, v, 100*time.Millisecond, time.Hour)
+			}),
+		optional("server", "poll-interval", "1s", "100ms to 1m", "between polls of the health endpoint and of the load endpoint",
+			func(s *Settings, v string) error {
+				return setDuration(&s.ServerPollInterval, v, 100*time.Millisecond, time.Minute)
+			}),
+		required("platform", "table", "http or https URL", "the platform's transactional table",
+			func(s *Settings, v string) error { return setURL(&s.Table, v) }),
+		required("platform", "objects", "http or https URL", "the platform's object store",
+			func(s *Settings, v string) error { return setURL(&s.Objects, v) }),
+		optional("platform", "timeout", "2s", "10ms to 1m", "for one request to the platform",
+			func(s *Settings, v string) error {
+				return setDuration(&s.PlatformTimeout, v, 10*time.Millisecond, time.Minute)
+			}),
+	}
+}
+
+func fleetKeys() []Key {
+	return []Key{
+		optional("fleet", "seeds", "", "IP:PORT list", "daemons to ask for members and configuration at start",
+			func(s *Settings, v string) error { return setAddresses(&s.Seeds, v) }),
+		optional("fleet", "exchange-interval", "1s", "100ms to 1m", "between periodic exchanges with a random daemon",
+			func(s *Settings, v string) error {
+				return setDuration(&s.ExchangeInterval, v, 100*time.Millisecond, time.Minute)
+			}),
+		optional("fleet", "gone-after", "10s", "1s to 10m", "from suspect to gone",
+			func(s *Settings, v string) error { return setDuration(&s.GoneAfter, v, time.Second, 10*time.Minute) }),
+		optional("fleet", "isolated-after", "10s", "1s to 10m", "without platform and peers until new work is refused",
+			func(s *Settings, v string) error {
+				return setDuration(&s.IsolatedAfter, v, time.Second, 10*time.Minute)
+			}),
+	}
+}
+
+func limitKeys() []Key {
+	return []Key{
+		optional("limits", "ack-timeout", "250ms", "10ms to 10s", "until a connection without an ack is taken to be silent",
+			func(s *Settings, v string) error {
+				return setDuration(&s.AckTimeout, v, 10*time.Millisecond, 10*time.Second)
+			}),
+		optional("limits", "peer-connections", "64", "1 to 1000", "open connections to one daemon",
+			func(s *Settings, v string) error { return setCount(&s.PeerConnections, v, 1, 1000) }),
+		optional("limits", "accepted-connections", "8192", "16 to 100000", "connections accepted from daemons",
+			func(s *Settings, v string) error { return setCount(&s.AcceptedConns, v, 16, 100000) }),
+		optional("limits", "caller-header-bytes", "65536", "1024 to 1048576", "size of a caller's request header",
+			func(s *Settings, v string) error { return setCount(&s.CallerHeader, v, 1024, 1<<20) }),
+		optional("limits", "caller-header-timeout", "5s", "100ms to 1m", "for a caller's request header",
+			func(s *Settings, v string) error {
+				return setDuration(&s.HeaderTimeout, v, 100*time.Millisecond, time.Minute)
+			}),
+		optional("limits", "max-deadline", "10m", "1s to 24h", "longest deadline that a caller may ask for",
+			func(s *Settings, v string) error { return setDuration(&s.MaxDeadline, v, time.Second, 24*time.Hour) }),
+		optional("stop", "grace", "1s", "0s to 1m", "from the announcement of a planned stop to the refusal of new work",
+			func(s *Settings, v string) error { return setDuration(&s.StopGrace, v, 0, time.Minute) }),
+		optional("stop", "timeout", "5m", "1s to 24h", "for requests in flight at a planned stop",
+			func(s *Settings, v string) error { return setDuration(&s.StopTimeout, v, time.Second, 24*time.Hour) }),
+	}
+}
+
+func required(section, name, bound, meaning string, set func(*Settings, string) error) Key {
+	return Key{Section: section, Name: name, Bound: bound, Meaning: meaning, Required: true, set: set}
+}
+
+func optional(section, name, fallback, bound, meaning string, set func(*Settings, string) error) Key {
+	return Key{Section: section, Name: name, Default: fallback, Bound: bound, Meaning: meaning, set: set}
+}
+
+func setName(target *string, value string) error {
+	if !namePattern.MatchString(value) {
+		return errors.Newf("%q is not a kebab-case name", value)
+	}
+	*target = value
+	return nil
+}
+
+func setPath(target *string, value string) error {
+	if !strings.HasPrefix(value, "/") {
+		return errors.Newf("%q does not start with /", value)
+	}
+	*target = value
+	return nil
+}
+
+func setAddress(target *netip.AddrPort, value string) error {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return errors.Wrapf(err, "want IP:PORT")
+	}
+	*target = address
+	return nil
+}
+
+func setAddresses(target *[]netip.AddrPort, value string) error {
+	*target = nil
+	for _, part := range strings.Split(value, ",") {
+		part = strings.TrimSpace(part)
+		if part == "" {
+			continue
+		}
+		var address netip.AddrPort
+		if err := setAddress(&address, part); err != nil {
+			return err
+		}
+		*target = append(*target, address)
+	}
+	return nil
+}
+
+func setURL(target **url.URL, value string) error {
+	parsed, err := url.Parse(value)
+	if err != nil {
+		return errors.Wrap(err, "want a URL")
+	}
+	if parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+		return errors.Newf("%q is not an http or https URL", value)
+	}
+	*target = parsed
+	return nil
+}
+
+func setCount(target *int, value string, low, high int) error {
+	count, err := strconv.Atoi(value)
+	if err != nil {
+		return errors.Newf("%q is not a whole number", value)
+	}
+	if count < low || count > high {
+		return errors.Newf("%d is not in %d to %d", count, low, high)
+	}
+	*target = count
+	return nil
+}
+
+func setDuration(target *time.Duration, value string, low, high time.Duration) error {
+	duration, err := time.ParseDuration(value)
+	if err != nil {
+		return errors.Newf("%q is not a duration such as 250ms", value)
+	}
+	if duration < low || duration > high {
+		return errors.Newf("%s is not in %s to %s", duration, low, high)
+	}
+	*target = duration
+	return nil
+}
+
+func setLevel(target *slog.Level, value string) error {
+	switch value {
+	case "debug", "info", "warn", "error":
+		return target.UnmarshalText([]byte(value))
+	default:
+		return errors.Newf("%q is not debug, info, warn or error", value)
+	}
+}
--- /dev/null
+++ b/internal/base/opts/opts.go
@@ -0,0 +1,51 @@
+// Package opts reads the settings of a process from an INI file and checks every key.
+package opts
+
+import (
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"time"
+)
+
+// Settings are the settings of a daemon. They never change while it runs.
+type Settings struct {
+	Service string // that the server beside the daemon runs
+	Zone    string
+	Region  string
+
+	Callers   netip.AddrPort // where callers connect
+	Daemons   netip.AddrPort // where other daemons connect; identifies this daemon
+	Admin     netip.AddrPort // administration API; needs AdminToken when it is not loopback
+	AdminFile string         // file with the administration token; empty for none
+
+	Server             netip.AddrPort // the server beside the daemon
+	HealthPath         string
+	LoadPath           string
+	ServerConnections  int           // at most this many connections to the server
+	ServerPace         time.Duration // between new connections to the server
+	ServerIdle         time.Duration // non-idempotent requests avoid connections idle for longer
+	ServerResponse     time.Duration // at most this long for the response header when the request has no earlier deadline
+	ServerPollInterval time.Duration // of the health endpoint and of the load endpoint
+
+	Table           *url.URL // of the platform
+	Objects         *url.URL // of the platform
+	PlatformTimeout time.Duration
+
+	Seeds            []netip.AddrPort // daemons to ask at start
+	ExchangeInterval time.Duration    // between periodic exchanges
+	GoneAfter        time.Duration    // from suspect to gone
+	IsolatedAfter    time.Duration    // without platform and peers until new work is refused
+
+	AckTimeout      time.Duration // until a connection without an ack is taken to be silent
+	PeerConnections int           // open connections to one daemon at most
+	AcceptedConns   int           // connections accepted from daemons at most
+	CallerHeader    int           // bytes of a caller's request header at most
+	HeaderTimeout   time.Duration // for a caller's request header
+	MaxDeadline     time.Duration // longest deadline that a caller may ask for
+
+	StopGrace   time.Duration // from the announcement of the stop to the refusal of new work
+	StopTimeout time.Duration // for requests in flight after that
+
+	LogLevel slog.Level
+}
--- /dev/null
+++ b/internal/base/opts/opts_test.go
@@ -0,0 +1,87 @@
+package opts_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/opts"
+)
+
+const minimal = `
+[daemon]
+service = stock-display
+zone = a
+[listen]
+callers = 127.0.0.1:8080
+daemons = 127.0.0.1:9080
+admin = 127.0.0.1:7080
+[server]
+address = 127.0.0.1:6080
+[platform]
+table = http://127.0.0.1:5080/table
+objects = http://127.0.0.1:5080/objects
+`
+
+// Guards against settings that start a daemon with a typo, a value out of bounds or a missing key.
+func TestFaults(t *testing.T) {
+	datadriven.RunTest(t, "testdata/faults", func(t *testing.T, d *datadriven.TestData) string {
+		base := minimal
+		if d.HasArg("without") {
+			var name string
+			d.ScanArgs(t, "without", &name)
+			base = withoutKey(minimal, name)
+		}
+		_, err := opts.Parse("daemon.ini", []byte(base+d.Input))
+		if err == nil {
+			return "ok"
+		}
+		return err.Error()
+	})
+}
+
+func withoutKey(text, name string) string {
+	var kept []string
+	for _, line := range strings.Split(text, "\n") {
+		if !strings.HasPrefix(line, name+" ") {
+			kept = append(kept, line)
+		}
+	}
+	return strings.Join(kept, "\n")
+}
+
+var _ = Describe("the settings page", func() {
+	// Guards against documentation that names a key, default or bound that the program does not have.
+	It("lists every key as the program has it", func() {
+		page, err := os.ReadFile("../../../docs/settings.md")
+		Expect(err).NotTo(HaveOccurred())
+		for _, key := range opts.Keys() {
+			fallback := "`" + key.Default + "`"
+			if key.Required {
+				fallback = "required"
+			}
+			if !key.Required && key.Default == "" {
+				fallback = "none"
+			}
+			row := fmt.Sprintf("| `%s` | `%s` | %s | %s | %s |", key.Section, key.Name, fallback, key.Bound, key.Meaning)
+			Expect(string(page)).To(ContainSubstring(row))
+		}
+	})
+})
+
+// Guards against a panic or an unbounded read on malformed settings.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(minimal))
+	f.Add([]byte("[daemon\nservice"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		settings, err := opts.Parse("fuzz.ini", content)
+		if (settings == nil) == (err == nil) {
+			t.Fatal("want either settings or an error")
+		}
+	})
+}
--- /dev/null
+++ b/internal/bench/sample/http.go
@@ -0,0 +1,206 @@
+package sample
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+)
+
+// RequestHeader identifies a request of a test, so that repeated runs are seen. The response repeats it.
+const RequestHeader = "Sample-Request"
+
+const (
+	defaultSize = 512     // bytes of a response
+	maxSize     = 1 << 24 // bytes of a response that a caller may ask for
+)
+
+// Handler returns the HTTP interface: /health, /load, /sample/faults, /sample/counts; /chain/SERVICE/... calls on through
+// the daemon; every other path runs a request and answers with ?size=N bytes, 512 by default.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /load", s.load)
+	mux.HandleFunc("PUT /sample/faults", s.setFaults)
+	mux.HandleFunc("GET /sample/counts", s.showCounts)
+	mux.HandleFunc("/chain/", s.chain)
+	mux.HandleFunc("/", s.work)
+	return mux
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	if s.faults.Load().Draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprintln(w, "draining")
+		return
+	}
+	fmt.Fprintln(w, "ok")
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	inFlight := s.inFlight.Load()
+	if s.faults.Load().Misreport {
+		inFlight = 0
+	}
+	writeJSON(w, map[string]int64{"in-flight": inFlight, "slots": int64(s.Slots)})
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	wire := struct {
+		SlowFactor float64 `json:"slow-factor"`
+		FailFast   bool    `json:"fail-fast"`
+		Shed       bool    `json:"shed"`
+		Draining   bool    `json:"draining"`
+		Misreport  bool    `json:"misreport"`
+		Truncate   bool    `json:"truncate"`
+		Cold       string  `json:"cold"`
+	}{}
+	if err := json.NewDecoder(io.LimitReader(r.Body, defaultSize)).Decode(&wire); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	cold, err := time.ParseDuration(wire.Cold)
+	if wire.Cold != "" && err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(Faults{
+		SlowFactor: wire.SlowFactor, FailFast: wire.FailFast, Shed: wire.Shed, Draining: wire.Draining,
+		Misreport: wire.Misreport, Truncate: wire.Truncate, Cold: cold,
+	})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) showCounts(w http.ResponseWriter, _ *http.Request) {
+	counts := s.Counts()
+	writeJSON(w, map[string]any{
+		"total": counts.Total, "in-flight": counts.InFlight, "highest": counts.Highest,
+		"overruns": counts.Overruns, "repeated": counts.Repeated,
+	})
+}
+
+func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	if s.refuse(w) {
+		return
+	}
+	now := s.enter()
+	defer s.inFlight.Add(-1)
+	if s.cold() && now > coldSlots {
+		s.overruns.Add(1)
+		http.Error(w, "cold server overloaded", http.StatusInternalServerError)
+		return
+	}
+	digest := xxhash.New()
+	size, err := io.Copy(digest, r.Body)
+	if err != nil {
+		return
+	}
+	if !s.run(r) {
+		return
+	}
+	w.Header().Set("Sample-Body-Bytes", strconv.FormatInt(size, 10))
+	w.Header().Set("Sample-Body-Hash", strconv.FormatUint(digest.Sum64(), 16))
+	s.respond(w, r)
+}
+
+func (s *Server) refuse(w http.ResponseWriter) bool {
+	faults := s.faults.Load()
+	if faults.Shed {
+		http.Error(w, "shedding load", http.StatusServiceUnavailable)
+		return true
+	}
+	if faults.FailFast {
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return true
+	}
+	return false
+}
+
+// run takes a slot for the request's own time. It reports false when the caller gave up first.
+func (s *Server) run(r *http.Request) bool {
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return false
+	}
+	defer func() { <-s.slots }()
+	s.total.Add(1)
+	s.countRun(r.Header.Get(RequestHeader))
+	timer := time.NewTimer(s.serviceTime())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) countRun(id string) {
+	if id == "" {
+		return
+	}
+	s.mu.Lock()
+	s.runs[id]++
+	s.mu.Unlock()
+}
+
+func (s *Server) respond(w http.ResponseWriter, r *http.Request) {
+	size := defaultSize
+	if text := r.URL.Query().Get("size"); text != "" {
+		asked, err := strconv.Atoi(text)
+		if err != nil || asked < 0 || asked > maxSize {
+			http.Error(w, "bad size", http.StatusBadRequest)
+			return
+		}
+		size = asked
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Sample-Server", s.Name)
+	w.Header().Set(RequestHeader, r.Header.Get(RequestHeader))
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	if s.faults.Load().Truncate {
+		size /= 2
+	}
+	line := s.Name + " " + r.Method + " " + r.URL.Path + "\n"
+	body := strings.Repeat(line, size/len(line)+1)[:size]
+	_, _ = io.WriteString(w, body) // the caller has gone when this fails
+}
+
+// chain calls the rest of the path through the daemon and answers with what it got, as a server that depends on others does.
+func (s *Server) chain(w http.ResponseWriter, r *http.Request) {
+	target := s.Daemon + "/" + strings.TrimPrefix(r.URL.RequestURI(), "/chain/")
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, target, r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for _, name := range []string{ident.ContextHeader, "Request-Timeout", RequestHeader} {
+		if value := r.Header.Get(name); value != "" {
+			request.Header.Set(name, value)
+		}
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer response.Body.Close()
+	for name, values := range response.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(response.StatusCode)
+	_, _ = io.Copy(w, response.Body) // the caller has gone when this fails
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // the caller has gone when this fails
+}
--- /dev/null
+++ b/internal/bench/sample/sample.go
@@ -0,0 +1,149 @@
+// Package sample is a stand-in for a server beside a daemon: it has slots, starts cold, sheds load, drains, slows down and
+// reports its load, so that tests and the local system have something to balance.
+package sample
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+)
+
+// Defaults of a stand-in server.
+const (
+	DefaultSlots   = 12
+	DefaultService = 5 * time.Millisecond
+	DefaultCold    = 5 * time.Second
+
+	readHeaderTimeout = 5 * time.Second
+	stopTimeout       = 10 * time.Second
+	coldFactor        = 8 // a cold server's own time against a warm one's
+	coldSlots         = 2 // a cold server runs this many requests; above it fails
+)
+
+// Server is a stand-in server. Set the exported fields before Run.
+type Server struct {
+	Name     string
+	Listener net.Listener
+	Daemon   string        // base URL of the daemon that nested calls go through; empty for none
+	Slots    int           // requests that run at once; more wait
+	Service  time.Duration // mean of the own time of a request, exponentially distributed
+	Cold     time.Duration // cold for this long after the start
+	Log      logr.Logger
+
+	slots    chan struct{}
+	coldTill atomic.Int64 // Unix nanoseconds
+	faults   atomic.Pointer[Faults]
+	inFlight atomic.Int64
+	highest  atomic.Int64 // most requests in flight at once so far
+	overruns atomic.Int64 // requests that failed because the server was cold and overloaded
+	total    atomic.Int64
+
+	mu   sync.Mutex     // guards runs
+	runs map[string]int // runs by Sample-Request header
+}
+
+// Faults are the switchable faults of a stand-in server. The zero value is a healthy server.
+type Faults struct {
+	SlowFactor float64       // own time is multiplied by it; 0 means 1
+	FailFast   bool          // answer 500 at once
+	Shed       bool          // answer 503 at once, before running
+	Draining   bool          // the health endpoint says so
+	Misreport  bool          // the load endpoint claims an idle server
+	Truncate   bool          // announce a longer body than is sent
+	Cold       time.Duration // turn cold for this long from now
+}
+
+// Run serves until ctx ends, then waits for requests in flight.
+func (s *Server) Run(ctx context.Context) error {
+	s.prepare()
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(s.Listener) }()
+	s.Log.Info("server-started", "name", s.Name, "address", s.Listener.Addr().String())
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve stand-in server")
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	return errors.Wrap(server.Shutdown(stop), "stop stand-in server")
+}
+
+func (s *Server) prepare() {
+	s.slots = make(chan struct{}, s.Slots)
+	s.runs = map[string]int{}
+	s.faults.Store(&Faults{})
+	s.coldTill.Store(time.Now().Add(s.Cold).UnixNano())
+}
+
+// Set replaces the faults.
+func (s *Server) Set(faults Faults) {
+	s.faults.Store(&faults)
+	if faults.Cold > 0 {
+		s.coldTill.Store(time.Now().Add(faults.Cold).UnixNano())
+	}
+	s.Log.Info("faults-set", "name", s.Name, "slow-factor", faults.SlowFactor, "fail-fast", faults.FailFast,
+		"shed", faults.Shed, "draining", faults.Draining, "misreport", faults.Misreport, "truncate", faults.Truncate,
+		"cold", faults.Cold)
+}
+
+// Counts are what a stand-in server has seen.
+type Counts struct {
+	Total    int
+	InFlight int
+	Highest  int            // most requests in flight at once
+	Overruns int            // requests refused by a cold server above its capacity
+	Repeated map[string]int // runs of requests that ran more than once, by Sample-Request header
+}
+
+// Counts returns what the server has seen so far.
+func (s *Server) Counts() Counts {
+	counts := Counts{
+		Total:    int(s.total.Load()),
+		InFlight: int(s.inFlight.Load()),
+		Highest:  int(s.highest.Load()),
+		Overruns: int(s.overruns.Load()),
+		Repeated: map[string]int{},
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, runs := range s.runs {
+		if runs > 1 {
+			counts.Repeated[id] = runs
+		}
+	}
+	return counts
+}
+
+func (s *Server) cold() bool {
+	return time.Now().UnixNano() < s.coldTill.Load()
+}
+
+func (s *Server) serviceTime() time.Duration {
+	mean := float64(s.Service)
+	if factor := s.faults.Load().SlowFactor; factor > 0 {
+		mean *= factor
+	}
+	if s.cold() {
+		mean *= coldFactor
+	}
+	return time.Duration(mean * rand.ExpFloat64())
+}
+
+func (s *Server) enter() int64 {
+	now := s.inFlight.Add(1)
+	for {
+		highest := s.highest.Load()
+		if now <= highest || s.highest.CompareAndSwap(highest, now) {
+			return now
+		}
+	}
+}
