Add the load generator and the stand-in server command

Cause: latency must count from the planned start of a request, or waiting in a closed loop hides the slow ones; identity and at-most-once checks need a generator that knows every request.

Ruled out: a closed loop of workers, which sends less when responses are slow.

--- /dev/null
+++ b/internal/bench/load/plan.go
@@ -0,0 +1,173 @@
+package load
+
+import (
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+)
+
+const (
+	maxRate     = 100_000 // requests per second
+	maxDuration = time.Hour
+	maxInFlight = 20_000
+	maxBodySize = 1 << 26 // bytes
+	kindPrefix  = "request "
+)
+
+// ParsePlan reads a plan from INI and reports every fault with file, section and key.
+func ParsePlan(file string) (*Plan, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, code.NotRunf(code.BadSettings, "%s", file).WithCause(err)
+	}
+	source, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", IgnoreInlineComment: true}, content)
+	if err != nil {
+		return nil, code.NotRunf(code.BadSettings, "%s", file).WithCause(err)
+	}
+	p := &planner{file: file}
+	plan := p.plan(source)
+	if len(p.faults) > 0 {
+		return nil, code.NotRunf(code.BadSettings, "%s", strings.Join(p.faults, "\n"))
+	}
+	return plan, nil
+}
+
+type planner struct {
+	file   string
+	faults []string
+}
+
+func (p *planner) plan(source *ini.File) *Plan {
+	section := source.Section("load")
+	p.known(section, "daemons", "direct", "servers", "rate", "duration", "warmup", "timeout", "seed", "in-flight")
+	plan := &Plan{
+		Daemons:  p.addresses(section, "daemons"),
+		Direct:   p.addresses(section, "direct"),
+		Servers:  p.addresses(section, "servers"),
+		Rate:     p.number(section, "rate", 100, maxRate),
+		Duration: p.duration(section, "duration", 10*time.Second),
+		Warmup:   p.duration(section, "warmup", 0),
+		Timeout:  p.duration(section, "timeout", 2*time.Second),
+		Seed:     uint64(p.number(section, "seed", 1, 1<<32)),
+		InFlight: int(p.number(section, "in-flight", 2000, maxInFlight)),
+	}
+	for _, other := range source.Sections() {
+		name, isKind := strings.CutPrefix(other.Name(), kindPrefix)
+		switch {
+		case isKind:
+			plan.Kinds = append(plan.Kinds, p.kind(name, other))
+		case other.Name() != "load" && other.Name() != ini.DefaultSection:
+			p.fault(other.Name(), "", "unknown section")
+		}
+	}
+	if len(plan.Daemons) == 0 {
+		p.fault("load", "daemons", "missing")
+	}
+	if len(plan.Kinds) == 0 {
+		p.fault("request NAME", "", "at least one section is needed")
+	}
+	return plan
+}
+
+func (p *planner) kind(name string, section *ini.Section) Kind {
+	p.known(section, "weight", "method", "service", "path", "body", "once", "key")
+	kind := Kind{
+		Name:    name,
+		Weight:  int(p.number(section, "weight", 1, 1_000_000)),
+		Method:  section.Key("method").MustString("GET"),
+		Service: section.Key("service").String(),
+		Path:    section.Key("path").MustString("/"),
+		Body:    int(p.size(section, "body")),
+		Once:    p.flag(section, "once"),
+		Key:     p.flag(section, "key"),
+	}
+	if kind.Service == "" {
+		p.fault(section.Name(), "service", "missing")
+	}
+	if !strings.HasPrefix(kind.Path, "/") {
+		p.fault(section.Name(), "path", "must start with /")
+	}
+	return kind
+}
+
+func (p *planner) known(section *ini.Section, names ...string) {
+	for _, key := range section.KeyStrings() {
+		found := false
+		for _, name := range names {
+			found = found || name == key
+		}
+		if !found {
+			p.fault(section.Name(), key, "unknown key")
+		}
+	}
+}
+
+func (p *planner) addresses(section *ini.Section, key string) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, text := range section.Key(key).Strings(",") {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			p.fault(section.Name(), key, err.Error())
+			continue
+		}
+		// Load goes to this machine only, so that a typo cannot turn a test on somebody's service.
+		if !address.Addr().IsLoopback() {
+			p.fault(section.Name(), key, text+" is not a loopback address")
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+func (p *planner) number(section *ini.Section, key string, fallback, high float64) float64 {
+	if !section.HasKey(key) {
+		return fallback
+	}
+	value, err := strconv.ParseFloat(section.Key(key).String(), 64)
+	if err != nil || value <= 0 || value > high {
+		p.fault(section.Name(), key, "want a number above 0 and at most "+strconv.FormatFloat(high, 'f', -1, 64))
+		return fallback
+	}
+	return value
+}
+
+func (p *planner) size(section *ini.Section, key string) float64 {
+	if section.Key(key).String() == "0" {
+		return 0
+	}
+	return p.number(section, key, 0, maxBodySize)
+}
+
+func (p *planner) duration(section *ini.Section, key string, fallback time.Duration) time.Duration {
+	if !section.HasKey(key) {
+		return fallback
+	}
+	value, err := time.ParseDuration(section.Key(key).String())
+	if err != nil || value < 0 || value > maxDuration {
+		p.fault(section.Name(), key, "want a duration up to "+maxDuration.String())
+		return fallback
+	}
+	return value
+}
+
+func (p *planner) flag(section *ini.Section, key string) bool {
+	if !section.HasKey(key) {
+		return false
+	}
+	value, err := section.Key(key).Bool()
+	if err != nil {
+		p.fault(section.Name(), key, "want true or false")
+	}
+	return value
+}
+
+func (p *planner) fault(section, key, text string) {
+	p.faults = append(p.faults, p.file+": ["+section+"] "+key+": "+text)
+}
--- /dev/null
+++ b/internal/bench/load/result.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Variant,Outcome -linecomment -output=names.go
+
+// Variant is the way a request takes.
+type Variant int
+
+// The variants.
+const (
+	Daemons Variant = iota // daemons
+	Direct                 // direct
+)
+
+const variants = 2
+
+// Outcome is what came of a request.
+type Outcome int
+
+// The outcomes.
+const (
+	OK             Outcome = iota // ok
+	NotRun                        // not-run
+	UnknownOutcome                // unknown
+	ServerError                   // server-error
+	Failed                        // failed
+	Truncated                     // truncated
+	WrongResponse                 // wrong-response
+	Dropped                       // dropped
+)
+
+const outcomes = int(Dropped) + 1
+
+// Bounds of the latency histograms.
+const (
+	lowestLatency  = time.Microsecond
+	highestLatency = 10 * time.Minute
+	digits         = 3
+)
+
+// Row is what came of one kind of request on one way.
+type Row struct {
+	Kind     string
+	Variant  Variant
+	Outcomes [outcomes]int
+	Latency  *hdrhistogram.Histogram // of complete responses, in microseconds from the planned start
+}
+
+// Result is what came of a run.
+type Result struct {
+	Rows     []Row
+	RanTwice []string // Sample-Request values that ran twice although they must not
+}
+
+type recorder struct {
+	mu    sync.Mutex // guards rows
+	kinds map[string]int
+	rows  []Row
+}
+
+func newRecorder(kinds []Kind) *recorder {
+	r := &recorder{kinds: map[string]int{}}
+	for _, kind := range kinds {
+		r.kinds[kind.Name] = len(r.rows)
+		for variant := range Variant(variants) {
+			r.rows = append(r.rows, Row{Kind: kind.Name, Variant: variant, Latency: newHistogram()})
+		}
+	}
+	return r
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency.Microseconds(), highestLatency.Microseconds(), digits)
+}
+
+func (r *recorder) record(next shot, outcome Outcome, latency time.Duration) {
+	if !next.counted {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := &r.rows[r.kinds[next.kind.Name]+int(next.variant)]
+	row.Outcomes[outcome]++
+	if outcome == OK {
+		_ = row.Latency.RecordValue(max(1, min(latency, highestLatency).Microseconds())) // within the bounds
+	}
+}
+
+func (r *Run) merge() *Result {
+	total := newRecorder(r.Plan.Kinds)
+	for _, shard := range r.shards {
+		for i := range shard.rows {
+			total.rows[i].Latency.Merge(shard.rows[i].Latency)
+			for outcome, count := range shard.rows[i].Outcomes {
+				total.rows[i].Outcomes[outcome] += count
+			}
+		}
+	}
+	result := &Result{}
+	for _, row := range total.rows {
+		if row.Total() > 0 {
+			result.Rows = append(result.Rows, row)
+		}
+	}
+	return result
+}
+
+// Total returns the number of requests of the row.
+func (r *Row) Total() int {
+	total := 0
+	for _, count := range r.Outcomes {
+		total += count
+	}
+	return total
+}
+
+// Quantile returns the latency that the share of complete responses did not exceed.
+func (r *Row) Quantile(share float64) time.Duration {
+	return time.Duration(r.Latency.ValueAtQuantile(100*share)) * time.Microsecond
+}
+
+// Broken lists what must never be seen in a run.
+func (r *Result) Broken() []string {
+	var broken []string
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		if wrong := row.Outcomes[WrongResponse]; wrong > 0 {
+			broken = append(broken, fmt.Sprintf("%s: %d responses to another request", row.Kind, wrong))
+		}
+	}
+	if len(r.RanTwice) > 0 {
+		broken = append(broken, fmt.Sprintf("%d non-idempotent requests ran twice, first %s", len(r.RanTwice), r.RanTwice[0]))
+	}
+	return broken
+}
+
+// Write writes the result as a table.
+func (r *Result) Write(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(table, "kind\tway\ttotal\t")
+	for outcome := range Outcome(outcomes) {
+		fmt.Fprintf(table, "%s\t", outcome)
+	}
+	fmt.Fprintln(table, "p50\tp90\tp99\tp99.9\tmax\t")
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		fmt.Fprintf(table, "%s\t%s\t%d\t", row.Kind, row.Variant, row.Total())
+		for _, count := range row.Outcomes {
+			fmt.Fprintf(table, "%d\t", count)
+		}
+		maximum := time.Duration(row.Latency.Max()) * time.Microsecond
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t\n",
+			row.Quantile(0.5), row.Quantile(0.9), row.Quantile(0.99), row.Quantile(0.999), maximum)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/cli/cmds/server.go
@@ -0,0 +1,42 @@
+package cmds
+
+import (
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
+	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
+)
+
+func standInServerCommand() *cobra.Command {
+	server := &sample.Server{}
+	var listen string
+	command := &cobra.Command{
+		Use:   "server",
+		Short: "Run a stand-in server with slots, a cold start and switchable faults",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			config := net.ListenConfig{}
+			listener, err := config.Listen(command.Context(), "tcp", listen)
+			if err != nil {
+				return errors.Wrap(err, "listen")
+			}
+			server.Listener = listener
+			server.Log = logs.New(os.Stderr, slog.LevelInfo)
+			return server.Run(command.Context())
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&listen, "listen", "127.0.0.1:0", "address for the daemon beside it")
+	flags.StringVar(&server.Name, "name", "server", "name in responses and logs")
+	flags.StringVar(&server.Daemon, "daemon", "", "base URL of the daemon for nested calls")
+	flags.IntVar(&server.Slots, "slots", sample.DefaultSlots, "requests that run at once")
+	flags.DurationVar(&server.Service, "service-time", sample.DefaultService, "mean time of a request")
+	flags.DurationVar(&server.Cold, "cold", time.Duration(0), "cold for this long after the start")
+	return command
+}
