Address the platform by IP and port in the settings

Cause: processes talk by IP numbers; the platform adapters take an address and a port, so a URL only offered parts that were then ignored.

--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"net/netip"
-	"net/url"
 	"regexp"
 	"strconv"
 	"strings"
@@ -79,10 +78,10 @@
 			func(s *Settings, v string) error {
 				return setDuration(&s.ServerPollInterval, v, 100*time.Millisecond, time.Minute)
 			}),
-		required("platform", "table", "http or https URL", "the platform's transactional table",
-			func(s *Settings, v string) error { return setURL(&s.Table, v) }),
-		required("platform", "objects", "http or https URL", "the platform's object store",
-			func(s *Settings, v string) error { return setURL(&s.Objects, v) }),
+		required("platform", "table", "IP:PORT", "the platform's transactional table",
+			func(s *Settings, v string) error { return setAddress(&s.Table, v) }),
+		required("platform", "objects", "IP:PORT", "the platform's object store",
+			func(s *Settings, v string) error { return setAddress(&s.Objects, v) }),
 		optional("platform", "timeout", "2s", "10ms to 1m", "for one request to the platform",
 			func(s *Settings, v string) error {
 				return setDuration(&s.PlatformTimeout, v, 10*time.Millisecond, time.Minute)
@@ -181,18 +180,6 @@
 	return nil
 }
 
-func setURL(target **url.URL, value string) error {
-	parsed, err := url.Parse(value)
-	if err != nil {
-		return errors.Wrap(err, "want a URL")
-	}
-	if parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
-		return errors.Newf("%q is not an http or https URL", value)
-	}
-	*target = parsed
-	return nil
-}
-
 func setCount(target *int, value string, low, high int) error {
 	count, err := strconv.Atoi(value)
 	if err != nil {
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -4,7 +4,6 @@
 import (
 	"log/slog"
 	"net/netip"
-	"net/url"
 	"time"
 )
 
@@ -28,8 +27,8 @@
 	ServerResponse     time.Duration // at most this long for the response header when the request has no earlier deadline
 	ServerPollInterval time.Duration // of the health endpoint and of the load endpoint
 
-	Table           *url.URL // of the platform
-	Objects         *url.URL // of the platform
+	Table           netip.AddrPort // of the platform
+	Objects         netip.AddrPort // of the platform
 	PlatformTimeout time.Duration
 
 	Seeds            []netip.AddrPort // daemons to ask at start
