Add the message codec in internal/wire/proto

Every message between daemons is mapped by hand on protowire. Unknown fields are skipped; frames, pieces, headers, lists and texts are bounded, and malformed input gives a coded error. Decoded messages share no memory with the buffer, because drpc uses its receive buffer again for the next packet. A header section is copied once and its names and values are parts of that copy.

A pooled decode buffer that messages alias was ruled out: a piece is kept by the handler after the next receive.

Seen to fail: with reader.bytes returning the buffer itself, TestEveryMessageSurvivesTheCodec fails.

--- /dev/null
+++ b/internal/wire/proto/codec.go
@@ -0,0 +1,231 @@
+package proto
+
+import (
+	"google.golang.org/protobuf/encoding/protowire"
+	"storj.io/drpc"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+)
+
+// Bounds of single fields in bytes, and of lists in elements. They keep the memory that a message takes after decoding
+// within a small multiple of MaxFrame.
+const (
+	MaxHeld        = 64 << 10 // body of a held response in a Resolution
+	MaxHeader      = 64 << 10 // a header or trailer section
+	MaxHeaderCount = 256      // values in a header or trailer
+	MaxTarget      = 16 << 10 // Head.Target
+	maxName        = 256
+	maxMethod      = 64
+	maxHost        = 1 << 10
+	maxDetail      = 1 << 10
+	maxAddress     = 64
+	maxMembers     = 4096
+	maxDigests     = 1024
+	maxChanges     = 4096
+	maxFiles       = 4096
+)
+
+// Ping checks a connection; the reply has the same type.
+type Ping struct{}
+
+// Envelope receives a Frame of any kind.
+type Envelope struct {
+	Frame Frame
+}
+
+// Codec maps the messages to their encoded form. Decoded messages share no memory with the buffer.
+type Codec struct{}
+
+var _ drpc.Encoding = Codec{}
+
+// The first number of an encoded Frame tells its kind.
+const (
+	kindHead uint64 = iota + 1
+	kindPiece
+	kindAck
+	kindAnswer
+	kindFailure
+)
+
+// Marshal implements drpc.Encoding.
+func (c Codec) Marshal(message drpc.Message) ([]byte, error) {
+	return c.MarshalAppend(nil, message)
+}
+
+// MarshalAppend appends the encoded form of message to buf.
+func (c Codec) MarshalAppend(buf []byte, message drpc.Message) ([]byte, error) {
+	start := len(buf)
+	buf, err := appendMessage(buf, message)
+	if err != nil {
+		return nil, err
+	}
+	if len(buf)-start > MaxFrame {
+		return nil, code.Unknownf(code.BodyTooLarge, "%T has %d bytes, above %d", message, len(buf)-start, MaxFrame)
+	}
+	return buf, nil
+}
+
+func appendMessage(buf []byte, message drpc.Message) ([]byte, error) {
+	switch m := message.(type) {
+	case Frame:
+		return appendFrame(buf, m)
+	case *Ping:
+		return buf, nil
+	case *Hello:
+		return appendHello(buf, m), nil
+	case *Welcome:
+		return appendWelcome(buf, m), nil
+	case *Resolve:
+		return appendResolve(buf, m), nil
+	case *Resolution:
+		return appendResolution(buf, m)
+	case *Probe:
+		return putText(buf, 1, m.Service), nil
+	case *ProbeReply:
+		return appendProbeReply(buf, m), nil
+	case *Exchange:
+		return appendExchange(buf, m)
+	case *Status:
+		return appendStatus(buf, m), nil
+	default:
+		return nil, code.Unknownf(code.Internal, "no encoding for %T", message)
+	}
+}
+
+func appendFrame(buf []byte, frame Frame) ([]byte, error) {
+	switch m := frame.(type) {
+	case *Head:
+		return appendHead(protowire.AppendVarint(buf, kindHead), m)
+	case *Piece:
+		return appendPiece(protowire.AppendVarint(buf, kindPiece), m)
+	case *Ack:
+		return appendAck(protowire.AppendVarint(buf, kindAck), m), nil
+	case *Answer:
+		if len(m.Body) > MaxPiece {
+			return nil, tooLarge("first piece of an answer", len(m.Body), MaxPiece)
+		}
+		return appendAnswer(protowire.AppendVarint(buf, kindAnswer), m)
+	case *Failure:
+		return appendFailure(protowire.AppendVarint(buf, kindFailure), m), nil
+	default:
+		return nil, code.Unknownf(code.Internal, "no encoding for %T", frame)
+	}
+}
+
+func tooLarge(what string, size, limit int) error {
+	return code.Unknownf(code.BodyTooLarge, "%s has %d bytes, above %d", what, size, limit)
+}
+
+// Unmarshal implements drpc.Encoding. The message must be zero before.
+func (c Codec) Unmarshal(buf []byte, message drpc.Message) error {
+	if len(buf) > MaxFrame {
+		return code.Unknownf(code.BodyTooLarge, "message of %d bytes, above %d", len(buf), MaxFrame)
+	}
+	switch m := message.(type) {
+	case *Envelope:
+		return readFrame(buf, m)
+	case *Ping:
+		return nil
+	case *Hello:
+		return readHello(buf, m)
+	case *Welcome:
+		return readWelcome(buf, m)
+	case *Resolve:
+		return readResolve(buf, m)
+	case *Resolution:
+		return readResolution(buf, m)
+	case *Probe:
+		return readProbe(buf, m)
+	case *ProbeReply:
+		return readProbeReply(buf, m)
+	case *Exchange:
+		return readExchange(buf, m)
+	case *Status:
+		return readStatus(buf, m)
+	default:
+		return code.Unknownf(code.Internal, "no decoding for %T", message)
+	}
+}
+
+func readFrame(buf []byte, into *Envelope) error {
+	kind, size := protowire.ConsumeVarint(buf)
+	if size < 0 {
+		return malformed("kind of frame: %v", protowire.ParseError(size))
+	}
+	buf = buf[size:]
+	switch kind {
+	case kindHead:
+		return readInto(buf, into, readHead)
+	case kindPiece:
+		return readInto(buf, into, readPiece)
+	case kindAck:
+		return readInto(buf, into, readAck)
+	case kindAnswer:
+		return readInto(buf, into, readFrameAnswer)
+	case kindFailure:
+		return readInto(buf, into, readFailure)
+	default:
+		return malformed("unknown kind of frame %d", kind)
+	}
+}
+
+// framePointer is a pointer to a T that is a Frame.
+type framePointer[T any] interface {
+	*T
+	Frame
+}
+
+func readInto[T any, P framePointer[T]](buf []byte, into *Envelope, read func([]byte, *T) error) error {
+	frame := new(T)
+	if err := read(buf, frame); err != nil {
+		return err
+	}
+	into.Frame = P(frame)
+	return nil
+}
+
+func appendHello(buf []byte, m *Hello) []byte {
+	buf = putUint(buf, 1, uint64(m.Version))
+	buf = putUint(buf, 2, uint64(m.Incarnation))
+	buf = putAddress(buf, 3, m.Address)
+	return putUint(buf, 4, m.Conn)
+}
+
+func readHello(buf []byte, m *Hello) error {
+	r := reader{rest: buf}
+	for r.next() {
+		switch r.number {
+		case 1:
+			m.Version = uint32(r.uint(maxVersion))
+		case 2:
+			m.Incarnation = ident.Incarnation(r.number64())
+		case 3:
+			m.Address = r.address()
+		case 4:
+			m.Conn = r.number64()
+		}
+	}
+	return r.err
+}
+
+func appendWelcome(buf []byte, m *Welcome) []byte {
+	buf = putUint(buf, 1, uint64(m.Version))
+	buf = putUint(buf, 2, uint64(m.Incarnation))
+	return putUint(buf, 3, uint64(m.Code))
+}
+
+func readWelcome(buf []byte, m *Welcome) error {
+	r := reader{rest: buf}
+	for r.next() {
+		switch r.number {
+		case 1:
+			m.Version = uint32(r.uint(maxVersion))
+		case 2:
+			m.Incarnation = ident.Incarnation(r.number64())
+		case 3:
+			m.Code = r.code()
+		}
+	}
+	return r.err
+}
--- /dev/null
+++ b/internal/wire/proto/codec_test.go
@@ -0,0 +1,267 @@
+package proto
+
+import (
+	"net/http"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protowire"
+	"pgregory.net/rapid"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+)
+
+var (
+	texts     = rapid.StringN(0, 20, 40)
+	codes     = rapid.Map(rapid.IntRange(0, 60), func(n int) code.Code { return code.Code(n) })
+	counts    = rapid.IntRange(0, 1<<20)
+	durations = rapid.Map(rapid.Int64(), func(n int64) time.Duration { return time.Duration(n) })
+	bodies    = rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 100), nilIfEmpty[byte])
+	addresses = rapid.OneOf(
+		rapid.Just(netip.AddrPort{}),
+		rapid.Map(rapid.Uint16(), func(port uint16) netip.AddrPort {
+			return netip.AddrPortFrom(netip.MustParseAddr("fe80::1%zone"), port)
+		}),
+		rapid.Map(rapid.Uint32(), func(n uint32) netip.AddrPort {
+			return netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}), uint16(n))
+		}))
+	headers = rapid.Map(rapid.MapOfN(texts, rapid.SliceOfN(texts, 1, 3), 0, 5), func(m map[string][]string) http.Header {
+		if len(m) == 0 {
+			return nil
+		}
+		return m
+	})
+	reports = rapid.Custom(func(t *rapid.T) Report {
+		return Report{
+			Server: addresses.Draw(t, "server"), InFlight: counts.Draw(t, "in-flight"), Queued: counts.Draw(t, "queued"),
+			Limit: counts.Draw(t, "limit"), Latency: durations.Draw(t, "latency"), Warming: rapid.Bool().Draw(t, "warming"),
+			Refusing: codes.Draw(t, "refusing"),
+		}
+	})
+	attempts = rapid.Custom(func(t *rapid.T) ident.AttemptID {
+		request := ident.RequestID{Router: ident.Incarnation(rapid.Uint64().Draw(t, "router")), Seq: rapid.Uint64().Draw(t, "seq")}
+		return ident.AttemptID{Request: request, Attempt: rapid.Uint32().Draw(t, "attempt")}
+	})
+	answers = rapid.Custom(func(t *rapid.T) *Answer {
+		return &Answer{
+			Status: counts.Draw(t, "status"), Header: headers.Draw(t, "header"), Report: reports.Draw(t, "report"),
+			ContentLength: rapid.Int64Range(-1, 1<<40).Draw(t, "length"), Body: bodies.Draw(t, "body"), End: rapid.Bool().Draw(t, "end"),
+		}
+	})
+	failures = rapid.Custom(func(t *rapid.T) *Failure {
+		return &Failure{
+			Code: codes.Draw(t, "code"), Outcome: code.Outcome(rapid.IntRange(0, 1).Draw(t, "outcome")),
+			Detail: texts.Draw(t, "detail"), Report: reports.Draw(t, "report"),
+		}
+	})
+	records = rapid.Custom(func(t *rapid.T) member.Record {
+		return member.Record{
+			Address: addresses.Draw(t, "address"), Front: addresses.Draw(t, "front"), Service: texts.Draw(t, "service"),
+			Zone: texts.Draw(t, "zone"), Region: texts.Draw(t, "region"), Incarnation: ident.Incarnation(rapid.Uint64().Draw(t, "incarnation")),
+			State: member.State(rapid.IntRange(0, int(member.Gone)).Draw(t, "state")), Version: rapid.Uint64().Draw(t, "version"),
+		}
+	})
+	folder = rapid.Map(rapid.SliceOfN(rapid.Custom(func(t *rapid.T) files.File {
+		return files.File{Name: texts.Draw(t, "name"), Content: texts.Draw(t, "content")}
+	}), 0, 3), nilIfEmpty[files.File])
+	changes = rapid.Custom(func(t *rapid.T) files.Change {
+		return files.Change{
+			Revision: rapid.Uint64().Draw(t, "revision"), ID: texts.Draw(t, "id"), Operator: texts.Draw(t, "operator"),
+			At:  time.Unix(rapid.Int64Range(-1<<40, 1<<40).Draw(t, "at"), rapid.Int64Range(0, 999_999_999).Draw(t, "ns")).UTC(),
+			Put: folder.Draw(t, "put"), Remove: rapid.Map(rapid.SliceOfN(texts, 0, 3), nilIfEmpty[string]).Draw(t, "remove"),
+		}
+	})
+	messages = rapid.OneOf(
+		rapid.Map(answers, func(m *Answer) any { return m }),
+		rapid.Map(failures, func(m *Failure) any { return m }),
+		rapid.Custom(drawHead), rapid.Custom(drawSmall), rapid.Custom(drawResolution), rapid.Custom(drawExchange),
+	)
+)
+
+func nilIfEmpty[T any](list []T) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	return list
+}
+
+func drawHead(t *rapid.T) any {
+	return &Head{
+		ID: attempts.Draw(t, "id"), Service: texts.Draw(t, "service"), Method: texts.Draw(t, "method"), Target: texts.Draw(t, "target"),
+		Host: texts.Draw(t, "host"), Header: headers.Draw(t, "header"), ContentLength: rapid.Int64Range(-1, 1<<40).Draw(t, "length"),
+		Remaining: durations.Draw(t, "remaining"), SentAt: durations.Draw(t, "sent-at"),
+		Class: ident.Class(rapid.IntRange(0, ident.Classes-1).Draw(t, "class")), Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		Depth: counts.Draw(t, "depth"), Revision: rapid.Uint64().Draw(t, "revision"), Body: bodies.Draw(t, "body"),
+		End: rapid.Bool().Draw(t, "end"),
+	}
+}
+
+func drawSmall(t *rapid.T) any {
+	number := rapid.Uint64().Draw(t, "number")
+	return rapid.SampledFrom([]any{
+		&Ping{},
+		&Hello{Version: uint32(number), Incarnation: ident.Incarnation(number), Address: addresses.Draw(t, "address"), Conn: number},
+		&Welcome{Version: uint32(number), Incarnation: ident.Incarnation(number), Code: codes.Draw(t, "code")},
+		&Piece{Data: bodies.Draw(t, "data"), End: number%2 == 0, Trailer: headers.Draw(t, "trailer")},
+		&Ack{
+			Verdict: Verdict(number % 3), Code: codes.Draw(t, "code"), Detail: texts.Draw(t, "detail"),
+			Retry: durations.Draw(t, "retry"), Report: reports.Draw(t, "report"),
+		},
+		&Resolve{
+			ID: attempts.Draw(t, "id"), Conn: number, Incarnation: ident.Incarnation(number),
+			Elapsed: durations.Draw(t, "elapsed"), Done: number%2 == 0,
+		},
+		&Probe{Service: texts.Draw(t, "service")},
+		&ProbeReply{Code: codes.Draw(t, "code"), Next: durations.Draw(t, "next"), Report: reports.Draw(t, "report")},
+		&Status{From: records.Draw(t, "from"), InForce: number},
+	}).Draw(t, "message")
+}
+
+func drawResolution(t *rapid.T) any {
+	m := &Resolution{State: ResolveState(rapid.IntRange(0, 3).Draw(t, "state")), Report: reports.Draw(t, "report")}
+	if rapid.Bool().Draw(t, "has-answer") {
+		m.Answer = answers.Draw(t, "answer")
+	}
+	if rapid.Bool().Draw(t, "has-failure") {
+		m.Failure = failures.Draw(t, "failure")
+	}
+	return m
+}
+
+func drawExchange(t *rapid.T) any {
+	m := &Exchange{
+		From: records.Draw(t, "from"), Seen: HeadSeen{Revision: rapid.Uint64().Draw(t, "seen"), Age: durations.Draw(t, "age")},
+		InForce: rapid.Uint64().Draw(t, "in-force"), Digests: rapid.Map(rapid.SliceOfN(rapid.Uint64(), 0, 64), nilIfEmpty[uint64]).Draw(t, "digests"),
+		Members: rapid.Map(rapid.SliceOfN(records, 0, 4), nilIfEmpty[member.Record]).Draw(t, "members"),
+		Changes: rapid.Map(rapid.SliceOfN(changes, 0, 4), nilIfEmpty[files.Change]).Draw(t, "changes"),
+		Since:   rapid.Uint64().Draw(t, "since"), Want: rapid.Bool().Draw(t, "want"), More: rapid.Bool().Draw(t, "more"),
+	}
+	if rapid.Bool().Draw(t, "has-snapshot") {
+		m.Snapshot = &files.Set{Revision: rapid.Uint64().Draw(t, "revision"), Files: folder.Draw(t, "files")}
+	}
+	return m
+}
+
+// decodeLike decodes into a new message of the same type, through an Envelope when it is a frame.
+func decodeLike(buf []byte, message any) (any, error) {
+	if _, isFrame := message.(Frame); isFrame {
+		var envelope Envelope
+		err := Codec{}.Unmarshal(buf, &envelope)
+		return envelope.Frame, err
+	}
+	decoded := reflect.New(reflect.TypeOf(message).Elem()).Interface()
+	return decoded, Codec{}.Unmarshal(buf, decoded)
+}
+
+// Guards against a field that is lost or changed on the way, against a decoded message that shares memory with drpc's
+// receive buffer, and against an unknown field that a later protocol adds.
+func TestEveryMessageSurvivesTheCodec(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		message := messages.Draw(t, "message")
+		buf, err := Codec{}.Marshal(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		buf = protowire.AppendTag(buf, 900, protowire.Fixed32Type)
+		buf = protowire.AppendFixed32(buf, 1)
+		buf = putElement(buf, 901, "later")
+		decoded, err := decodeLike(buf, message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range buf {
+			buf[i] = 0xff
+		}
+		if !reflect.DeepEqual(message, decoded) {
+			t.Fatalf("sent %+v\nread %+v", message, decoded)
+		}
+	})
+}
+
+// Guards against messages that take unbounded memory: each bound is kept when sending and, for input made without it,
+// when receiving.
+func TestBoundsHold(t *testing.T) {
+	many := make(http.Header)
+	many["X"] = make([]string, MaxHeaderCount+1)
+	wide := http.Header{"X": {strings.Repeat("x", MaxHeader)}}
+	cases := map[string]struct {
+		message any
+		want    code.Code
+	}{
+		"body of a head":   {&Head{Body: make([]byte, MaxPiece+1)}, code.BodyTooLarge},
+		"piece":            {&Piece{Data: make([]byte, MaxPiece+1)}, code.BodyTooLarge},
+		"answer":           {&Answer{Body: make([]byte, MaxPiece+1)}, code.BodyTooLarge},
+		"held response":    {&Resolution{Answer: &Answer{Body: make([]byte, MaxHeld+1)}}, code.BodyTooLarge},
+		"frame":            {&Exchange{Snapshot: &files.Set{Files: []files.File{{Content: strings.Repeat("x", MaxFrame)}}}}, code.BodyTooLarge},
+		"members":          {&Exchange{Members: make([]member.Record, maxMembers+1)}, code.BodyTooLarge},
+		"target":           {&Head{Target: strings.Repeat("x", MaxTarget+1)}, code.HeaderTooLarge},
+		"count of headers": {&Head{Header: many}, code.HeaderTooLarge},
+		"size of a header": {&Piece{Trailer: wide}, code.HeaderTooLarge},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := Codec{}.Marshal(c.message)
+			NewWithT(t).Expect(code.Of(err).Code).To(Equal(c.want))
+		})
+	}
+	received := map[string]struct {
+		buf  []byte
+		into any
+		want code.Code
+	}{
+		"piece":   {putBytes([]byte{byte(kindPiece)}, 3, make([]byte, MaxPiece+1)), &Envelope{}, code.BodyTooLarge},
+		"header":  {putNested([]byte{byte(kindPiece)}, 2, many, appendHeader), &Envelope{}, code.HeaderTooLarge},
+		"wide":    {putNested([]byte{byte(kindPiece)}, 2, wide, appendHeader), &Envelope{}, code.HeaderTooLarge},
+		"frame":   {make([]byte, MaxFrame+1), &Exchange{}, code.BodyTooLarge},
+		"members": {[]byte(strings.Repeat("\x2a\x00", maxMembers+1)), &Exchange{}, code.BadRequest},
+		"verdict": {putUint([]byte{byte(kindAck)}, 1, 3), &Envelope{}, code.BadRequest},
+		"class":   {putUint([]byte{byte(kindHead)}, 10, 4), &Envelope{}, code.BadRequest},
+		"kind":    {[]byte{9}, &Envelope{}, code.BadRequest},
+		"type":    {putUint([]byte{byte(kindHead)}, 2, 1), &Envelope{}, code.BadRequest},
+		"cut":     {putElement(nil, 1, "service")[:4], &Probe{}, code.BadRequest},
+	}
+	for name, c := range received {
+		t.Run("received "+name, func(t *testing.T) {
+			NewWithT(t).Expect(code.Of(Codec{}.Unmarshal(c.buf, c.into)).Code).To(Equal(c.want))
+		})
+	}
+}
+
+// Guards against a panic on malformed input, an uncoded error, and an accepted message that cannot be sent on.
+func FuzzUnmarshal(f *testing.F) {
+	targets := []func() any{
+		func() any { return new(Envelope) }, func() any { return new(Hello) }, func() any { return new(Welcome) },
+		func() any { return new(Resolve) }, func() any { return new(Resolution) }, func() any { return new(Probe) },
+		func() any { return new(ProbeReply) }, func() any { return new(Exchange) }, func() any { return new(Status) },
+	}
+	f.Fuzz(func(t *testing.T, kind byte, buf []byte) {
+		message := targets[int(kind)%len(targets)]()
+		if err := (Codec{}).Unmarshal(buf, message); err != nil {
+			if c := code.Of(err).Code; c != code.BadRequest && c != code.BodyTooLarge && c != code.HeaderTooLarge {
+				t.Fatalf("error with code %v: %v", c, err)
+			}
+			return
+		}
+		if envelope, isFrame := message.(*Envelope); isFrame {
+			message = envelope.Frame
+		}
+		again, err := Codec{}.Marshal(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := decodeLike(again, message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(message, decoded) {
+			t.Fatalf("accepted %+v\nread again %+v", message, decoded)
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/proto/header.go
@@ -0,0 +1,133 @@
+package proto
+
+import (
+	"net/http"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+)
+
+// A header section is a list of names, each followed by its values.
+const (
+	fieldName  fieldNumber = 1
+	fieldValue fieldNumber = 2
+)
+
+func putHeader(buf []byte, number fieldNumber, header http.Header) ([]byte, error) {
+	if len(header) == 0 {
+		return buf, nil
+	}
+	if err := checkHeader(header); err != nil {
+		return nil, err
+	}
+	return putNested(buf, number, header, appendHeader), nil
+}
+
+func appendHeader(buf []byte, header http.Header) []byte {
+	for name, values := range header {
+		if len(values) == 0 {
+			continue
+		}
+		buf = putElement(buf, fieldName, name)
+		for _, value := range values {
+			buf = putElement(buf, fieldValue, value)
+		}
+	}
+	return buf
+}
+
+// checkHeader refuses before sending what the other side would refuse.
+func checkHeader(header http.Header) error {
+	count, size := 0, 0
+	for name, values := range header {
+		size += elementSize(name)
+		for _, value := range values {
+			size += elementSize(value)
+			count++
+		}
+	}
+	return boundHeader(count, size)
+}
+
+func elementSize(text string) int {
+	return protowire.SizeTag(fieldValue) + protowire.SizeBytes(len(text))
+}
+
+func boundHeader(count, size int) error {
+	if count > MaxHeaderCount {
+		return code.Unknownf(code.HeaderTooLarge, "header has %d values, above %d", count, MaxHeaderCount)
+	}
+	if size > MaxHeader {
+		return code.Unknownf(code.HeaderTooLarge, "header has %d bytes, above %d", size, MaxHeader)
+	}
+	return nil
+}
+
+// header reads a header section. It copies the section once; all names and values are parts of that copy, and all values
+// share one array.
+func (r *reader) header() http.Header {
+	section := r.section(MaxFrame)
+	if r.err != nil {
+		return nil
+	}
+	names, values, err := countHeader(section)
+	if err != nil {
+		r.adopt(err)
+		return nil
+	}
+	if values == 0 {
+		return nil
+	}
+	text := string(section)
+	header := make(http.Header, names)
+	all := make([]string, 0, values)
+	name, first := "", 0
+	inner := reader{rest: section}
+	for inner.next() {
+		end := len(text) - len(inner.rest)
+		part := text[end-len(inner.data) : end]
+		switch inner.number {
+		case fieldName:
+			storeValues(header, name, all[first:])
+			name, first = part, len(all)
+		case fieldValue:
+			all = append(all, part)
+		}
+	}
+	storeValues(header, name, all[first:])
+	return header
+}
+
+// storeValues limits the capacity of the values, so that appending to one name never overwrites the next one's.
+func storeValues(header http.Header, name string, values []string) {
+	if len(values) == 0 {
+		return
+	}
+	if earlier := header[name]; earlier != nil {
+		header[name] = append(earlier, values...)
+		return
+	}
+	header[name] = values[:len(values):len(values)]
+}
+
+func countHeader(section []byte) (names, values int, err error) {
+	r := reader{rest: section}
+	for r.next() {
+		switch r.number {
+		case fieldName:
+			r.section(MaxHeader)
+			names++
+		case fieldValue:
+			r.section(MaxHeader)
+			values++
+			if names == 0 {
+				return 0, 0, malformed("header value without a name")
+			}
+		}
+	}
+	if r.err != nil {
+		return 0, 0, r.err
+	}
+	return names, values, boundHeader(max(names, values), len(section))
+}
