--- /dev/null
+++ b/internal/wire/link/accept.go
@@ -0,0 +1,201 @@
+package link
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcstream"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// serverConn is an accepted connection. It implements drpc.Handler; drpc runs one stream of a connection at a time.
+type serverConn struct {
+	server *Server
+	tr     *pipe
+	cancel context.CancelFunc // of the stream that runs
+	opened time.Time
+	// guard closes the connection when the message that it waits for is late.
+	guard   *time.Timer
+	peer    atomic.Pointer[proto.Peer] // set by the handshake
+	busy    atomic.Bool                // a stream runs
+	streams atomic.Uint64
+}
+
+func keyOf(peer *proto.Peer) connKey {
+	return connKey{router: peer.Hello.Incarnation, number: peer.Hello.Conn}
+}
+
+func (c *serverConn) expire() {
+	c.server.failed.Add(1)
+	c.server.Log.V(1).Info("message-late", "remote", c.tr.RemoteAddr().String(), "timeout", c.server.HelloTimeout)
+	c.close()
+}
+
+// close ends the connection and its stream. The cancellation reaches a stream whose reader waits for the handler to take
+// a frame and therefore does not see the transport close.
+func (c *serverConn) close() {
+	_ = c.tr.Close()
+	c.cancel()
+}
+
+// HandleRPC implements drpc.Handler.
+func (c *serverConn) HandleRPC(opened drpc.Stream, rpc string) error {
+	raw, ok := opened.(*drpcstream.Stream)
+	if !ok {
+		return toWire(code.Unknownf(code.Internal, "unexpected stream %T", opened))
+	}
+	c.busy.Store(true)
+	defer c.busy.Store(false)
+	c.streams.Add(1)
+	peer := c.peer.Load()
+	if (peer == nil) != (rpc == rpcHello) {
+		c.close()
+		return toWire(code.NotRunf(code.BadRequest, "%s out of order", rpc))
+	}
+	if err := c.dispatch(raw, rpc, peer); err != nil {
+		return toWire(err)
+	}
+	return endStream(raw)
+}
+
+// endStream ends a stream whose other direction is still open, as after an early answer to an upload. drpc's reader would
+// otherwise wait for ever for the handler to take the next piece, and not see the connection close either.
+func endStream(raw *drpcstream.Stream) error {
+	if raw.IsTerminated() {
+		return nil
+	}
+	return raw.Close()
+}
+
+func (c *serverConn) dispatch(raw *drpcstream.Stream, rpc string, peer *proto.Peer) error {
+	switch rpc {
+	case rpcHello:
+		return c.hello(raw)
+	case rpcPing:
+		return serveUnary(c, raw, peer, echo)
+	case rpcCall:
+		return c.call(raw, peer)
+	case rpcResolve:
+		return serveUnary(c, raw, peer, c.resolve)
+	case rpcProbe:
+		return serveUnary(c, raw, peer, c.server.Calls.Probe)
+	case rpcExchange:
+		return serveUnary(c, raw, peer, c.server.Fleet.Exchange)
+	case rpcStatus:
+		return serveUnary(c, raw, peer, c.server.Fleet.Status)
+	default:
+		return code.NotRunf(code.BadRequest, "unknown rpc %q", rpc)
+	}
+}
+
+func echo(_ context.Context, _ *proto.Peer, ask *proto.Ping) (*proto.Ping, error) {
+	return ask, nil
+}
+
+type unary[In, Out any] func(ctx context.Context, peer *proto.Peer, ask *In) (*Out, error)
+
+func serveUnary[In, Out any](c *serverConn, raw *drpcstream.Stream, peer *proto.Peer, handle unary[In, Out]) error {
+	ask := new(In)
+	if err := c.receive(raw, ask); err != nil {
+		return err
+	}
+	reply, err := handle(raw.Context(), peer, ask)
+	if err != nil {
+		return err
+	}
+	return send(raw, reply, true)
+}
+
+// receive waits for the first message of a stream, within HelloTimeout.
+func (c *serverConn) receive(raw *drpcstream.Stream, into drpc.Message) error {
+	c.guard.Reset(c.server.HelloTimeout)
+	defer c.guard.Stop()
+	return raw.MsgRecv(into, proto.Codec{})
+}
+
+func (c *serverConn) hello(raw *drpcstream.Stream) error {
+	peer := new(proto.Peer)
+	if err := c.receive(raw, &peer.Hello); err != nil {
+		c.server.failed.Add(1)
+		c.close()
+		return err
+	}
+	welcome := &proto.Welcome{Version: proto.Version, Incarnation: c.server.Incarnation}
+	welcome.Code = c.welcome(peer)
+	err := send(raw, welcome, true)
+	if welcome.Code == code.None {
+		return err
+	}
+	c.server.failed.Add(1)
+	c.server.Log.Info("handshake-refused", "remote", c.tr.RemoteAddr().String(), "code", welcome.Code.String(),
+		"version", peer.Hello.Version, "router", peer.Hello.Incarnation, "conn", peer.Hello.Conn)
+	c.close()
+	return err
+}
+
+func (c *serverConn) welcome(peer *proto.Peer) code.Code {
+	if peer.Hello.Version != proto.Version {
+		return code.VersionMismatch
+	}
+	// The peer is set before the number is registered, so that a revocation finds it.
+	c.peer.Store(peer)
+	refusal := c.server.registry.add(keyOf(peer), c)
+	if refusal != code.None {
+		peer.Revoke()
+	}
+	return refusal
+}
+
+func (c *serverConn) call(raw *drpcstream.Stream, peer *proto.Peer) error {
+	served := &stream{raw: raw, tr: c.tr, accepts: fromRouter}
+	if err := c.receive(raw, &served.box); err != nil {
+		// The handler was not asked.
+		return withOutcome(err, code.NotRun)
+	}
+	head, ok := served.box.Frame.(*proto.Head)
+	if !ok {
+		return code.NotRunf(code.BadRequest, "call opened with %T", served.box.Frame)
+	}
+	served.received.Store(head.End)
+	if peer.Revoked() {
+		return served.Send(refusal(code.Revoked, "the connection is revoked"))
+	}
+	if c.server.stopping.Load() {
+		return served.Send(refusal(code.Stopping, "the daemon is stopping"))
+	}
+	return c.server.Calls.Call(peer, head, served)
+}
+
+func refusal(why code.Code, detail string) *proto.Ack {
+	return &proto.Ack{Verdict: proto.Refused, Code: why, Detail: detail}
+}
+
+// resolve revokes the named connection before the handler looks for the attempt. So a head on that connection either is
+// found by the handler or sees the revocation. Conn 0 names no connection, and Done confirms a response that arrived, so
+// neither revokes.
+func (c *serverConn) resolve(ctx context.Context, peer *proto.Peer, ask *proto.Resolve) (*proto.Resolution, error) {
+	if ask.Conn != 0 && !ask.Done {
+		if err := c.server.revoke(connKey{router: peer.Hello.Incarnation, number: ask.Conn}); err != nil {
+			return nil, err
+		}
+	}
+	if ask.Incarnation != c.server.Incarnation {
+		return &proto.Resolution{State: proto.StateUnknown}, nil
+	}
+	return c.server.Calls.Resolve(ctx, peer, ask)
+}
+
+func (s *Server) revoke(key connKey) error {
+	conn, err := s.registry.revoke(key)
+	if err != nil || conn == nil {
+		return err
+	}
+	conn.peer.Load().Revoke()
+	s.Log.Info("connection-revoked", "remote", conn.tr.RemoteAddr().String(), "router", key.router, "conn", key.number)
+	conn.close()
+	return nil
+}
--- /dev/null
+++ b/internal/wire/link/conn.go
@@ -0,0 +1,153 @@
+package link
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcstream"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// conn is a connection to a peer. One goroutine uses it at a time, between take and release.
+type conn struct {
+	to        netip.AddrPort
+	number    uint64
+	remote    ident.Incarnation // of the daemon that accepted
+	tr        *pipe
+	rpc       *drpcconn.Conn
+	idleSince time.Time
+}
+
+func (c *conn) isClosed() bool {
+	select {
+	case <-c.rpc.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+// open dials and shakes hands. Its errors have outcome NotRun, because no request was sent.
+func (p *Pool) open(ctx context.Context, to netip.AddrPort) (*conn, error) {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
+	defer cancel()
+	c, err := p.handshake(ctx, to)
+	p.count(to, func(found *peer) {
+		found.counts.Dialed++
+		if err != nil {
+			found.counts.DialFailed++
+			return
+		}
+		found.counts.Handshake = time.Since(start)
+		found.counts.Incarnation = c.remote
+	})
+	if err != nil {
+		p.Log.V(1).Info("dial-failed", "peer", to, "elapsed", time.Since(start), "reason", err.Error())
+		return nil, notRun(err)
+	}
+	return c, nil
+}
+
+func (p *Pool) handshake(ctx context.Context, to netip.AddrPort) (*conn, error) {
+	dialed, err := p.Dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{to: to, number: p.numbers.Add(1), tr: &pipe{Conn: dialed}}
+	options := managerOptions()
+	options.SoftCancel = true
+	options.SoftCancelGrace = p.CancelGrace
+	c.rpc = drpcconn.NewWithOptions(c.tr, drpcconn.Options{Manager: options})
+	if err := c.hello(ctx, p.Self); err != nil {
+		_ = c.tr.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *conn) hello(ctx context.Context, hello proto.Hello) error {
+	hello.Version = proto.Version
+	hello.Conn = c.number
+	welcome := new(proto.Welcome)
+	if err := c.rpc.Invoke(ctx, rpcHello, proto.Codec{}, &hello, welcome); err != nil {
+		return err
+	}
+	if welcome.Code != code.None {
+		return code.NotRunf(welcome.Code, "%v refused the connection", c.to)
+	}
+	if welcome.Version != proto.Version {
+		return code.NotRunf(code.VersionMismatch, "%v has protocol version %d, not %d", c.to, welcome.Version, proto.Version)
+	}
+	c.remote = welcome.Incarnation
+	return nil
+}
+
+// check tells whether the connection still carries data both ways.
+func (p *Pool) check(ctx context.Context, c *conn) error {
+	ctx, cancel := context.WithTimeout(ctx, p.CheckTimeout)
+	defer cancel()
+	return c.rpc.Invoke(ctx, rpcPing, proto.Codec{}, &proto.Ping{}, &proto.Ping{})
+}
+
+// recycle ends a stream that is not complete, and keeps its connection when the other side has left the stream too. The
+// ping tells: the other side runs one stream at a time, so it is answered after the cancelled one has ended there. A
+// call sent instead of the ping would wait for that end.
+func (p *Pool) recycle(c *conn, raw *drpcstream.Stream) {
+	if !cancelStream(raw, p.CancelGrace) || p.check(context.Background(), c) != nil {
+		p.drop(c)
+		return
+	}
+	p.release(c)
+}
+
+// cancelPoll is the pause between two attempts to cancel a stream with a send in progress.
+const cancelPoll = 500 * time.Microsecond
+
+func cancelStream(raw *drpcstream.Stream, grace time.Duration) bool {
+	raw.StopWrites(context.Canceled)
+	for start := time.Now(); ; time.Sleep(cancelPoll) {
+		busy, err := raw.SendCancel(context.Canceled)
+		if !busy {
+			return err == nil
+		}
+		if time.Since(start) >= grace {
+			return false
+		}
+	}
+}
+
+// invoke makes a unary call on a pooled connection.
+func (p *Pool) invoke(ctx context.Context, to netip.AddrPort, rpc string, ask, reply drpc.Message) error {
+	c, err := p.take(ctx, to)
+	if err != nil {
+		return err
+	}
+	err = c.rpc.Invoke(ctx, rpc, proto.Codec{}, ask, reply)
+	if err == nil {
+		p.release(c)
+		return nil
+	}
+	coded := fromWire(err)
+	// A cancelled exchange keeps its connection like a cancelled call. drpc has sent the cancellation itself.
+	if !c.isClosed() && (ctx.Err() != nil || coded.Code != code.PeerUnreachable) {
+		go p.recheck(c)
+		return coded
+	}
+	p.drop(c)
+	return coded
+}
+
+func (p *Pool) recheck(c *conn) {
+	if p.check(context.Background(), c) != nil {
+		p.drop(c)
+		return
+	}
+	p.release(c)
+}
--- /dev/null
+++ b/internal/wire/link/link_test.go
@@ -0,0 +1,456 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcserver"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// Guards invariants 5 and 6: an attempt that resolve has declared revoked must not run when its bytes arrive later.
+func TestLateBytesOfASilentConnectionNeverReachTheHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		first := p.call("/first")
+		p.relays[0].silence()
+		lost := p.open("/lost")
+		p.Expect(lost.Conn()).To(Equal(first))
+		time.Sleep(250 * time.Millisecond)
+		lost.Silent()
+		_, err := lost.Recv()
+		p.Expect(code.Of(err).Outcome).To(Equal(code.Unknown))
+		ask := &proto.Resolve{Conn: lost.Conn(), Incarnation: lost.Incarnation()}
+		resolution, err := p.pool.Resolve(t.Context(), daemon, ask)
+		p.Expect(err).NotTo(HaveOccurred())
+		p.Expect(resolution.State).To(Equal(proto.StateRevoked))
+		_, err = p.relays[0].deliverLate()
+		p.Expect(err).To(HaveOccurred(), "the server has closed the connection")
+		synctest.Wait()
+		heads, resolves := p.handler.seen()
+		p.Expect(heads).To(Equal(1), "only the first call ran")
+		p.Expect(resolves).To(Equal(1))
+		p.Expect(p.call("/after")).NotTo(Equal(first))
+		p.Expect(p.peer().Silent).To(BeEquivalentTo(1))
+	})
+}
+
+// Guards against a head that had already been read when its connection was revoked: closing alone does not stop it.
+func TestARevokedPeerIsRefusedAndItsStreamEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan struct{})
+		p := newPair(t, func(p *pair) {
+			p.handler.serve = func(peer *proto.Peer, _ *proto.Head, stream proto.Stream) error {
+				<-stream.Context().Done()
+				NewWithT(t).Expect(peer.Revoked()).To(BeTrue())
+				close(ended)
+				return nil
+			}
+		})
+		stream, err := p.pool.Call(t.Context(), daemon, &proto.Head{})
+		p.Expect(err).NotTo(HaveOccurred())
+		// The handler takes no piece, so the server's reader waits and does not see the transport close.
+		go func() { _ = stream.Send(&proto.Piece{Data: []byte("unread")}) }()
+		synctest.Wait()
+		_, err = p.pool.Resolve(t.Context(), daemon, &proto.Resolve{Conn: stream.Conn(), Incarnation: admissionRun})
+		p.Expect(err).NotTo(HaveOccurred())
+		<-ended
+		p.Expect(stream.Close()).To(Succeed())
+		conn := &serverConn{server: p.server}
+		peer := &proto.Peer{}
+		peer.Revoke()
+		p.Expect(conn.server.registry.add(connKey{router: routerRun, number: stream.Conn()}, conn)).To(Equal(code.Revoked))
+	})
+}
+
+// Guards against a handshake in transit during the resolve, which would make the revocation miss its connection; and
+// against remembering numbers for ever.
+func TestALateHandshakeOfARevokedNumberIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		p.call("/first")
+		revoke := func(number uint64) {
+			_, err := p.pool.Resolve(t.Context(), daemon, &proto.Resolve{Conn: number, Incarnation: admissionRun})
+			p.Expect(err).NotTo(HaveOccurred())
+		}
+		late := p.pool.numbers.Load() + 2 // the resolve itself takes the next one
+		revoke(late)
+		_, err := p.pool.open(t.Context(), daemon)
+		p.Expect(code.Of(err).Code).To(Equal(code.Revoked))
+		p.Expect(code.Of(err).Outcome).To(Equal(code.NotRun))
+		p.Expect(p.server.Dump().(ServerDump).Revoked).To(Equal(1))
+		time.Sleep(RevokedFor)
+		p.Expect(p.server.Dump().(ServerDump).Revoked).To(BeZero())
+	})
+}
+
+// Guards against a confirmation, or a question about a stream that goes on, cutting a good connection.
+func TestResolveWithoutSuspicionKeepsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		number := p.call("/first")
+		for _, ask := range []*proto.Resolve{{Conn: number, Done: true, Incarnation: admissionRun}, {Incarnation: admissionRun}} {
+			_, err := p.pool.Resolve(t.Context(), daemon, ask)
+			p.Expect(err).NotTo(HaveOccurred())
+		}
+		p.Expect(p.call("/second")).To(Equal(number))
+	})
+}
+
+// Guards invariant 5: a daemon that restarted knows nothing of attempts sent to its earlier incarnation.
+func TestResolveForAnotherIncarnationIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		resolution, err := p.pool.Resolve(t.Context(), daemon, &proto.Resolve{Conn: 9, Incarnation: admissionRun - 1})
+		p.Expect(err).NotTo(HaveOccurred())
+		p.Expect(resolution.State).To(Equal(proto.StateUnknown))
+		_, resolves := p.handler.seen()
+		p.Expect(resolves).To(BeZero())
+	})
+}
+
+// Guards invariant 5: a resolve that could not be sent must not read as a proof that the attempt did not run.
+func TestAFailedResolveIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, func(p *pair) { p.server.Linger = time.Millisecond })
+		p.stop()
+		p.Expect(<-p.stopped).To(Succeed())
+		_, err := p.pool.Resolve(t.Context(), daemon, &proto.Resolve{Conn: 1})
+		p.Expect(code.Of(err).Outcome).To(Equal(code.Unknown))
+		_, err = p.pool.Call(t.Context(), daemon, &proto.Head{End: true})
+		p.Expect(code.Of(err).Code).To(Equal(code.PeerUnreachable))
+		p.Expect(code.Of(err).Outcome).To(Equal(code.NotRun))
+	})
+}
+
+// Guards against daemons of different versions that misread each other, on both sides.
+func TestVersionMismatchIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		transport, err := p.pool.Dial(t.Context(), daemon)
+		p.Expect(err).NotTo(HaveOccurred())
+		conn := drpcconn.New(transport)
+		welcome := new(proto.Welcome)
+		hello := &proto.Hello{Version: proto.Version + 1, Conn: 50}
+		p.Expect(conn.Invoke(t.Context(), rpcHello, proto.Codec{}, hello, welcome)).To(Succeed())
+		p.Expect(welcome.Code).To(Equal(code.VersionMismatch))
+		<-conn.Closed()
+	})
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		go func() { _ = drpcserver.New(laterVersion{}).ServeOne(t.Context(), far) }()
+		p := newPair(t, nil)
+		c := &conn{rpc: drpcconn.New(near)}
+		p.Expect(code.Of(c.hello(t.Context(), proto.Hello{})).Code).To(Equal(code.VersionMismatch))
+		p.Expect(c.rpc.Close()).To(Succeed())
+	})
+}
+
+type laterVersion struct{}
+
+func (laterVersion) HandleRPC(stream drpc.Stream, _ string) error {
+	if err := stream.MsgRecv(&proto.Hello{}, proto.Codec{}); err != nil {
+		return err
+	}
+	return stream.MsgSend(&proto.Welcome{Version: proto.Version + 1}, proto.Codec{})
+}
+
+// Guards against connections that hold memory and a place without ever sending a request, quickly or slowly.
+func TestConnectionsThatSendSlowlyAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, func(p *pair) { p.server.Accepted = 2 })
+		start := time.Now()
+		var dialed []net.Conn
+		for range 3 {
+			transport, err := p.pool.Dial(t.Context(), daemon)
+			p.Expect(err).NotTo(HaveOccurred())
+			dialed = append(dialed, transport)
+		}
+		_, err := dialed[2].Read(make([]byte, 1))
+		p.Expect(err).To(MatchError(io.EOF))
+		p.Expect(time.Since(start)).To(BeZero(), "over the bound: closed at once")
+		for time.Since(start) < DefaultHelloTimeout {
+			_, _ = dialed[0].Write([]byte{0x80})
+			time.Sleep(time.Second)
+		}
+		for _, slow := range dialed[:2] {
+			_, err = slow.Read(make([]byte, 1))
+			p.Expect(err).To(MatchError(io.EOF))
+		}
+		p.Expect(time.Since(start)).To(Equal(DefaultHelloTimeout))
+		p.call("/after")
+	})
+}
+
+// Guards against a call that is sent on a connection which went silent while idle, and against a check of each idle
+// connection in turn.
+func TestIdleConnectionsAreCheckedAndClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		one, two := p.open("/one"), p.open("/two")
+		for _, stream := range []proto.ClientStream{one, two} {
+			for range 2 {
+				_, err := stream.Recv()
+				p.Expect(err).NotTo(HaveOccurred())
+			}
+			p.Expect(stream.Close()).To(Succeed())
+		}
+		time.Sleep(DefaultCheckAfter + time.Second)
+		p.Expect(p.call("/checked")).To(Equal(two.Conn()))
+		time.Sleep(DefaultCheckAfter + time.Second)
+		p.relays[0].silence()
+		p.relays[1].silence()
+		start := time.Now()
+		p.Expect(p.call("/new")).To(Equal(two.Conn() + 1))
+		p.Expect(time.Since(start)).To(Equal(DefaultCheckTimeout))
+		p.Expect(p.peer().CheckFailed).To(BeEquivalentTo(1))
+		p.Expect(p.peer().Open).To(Equal(1))
+		time.Sleep(2 * DefaultIdleClose)
+		p.Expect(p.peer().Open).To(BeZero())
+	})
+}
+
+// Decides for drpc's soft cancel: it keeps the connection, and nothing of the cancelled call reaches the next one.
+func TestACancelledCallLeavesItsConnectionClean(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, func(p *pair) {
+			p.handler.serve = func(peer *proto.Peer, head *proto.Head, stream proto.Stream) error {
+				if head.Target != "/cancelled" {
+					return answerTarget(peer, head, stream)
+				}
+				_ = stream.Send(&proto.Ack{Verdict: proto.Admitted})
+				<-stream.Context().Done()
+				time.Sleep(100 * time.Millisecond)
+				return answerTarget(peer, head, stream)
+			}
+		})
+		for _, end := range []string{"context", "close"} {
+			ctx, cancel := context.WithCancel(t.Context())
+			stream, err := p.pool.Call(ctx, daemon, &proto.Head{Target: "/cancelled", End: true})
+			p.Expect(err).NotTo(HaveOccurred())
+			_, err = stream.Recv()
+			p.Expect(err).NotTo(HaveOccurred())
+			if end == "context" {
+				cancel()
+				_, err = stream.Recv()
+				p.Expect(code.Of(err).Code).To(Equal(code.Cancelled))
+			}
+			p.Expect(stream.Close()).To(Succeed())
+			p.Expect(p.call("/meanwhile")).NotTo(Equal(stream.Conn()), "the cancelled call still runs there")
+			time.Sleep(200 * time.Millisecond)
+			p.Expect(p.call("/after")).To(Equal(stream.Conn()), "ended by "+end)
+			cancel()
+		}
+		p.Expect(p.peer().Open).To(Equal(2))
+	})
+}
+
+// Guards against a pool that waits for, or reuses, a connection whose other side does not end a cancelled call.
+func TestAConnectionStuckInACancelledCallIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		defer close(release)
+		p := newPair(t, func(p *pair) {
+			p.handler.serve = func(*proto.Peer, *proto.Head, proto.Stream) error {
+				<-release
+				return nil
+			}
+		})
+		stuck := p.open("/stuck")
+		p.Expect(stuck.Close()).To(Succeed())
+		time.Sleep(DefaultCheckTimeout + 10*time.Millisecond)
+		p.Expect(p.peer().Open).To(BeZero())
+	})
+}
+
+// Guards against unbounded connections to one peer, and against places that are lost when calls end.
+func TestThePerPeerBoundHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, func(p *pair) { p.pool.PerPeer = 2 })
+		for range 3 {
+			one, two := p.open("/one"), p.open("/two")
+			_, err := p.pool.Call(t.Context(), daemon, &proto.Head{End: true})
+			p.Expect(code.Of(err).Code).To(Equal(code.PeerUnreachable))
+			p.Expect(code.Of(err).Outcome).To(Equal(code.NotRun))
+			p.Expect(one.Close()).To(Succeed())
+			two.Silent()
+			synctest.Wait()
+			p.call("/third")
+		}
+		p.Expect(p.peer().Open).To(BeNumerically("<=", 2))
+	})
+}
+
+// Guards invariant 4: a response without its last frame is an error, whether the handler returns or the connection ends.
+func TestATruncatedStreamIsAnError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, func(p *pair) {
+			p.handler.serve = func(_ *proto.Peer, head *proto.Head, stream proto.Stream) error {
+				_ = stream.Send(&proto.Answer{Status: 200})
+				switch head.Target {
+				case "/failed":
+					return code.NotRunf(code.Overloaded, "no slot")
+				case "/cut":
+					p.server.closeAll()
+				}
+				return nil
+			}
+		})
+		for target, want := range map[string]*code.Error{
+			"/returned": {Code: code.ResponseTruncated, Outcome: code.Unknown},
+			"/failed":   {Code: code.Overloaded, Outcome: code.NotRun},
+			"/cut":      {Code: code.Cancelled, Outcome: code.Unknown},
+		} {
+			stream := p.open(target)
+			_, err := stream.Recv()
+			p.Expect(err).NotTo(HaveOccurred())
+			_, err = stream.Recv()
+			p.Expect(code.Of(err).Code).To(Equal(want.Code), target)
+			p.Expect(code.Of(err).Outcome).To(Equal(want.Outcome), target)
+			p.Expect(stream.Close()).To(Succeed())
+		}
+	})
+}
+
+// Guards invariant 5: not-run is claimed only when no byte of the head left, also when the head was in drpc's buffer.
+func TestTheOutcomeOfAFailedHeadFollowsTheBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		number := p.call("/first")
+		path := &stalling{Conn: p.relays[0].Conn, accept: 0}
+		c := p.pool.shardOf(daemon).peers[daemon].idle[0]
+		for accept, want := range map[int]code.Outcome{0: code.NotRun, 3: code.Unknown} {
+			path.accept = accept
+			c.tr.Conn = path
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, err := p.pool.Call(ctx, daemon, &proto.Head{Target: "/stalled", End: true})
+			cancel()
+			p.Expect(code.Of(err).Code).NotTo(Equal(code.None))
+			p.Expect(code.Of(err).Outcome).To(Equal(want))
+			p.Expect(p.call("/after")).NotTo(Equal(number))
+			c = p.pool.shardOf(daemon).peers[daemon].idle[0]
+			path = &stalling{Conn: c.tr.Conn}
+		}
+	})
+}
+
+// stalling takes a number of bytes and then blocks until it is closed.
+type stalling struct {
+	net.Conn
+	accept int
+}
+
+func (s *stalling) Write(data []byte) (int, error) {
+	size, _ := s.Conn.Write(data[:s.accept])
+	_, err := s.Read(make([]byte, 1))
+	return size, err
+}
+
+// Guards invariant 8: a stop lets running calls end, refuses new ones as not run, and has an end.
+func TestAStopIsGraceful(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, func(p *pair) {
+			p.handler.serve = func(peer *proto.Peer, head *proto.Head, stream proto.Stream) error {
+				if head.Target == "/slow" {
+					time.Sleep(2 * time.Second)
+				}
+				if head.Target == "/endless" {
+					<-stream.Context().Done()
+				}
+				return answerTarget(peer, head, stream)
+			}
+		})
+		p.call("/first")
+		slow, endless := p.open("/slow"), p.open("/endless")
+		synctest.Wait()
+		start := time.Now()
+		p.stop()
+		time.Sleep(time.Second)
+		_, err := p.pool.Call(t.Context(), daemon, &proto.Head{End: true})
+		p.Expect(code.Of(err).Outcome).To(Equal(code.NotRun), "no new connection")
+		for range 2 {
+			_, err = slow.Recv()
+			p.Expect(err).NotTo(HaveOccurred())
+		}
+		p.Expect(slow.Close()).To(Succeed())
+		refused := p.open("/new")
+		p.Expect(refused.Conn()).To(Equal(slow.Conn()))
+		frame, err := refused.Recv()
+		p.Expect(err).NotTo(HaveOccurred())
+		p.Expect(frame.(*proto.Ack).Code).To(Equal(code.Stopping))
+		p.Expect(<-p.stopped).To(Succeed())
+		p.Expect(time.Since(start)).To(BeNumerically("~", DefaultStopTimeout, 100*time.Millisecond))
+		_, err = endless.Recv()
+		p.Expect(code.Of(err).Outcome).To(Equal(code.Unknown))
+	})
+}
+
+// Guards against a connection that is lost on the server side for ever: after an early answer nobody takes the pieces of
+// the upload, and a reader that waits for that neither sees a cancellation nor a close.
+func TestAnEarlyAnswerToAnUploadLeavesNothingBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		stream, err := p.pool.Call(t.Context(), daemon, &proto.Head{Target: "/early"})
+		p.Expect(err).NotTo(HaveOccurred())
+		go func() {
+			for stream.Send(&proto.Piece{Data: make([]byte, proto.MaxPiece)}) == nil {
+			}
+		}()
+		for range 2 {
+			_, err = stream.Recv()
+			p.Expect(err).NotTo(HaveOccurred())
+		}
+		p.Expect(stream.Close()).To(Succeed())
+		time.Sleep(time.Second)
+		p.Expect(p.peer().Idle).To(Equal(p.peer().Open), "no connection is stuck in the pool")
+		p.call("/after")
+		p.Expect(p.server.Dump().(ServerDump).Connections).To(HaveLen(p.peer().Open), "nor in the server")
+	})
+}
+
+// Guards against a blocked upload that delays the answer: frames pass in both directions at once.
+func TestBothDirectionsAreIndependent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, func(p *pair) {
+			p.handler.serve = func(_ *proto.Peer, _ *proto.Head, stream proto.Stream) error {
+				for range 4 {
+					_ = stream.Send(&proto.Piece{Data: make([]byte, proto.MaxPiece)})
+				}
+				for {
+					frame, err := stream.Recv()
+					if err != nil || frame.(*proto.Piece).End {
+						return stream.Send(&proto.Piece{End: true})
+					}
+				}
+			}
+		})
+		stream, err := p.pool.Call(t.Context(), daemon, &proto.Head{})
+		p.Expect(err).NotTo(HaveOccurred())
+		go func() {
+			for i := range 4 {
+				_ = stream.Send(&proto.Piece{Data: make([]byte, proto.MaxPiece), End: i == 3})
+			}
+		}()
+		for range 5 {
+			_, err := stream.Recv()
+			p.Expect(err).NotTo(HaveOccurred())
+		}
+		_, err = stream.Recv()
+		p.Expect(err).To(MatchError(io.EOF))
+		synctest.Wait()
+		p.Expect(stream.Close()).To(Succeed())
+		p.Expect(p.peer().Idle).To(Equal(1))
+		reply, err := p.pool.Exchange(t.Context(), daemon, &proto.Exchange{InForce: 4})
+		p.Expect(err).NotTo(HaveOccurred())
+		p.Expect(reply.InForce).To(BeEquivalentTo(5))
+	})
+}
--- /dev/null
+++ b/internal/wire/link/pipe.go
@@ -0,0 +1,69 @@
+// Package link carries the messages between daemons over drpc: the server, the pool of client connections, the handshake
+// and the revocation of silent connections.
+package link
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// Names of the RPCs. Hello is the first on every connection.
+const (
+	rpcHello    = "hello"
+	rpcPing     = "ping"
+	rpcCall     = "call"
+	rpcResolve  = "resolve"
+	rpcProbe    = "probe"
+	rpcExchange = "exchange"
+	rpcStatus   = "status"
+)
+
+// pipe is the transport of a connection. It counts what left, which proves that a request did not run.
+type pipe struct {
+	net.Conn
+	// written is the number of bytes handed to the operating system.
+	written atomic.Uint64
+
+	mu     sync.Mutex // held during a write
+	closed bool
+}
+
+// Write implements net.Conn.
+func (p *pipe) Write(data []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return 0, net.ErrClosed
+	}
+	size, err := p.Conn.Write(data)
+	p.written.Add(uint64(size))
+	return size, err
+}
+
+// Close implements net.Conn. After it returns no write is in progress and none starts, so written is final.
+func (p *pipe) Close() error {
+	err := p.Conn.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	return err
+}
+
+// managerOptions bounds what a peer can make drpc hold. drpc's own bound is 4 MiB.
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: proto.MaxFrame}}
+}
+
+func orDefault[T int | time.Duration](value, standard T) T {
+	if value == 0 {
+		return standard
+	}
+	return value
+}
--- /dev/null
+++ b/internal/wire/link/pool.go
@@ -0,0 +1,305 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// Defaults of a Pool's bounds.
+const (
+	DefaultPerPeer      = 64
+	DefaultResolves     = 16
+	DefaultDialTimeout  = time.Second
+	DefaultCheckAfter   = 5 * time.Second
+	DefaultCheckTimeout = time.Second
+	DefaultIdleClose    = time.Minute
+	DefaultCancelGrace  = 5 * time.Millisecond
+)
+
+// forgetPeer is how long the counters of a peer without connections are kept.
+const forgetPeer = 10 * time.Minute
+
+const poolShards = 64
+
+// Pool holds the connections to other daemons. Every stream that Call returns must be closed.
+type Pool struct {
+	Self proto.Hello // Incarnation and Address of this daemon; the other fields are set by the pool
+	// Dial opens a transport. Without it TCP is used.
+	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	Log  logr.Logger
+
+	PerPeer      int           // bound on connections to one peer, those of resolves not counted
+	Resolves     int           // bound on concurrent resolves to one peer
+	DialTimeout  time.Duration // for the dial and the handshake
+	CheckAfter   time.Duration // a connection idle for longer is checked before use
+	CheckTimeout time.Duration // for the check
+	IdleClose    time.Duration // a connection idle for longer is closed
+	CancelGrace  time.Duration // for a send in progress to end when its call is cancelled, else the connection is closed
+
+	numbers atomic.Uint64
+	setup   sync.Once
+	closed  atomic.Bool
+	shards  [poolShards]shard
+}
+
+var (
+	_ proto.CallClient  = (*Pool)(nil)
+	_ proto.FleetClient = (*Pool)(nil)
+)
+
+// shard holds the peers whose address falls into it.
+type shard struct {
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+}
+
+// peer is guarded by the lock of its shard.
+type peer struct {
+	address   netip.AddrPort
+	conns     map[*conn]struct{} // open ones, idle or in use
+	idle      []*conn            // by the time of their last use; the latest is last
+	opening   int                // being dialed
+	resolving int
+	used      time.Time
+	counts    PeerDump // only the counters and the latest handshake
+}
+
+func (p *peer) size() int {
+	return len(p.conns) + p.opening
+}
+
+// Run closes connections that stay idle, and all connections when ctx ends.
+func (p *Pool) Run(ctx context.Context) error {
+	p.init()
+	ticker := time.NewTicker(p.IdleClose / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.closed.Store(true)
+			p.sweep(func(*conn) bool { return true })
+			return nil
+		case now := <-ticker.C:
+			p.sweep(func(c *conn) bool { return c.idleSince.Before(now.Add(-p.IdleClose)) })
+			p.forgetUnused(now)
+		}
+	}
+}
+
+func (p *Pool) init() {
+	p.setup.Do(func() {
+		p.PerPeer = orDefault(p.PerPeer, DefaultPerPeer)
+		p.Resolves = orDefault(p.Resolves, DefaultResolves)
+		p.DialTimeout = orDefault(p.DialTimeout, DefaultDialTimeout)
+		p.CheckAfter = orDefault(p.CheckAfter, DefaultCheckAfter)
+		p.CheckTimeout = orDefault(p.CheckTimeout, DefaultCheckTimeout)
+		p.IdleClose = orDefault(p.IdleClose, DefaultIdleClose)
+		p.CancelGrace = orDefault(p.CancelGrace, DefaultCancelGrace)
+		if p.Dial == nil {
+			p.Dial = dialTCP
+		}
+	})
+}
+
+func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", to.String())
+}
+
+func (p *Pool) shardOf(to netip.AddrPort) *shard {
+	address := to.Addr().As16()
+	return &p.shards[(xxhash.Sum64(address[:])+uint64(to.Port()))%poolShards]
+}
+
+// peerLocked returns the entry of an address; the shard must be locked.
+func (s *shard) peerLocked(to netip.AddrPort) *peer {
+	found := s.peers[to]
+	if found == nil {
+		if s.peers == nil {
+			s.peers = make(map[netip.AddrPort]*peer)
+		}
+		found = &peer{address: to, conns: make(map[*conn]struct{})}
+		s.peers[to] = found
+	}
+	found.used = time.Now()
+	return found
+}
+
+// take returns a connection for one stream: an idle one, else a new one.
+func (p *Pool) take(ctx context.Context, to netip.AddrPort) (*conn, error) {
+	p.init()
+	for {
+		c, err := p.reserve(to)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			return p.openReserved(ctx, to)
+		}
+		if c.isClosed() {
+			p.drop(c)
+			continue
+		}
+		if time.Since(c.idleSince) <= p.CheckAfter {
+			return c, nil
+		}
+		if p.check(ctx, c) == nil {
+			return c, nil
+		}
+		p.dropStale(c)
+	}
+}
+
+// reserve takes the idle connection that was used last, or a place for a new one. It fails at once when the bound is
+// reached: the caller can choose another server sooner than a connection becomes free.
+func (p *Pool) reserve(to netip.AddrPort) (*conn, error) {
+	shard := p.shardOf(to)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if p.closed.Load() {
+		return nil, code.NotRunf(code.PeerUnreachable, "the connection pool is closed")
+	}
+	found := shard.peerLocked(to)
+	if last := len(found.idle) - 1; last >= 0 {
+		c := found.idle[last]
+		found.idle = found.idle[:last]
+		return c, nil
+	}
+	if found.size() >= p.PerPeer {
+		return nil, code.NotRunf(code.PeerUnreachable, "all %d connections to %v are in use", p.PerPeer, to)
+	}
+	found.opening++
+	return nil, nil
+}
+
+func (p *Pool) openReserved(ctx context.Context, to netip.AddrPort) (*conn, error) {
+	c, err := p.open(ctx, to)
+	shard := p.shardOf(to)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	found := shard.peerLocked(to)
+	found.opening--
+	if err != nil {
+		return nil, err
+	}
+	if p.closed.Load() {
+		_ = c.tr.Close()
+		return nil, code.NotRunf(code.PeerUnreachable, "the connection pool is closed")
+	}
+	found.conns[c] = struct{}{}
+	return c, nil
+}
+
+// release makes a connection available for the next stream.
+func (p *Pool) release(c *conn) {
+	c.idleSince = time.Now()
+	shard := p.shardOf(c.to)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	found := shard.peerLocked(c.to)
+	if _, open := found.conns[c]; !open {
+		return
+	}
+	if c.isClosed() {
+		delete(found.conns, c)
+		return
+	}
+	found.idle = append(found.idle, c)
+}
+
+// drop closes a connection that is not idle.
+func (p *Pool) drop(c *conn) {
+	_ = c.tr.Close()
+	shard := p.shardOf(c.to)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if found := shard.peers[c.to]; found != nil {
+		delete(found.conns, c)
+	}
+}
+
+// dropStale closes a connection that failed its check and all idle ones, which were idle for even longer. Checking them
+// one by one would take CheckTimeout each.
+func (p *Pool) dropStale(failed *conn) {
+	shard := p.shardOf(failed.to)
+	shard.mu.Lock()
+	found := shard.peerLocked(failed.to)
+	found.counts.CheckFailed++
+	stale := append(found.idle, failed)
+	found.idle = nil
+	for _, c := range stale {
+		delete(found.conns, c)
+	}
+	shard.mu.Unlock()
+	for _, c := range stale {
+		_ = c.tr.Close()
+	}
+	p.Log.Info("connection-check-failed", "peer", failed.to, "conn", failed.number, "closed", len(stale))
+}
+
+// sweep closes the connections that matches selects: idle ones, or all when the pool is closed.
+func (p *Pool) sweep(matches func(*conn) bool) {
+	all := p.closed.Load()
+	for i := range p.shards {
+		for _, c := range p.shards[i].collect(all, matches) {
+			_ = c.tr.Close()
+		}
+	}
+}
+
+func (s *shard) collect(all bool, matches func(*conn) bool) []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var closing []*conn
+	for _, found := range s.peers {
+		var kept []*conn
+		for _, c := range found.idle {
+			if !matches(c) && !c.isClosed() {
+				kept = append(kept, c)
+				continue
+			}
+			delete(found.conns, c)
+			closing = append(closing, c)
+		}
+		found.idle = kept
+		if !all {
+			continue
+		}
+		for c := range found.conns {
+			closing = append(closing, c)
+		}
+		clear(found.conns)
+	}
+	return closing
+}
+
+func (p *Pool) forgetUnused(now time.Time) {
+	for i := range p.shards {
+		shard := &p.shards[i]
+		shard.mu.Lock()
+		for address, found := range shard.peers {
+			if found.size()+found.resolving == 0 && now.Sub(found.used) > forgetPeer {
+				delete(shard.peers, address)
+			}
+		}
+		shard.mu.Unlock()
+	}
+}
+
+// count changes the counters of a peer.
+func (p *Pool) count(to netip.AddrPort, change func(*peer)) {
+	shard := p.shardOf(to)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	change(shard.peerLocked(to))
+}
--- /dev/null
+++ b/internal/wire/link/stream.go
@@ -0,0 +1,154 @@
+package link
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// buffers holds encoding buffers. A buffer is free again when the send returns, because drpc copies it.
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
+// maxKeptBuffer keeps a rare large message from staying in memory.
+const maxKeptBuffer = 2 * proto.MaxPiece
+
+// stream implements proto.Stream for both sides.
+type stream struct {
+	raw *drpcstream.Stream
+	tr  *pipe
+	// accepts tells which frames this side may receive.
+	accepts func(proto.Frame) bool
+	box     proto.Envelope
+	// received is set when the other side's last frame has arrived.
+	received atomic.Bool
+	// sent is set when our last frame has been sent.
+	sent atomic.Bool
+}
+
+// Context implements proto.Stream.
+func (s *stream) Context() context.Context {
+	return s.raw.Context()
+}
+
+// Send implements proto.Stream. The last frame of a direction also closes it, in the same write.
+func (s *stream) Send(frame proto.Frame) error {
+	last := isLast(frame)
+	err := send(s.raw, frame, last)
+	if err != nil {
+		return sendError(err)
+	}
+	if last {
+		s.sent.Store(true)
+	}
+	return nil
+}
+
+// Recv implements proto.Stream. A direction that ends without its last frame is an error, never io.EOF.
+func (s *stream) Recv() (proto.Frame, error) {
+	s.box.Frame = nil
+	err := s.raw.MsgRecv(&s.box, proto.Codec{})
+	if errors.Is(err, io.EOF) {
+		if s.received.Load() {
+			return nil, io.EOF
+		}
+		return nil, code.Unknownf(code.ResponseTruncated, "the stream ended before its last frame")
+	}
+	if err != nil {
+		return nil, fromWire(err)
+	}
+	frame := s.box.Frame
+	if s.received.Load() || !s.accepts(frame) {
+		return nil, code.Unknownf(code.BadRequest, "unexpected %T", frame)
+	}
+	if isLast(frame) {
+		s.received.Store(true)
+	}
+	return frame, nil
+}
+
+// CloseSend implements proto.Stream.
+func (s *stream) CloseSend() error {
+	if err := s.raw.CloseSend(); err != nil {
+		return sendError(err)
+	}
+	s.sent.Store(true)
+	return nil
+}
+
+// Close implements proto.Stream. A send that is blocked does not delay it: then the whole connection is closed.
+func (s *stream) Close() error {
+	busy, err := s.raw.SendCancel(context.Canceled)
+	if busy || err != nil {
+		return s.tr.Close()
+	}
+	return nil
+}
+
+// isLast reports whether no frame follows in the same direction.
+func isLast(frame proto.Frame) bool {
+	switch f := frame.(type) {
+	case *proto.Head:
+		return f.End
+	case *proto.Piece:
+		return f.End
+	case *proto.Ack:
+		return f.Verdict == proto.Refused
+	case *proto.Answer:
+		return f.End
+	case *proto.Failure:
+		return true
+	default:
+		return false
+	}
+}
+
+func fromRouter(frame proto.Frame) bool {
+	_, ok := frame.(*proto.Piece)
+	return ok
+}
+
+func fromAdmission(frame proto.Frame) bool {
+	_, isHead := frame.(*proto.Head)
+	return !isHead
+}
+
+// send writes a message, and with last the end of our direction, to the connection at once. MsgSend would write the two
+// separately, and its manual flush mode makes a receive wait for a blocked send.
+func send(raw *drpcstream.Stream, message drpc.Message, last bool) error {
+	buf := buffers.Get().(*[]byte)
+	defer keepBuffer(buf)
+	data, err := proto.Codec{}.MarshalAppend((*buf)[:0], message)
+	if err != nil {
+		return err
+	}
+	*buf = data
+	if err := raw.RawWrite(drpcwire.KindMessage, data); err != nil {
+		return err
+	}
+	if last {
+		return raw.CloseSend()
+	}
+	return raw.RawFlush()
+}
+
+func keepBuffer(buf *[]byte) {
+	if cap(*buf) <= maxKeptBuffer {
+		buffers.Put(buf)
+	}
+}
+
+func sendError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return code.Unknownf(code.Cancelled, "the peer ended the stream").WithCause(err)
+	}
+	return fromWire(err)
+}
