--- a/internal/wire/link/call.go
+++ b/internal/wire/link/call.go
@@ -57,11 +57,9 @@
 	if !head.End {
 		return raw, raw.MsgSend(head, proto.Codec{})
 	}
-	// No other goroutine has the stream yet, so the mode may be changed.
+	// No other goroutine has the stream yet, so the mode may be changed. Nothing is sent on it after the close.
 	raw.SetManualFlush(true)
-	err = raw.MsgSend(head, proto.Codec{})
-	raw.SetManualFlush(false)
-	if err != nil {
+	if err := raw.MsgSend(head, proto.Codec{}); err != nil {
 		return nil, err
 	}
 	return raw, raw.CloseSend()
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -18,7 +18,7 @@
 
 // Defaults of a Server's bounds.
 const (
-	DefaultAccepted     = 8192
+	DefaultAccepted     = 4096 // each has two 4 KiB buffers and three goroutines in drpc
 	DefaultHelloTimeout = 3 * time.Second
 	DefaultIdleTimeout  = 5 * time.Minute // above DefaultIdleClose, so that the connecting side closes first
 	DefaultStopTimeout  = 10 * time.Second
