Add the ledger, limiter, server client and probe budget of the admission role

Each package holds one part of the admission role. proto.Peer gains Transit, which tracks the smallest transit time on a connection, and proto.Stream.Send is documented not to keep its frame, so that body buffers can be reused.

--- /dev/null
+++ b/internal/admit/limit/limit.go
@@ -0,0 +1,281 @@
+// Package limit decides how many requests a server may run at once, from the answers that its admission role sees.
+package limit
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Cause,Result -linecomment -output=names.go
+
+// Cause is why the limit has its present value.
+type Cause int
+
+// The causes.
+const (
+	CauseNone        Cause = iota // configured-slots
+	Started                       // daemon-started
+	Failing                       // server-failing
+	Slowed                        // server-slow
+	Stalled                       // server-stalled
+	Unreachable                   // server-unreachable
+	Returned                      // returned-to-service
+	Evidence                      // normal-answers
+	AbnormalEvidence              // abnormal-answers
+	LatencyHigh                   // latency-above-floor
+	LatencyNormal                 // latency-near-floor
+	SlotsChanged                  // slots-changed
+)
+
+// Result is what an answer says about the server.
+type Result int
+
+// The results.
+const (
+	Normal  Result = iota // normal
+	Failed                // failed
+	Late                  // late
+	Ignored               // ignored
+)
+
+// Parameters of the limit.
+const (
+	tick = 100 * time.Millisecond
+	// highRatio is the latency over its floor that lowers the limit; a queue inside the server that doubles the latency
+	// brings no throughput.
+	highRatio = 2.0
+	// normalRatio is the latency over its floor up to which the limit rises again.
+	normalRatio = 1.5
+	// coldRatio is the latency over its floor that makes a server cold when it lasts for coldAfter.
+	coldRatio = 4.0
+	// coldAfter is above the 500 ms for which a server slows down at random, and leaves time to detect a cold one
+	// within 1 s.
+	coldAfter = 600 * time.Millisecond
+	// coldFailures is the least number of failed answers within failureTicks that makes a server cold, when they are
+	// at least half of its answers.
+	coldFailures = 3
+	failureTicks = 5
+	// minShare bounds the adaptive limit from below. When latency stays high at a quarter of the slots, the cause is not
+	// the concurrency, and a lower limit only loses capacity.
+	minShare  = 0.25
+	maxFall   = 0.7 // the adaptive limit falls at most to this part in one window
+	riseBy    = 1.1 // and rises by this factor
+	riseAdd   = 0.04
+	warmStep  = time.Second // the warm-up limit at most doubles in this time
+	minSample = 4           // answers in a window, unless it is older than maxWindow
+	maxWindow = 3 * tick
+)
+
+// Limiter computes the limit. Its fields are set before Run.
+type Limiter struct {
+	Config  *config.Holder
+	Service string // whose slots bound the limit
+	Log     logr.Logger
+
+	current atomic.Int64 // the limit in force; at least 1
+	warming atomic.Bool
+	latency atomic.Int64                // median service time in nanoseconds
+	typical [ident.Classes]atomic.Int64 // the same for each class
+
+	mu       sync.Mutex
+	started  bool
+	slots    int
+	share    float64 // adaptive limit as a share of the slots; in [minShare, 1]
+	warm     int     // warm-up limit; 0 when the server is warm
+	cause    Cause
+	changed  time.Time
+	warmAt   time.Time // last change of warm
+	warmOK   int       // answers since warmAt
+	warmBad  int
+	running  int
+	progress time.Time // last answer, or the start of the first request after an idle time
+	slowFrom time.Time // zero while answers are not as slow as a cold server's
+	window   window
+	recent   [failureTicks]tally
+	floors   [ident.Classes]floor
+	medians  [ident.Classes]median
+	overall  median
+}
+
+// Dump is the state of a limiter.
+type Dump struct {
+	Limit    int
+	Slots    int
+	Adaptive int
+	WarmUp   int // 0 when the server is warm
+	Cause    Cause
+	Changed  time.Time
+	Ratio    float64 // latency over its floor in the last window; 0 when unknown
+	Latency  time.Duration
+	Floors   [ident.Classes]time.Duration
+}
+
+// Run evaluates the answers until ctx ends.
+func (l *Limiter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			l.evaluate(now)
+		}
+	}
+}
+
+// Current returns how many requests may run at once now.
+func (l *Limiter) Current() int {
+	if limit := l.current.Load(); limit > 0 {
+		return int(limit)
+	}
+	return 1
+}
+
+// Warming reports whether the warm-up limit is in force.
+func (l *Limiter) Warming() bool {
+	return l.current.Load() == 0 || l.warming.Load()
+}
+
+// Latency returns the recent median of the server's own time, or 0.
+func (l *Limiter) Latency() time.Duration {
+	return time.Duration(l.latency.Load())
+}
+
+// Typical returns the recent median of the server's own time for a class, or 0.
+func (l *Limiter) Typical(class ident.Class) time.Duration {
+	return time.Duration(l.typical[class].Load())
+}
+
+// Restart begins the warm-up again from one request.
+func (l *Limiter) Restart(cause Cause) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.start(now)
+	l.restart(cause, now)
+}
+
+// Begin notes that a request goes to the server.
+func (l *Limiter) Begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.start(now)
+	if l.running == 0 {
+		l.progress = now
+	}
+	l.running++
+}
+
+// End notes the end of a request. latency is the server's own time. A Late request passed its deadline unanswered: its
+// latency counts as a slow answer, and it is no evidence of a normal one.
+func (l *Limiter) End(class ident.Class, latency time.Duration, result Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running--
+	now := time.Now()
+	switch result {
+	case Ignored:
+		return
+	case Failed:
+		l.recent[0].failed++
+		l.warmBad++
+	case Late:
+		l.window.add(latency, l.floors[class].value())
+	case Normal:
+		l.recent[0].normal++
+		l.warmOK++
+		l.medians[class].add(latency)
+		l.overall.add(latency)
+		l.window.add(latency, l.floors[class].value())
+		l.floors[class].add(latency, now)
+	}
+	l.progress = now
+}
+
+// Dump returns the state of the limiter.
+func (l *Limiter) Dump() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := Dump{
+		Limit:    l.Current(),
+		Slots:    l.slots,
+		Adaptive: l.adaptive(),
+		WarmUp:   l.warm,
+		Cause:    l.cause,
+		Changed:  l.changed,
+		Ratio:    l.window.last,
+		Latency:  l.Latency(),
+	}
+	for class := range l.floors {
+		d.Floors[class] = l.floors[class].value()
+	}
+	return d
+}
+
+// start sets the state of a daemon that has just started: it knows nothing of its server, which may be cold or busy.
+func (l *Limiter) start(now time.Time) {
+	if l.started {
+		return
+	}
+	l.started = true
+	l.share = 1
+	l.slots = l.configured()
+	l.window.opened = now
+	l.restart(Started, now)
+}
+
+func (l *Limiter) configured() int {
+	c := l.Config.Get()
+	if c == nil || c.Services[l.Service] == nil {
+		return 1
+	}
+	return max(1, c.Services[l.Service].Slots)
+}
+
+func (l *Limiter) adaptive() int {
+	return max(1, int(l.share*float64(l.slots)+0.5))
+}
+
+// restart also forgets the floors: the answers of a server in warm-up are compared with its own first ones.
+func (l *Limiter) restart(cause Cause, now time.Time) {
+	l.warm = 1
+	l.share = 1
+	l.slowFrom = time.Time{}
+	l.recent = [failureTicks]tally{}
+	l.floors = [ident.Classes]floor{}
+	l.window = window{opened: now}
+	l.markWarm(now)
+	l.publish(cause, now)
+}
+
+func (l *Limiter) markWarm(now time.Time) {
+	l.warmAt = now
+	l.warmOK = 0
+	l.warmBad = 0
+}
+
+// publish puts the limit in force and logs a change with its cause.
+func (l *Limiter) publish(cause Cause, now time.Time) {
+	limit := l.adaptive()
+	if l.warm > 0 {
+		limit = min(limit, l.warm)
+	}
+	l.warming.Store(l.warm > 0)
+	before := int(l.current.Swap(int64(limit)))
+	if before == limit {
+		return
+	}
+	l.cause = cause
+	l.changed = now
+	l.Log.Info("limit-changed", "limit", limit, "before", before, "slots", l.slots, "reason", cause.String(),
+		"latency", l.Latency(), "ratio", l.window.last)
+}
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -194,6 +194,7 @@
 type Peer struct {
 	Hello   Hello
 	revoked atomic.Bool
+	transit transit
 }
 
 // Revoke marks the connection so that no call on it is admitted any more.
@@ -210,6 +211,7 @@
 type Stream interface {
 	// Context ends with the stream.
 	Context() context.Context
+	// Send does not keep the frame or what it refers to after it returns.
 	Send(frame Frame) error
 	// Recv returns io.EOF after the other side has closed its sending direction.
 	Recv() (Frame, error)
