--- /dev/null
+++ b/internal/admit/gate/body.go
@@ -0,0 +1,70 @@
+package gate
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// body is a request body read from the stream as the server takes it, so that at most one piece is held. It cannot be
+// rewound. Only the transport's goroutine reads it.
+type body struct {
+	stream   proto.Stream
+	piece    []byte
+	end      bool        // no piece follows the present one
+	complete atomic.Bool // the last piece has been received
+}
+
+func (b *body) begin(stream proto.Stream, head *proto.Head) {
+	b.stream = stream
+	b.piece = head.Body
+	b.end = head.End
+	b.complete.Store(head.End)
+}
+
+// Read implements io.Reader. A stream that ends early is an error, so that the transport aborts the request instead of
+// ending it.
+func (b *body) Read(into []byte) (int, error) {
+	for len(b.piece) == 0 {
+		if b.end {
+			return 0, io.EOF
+		}
+		if err := b.next(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(into, b.piece)
+	b.piece = b.piece[n:]
+	if len(b.piece) == 0 && b.end {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+// Close implements io.Closer. The end of the stream ends a pending Read.
+func (b *body) Close() error {
+	return nil
+}
+
+func (b *body) next() error {
+	frame, err := b.stream.Recv()
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	piece, isPiece := frame.(*proto.Piece)
+	if !isPiece {
+		return errors.Newf("a %T came instead of a body piece", frame)
+	}
+	b.piece = piece.Data
+	b.end = piece.End
+	if piece.End {
+		b.complete.Store(true)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/admit/gate/call.go
@@ -0,0 +1,224 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/admit/ledger"
+	"marigoldwinch.example/marigoldwinch/internal/admit/limit"
+	"marigoldwinch.example/marigoldwinch/internal/admit/server"
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// lostGrace is how long a non-idempotent request goes on after its stream broke. A router that lost the connection
+// resolves within it, and then fetches the response; without a resolve the request is cancelled.
+const lostGrace = time.Second
+
+// epoch is the origin of this process's monotonic time.
+var epoch = time.Now()
+
+// call is one call in service. Only the goroutine of Call uses it, except for body and the methods that say so.
+type call struct {
+	gate     *Gate
+	peer     *proto.Peer
+	head     *proto.Head
+	stream   proto.Stream
+	deadline time.Time
+	entry    *ledger.Entry
+	body     body
+	attempt  server.Attempt
+	began    time.Time // when the request was given to the backend
+	answered time.Time // when the response header came; zero before
+	released atomic.Bool
+}
+
+// Call implements proto.CallHandler.
+func (g *Gate) Call(peer *proto.Peer, head *proto.Head, stream proto.Stream) error {
+	received := time.Now()
+	excess := peer.Transit(head.SentAt, received.Sub(epoch))
+	c := &call{gate: g, peer: peer, head: head, stream: stream, deadline: received.Add(head.Remaining - excess)}
+	entry, refused := g.Ledger.Begin(peer, head, c.deadline)
+	if refused != nil {
+		return c.refuseUnregistered(refused)
+	}
+	c.entry = entry
+	service, refused := g.check(c, excess)
+	if refused != nil {
+		return c.refuse(refused)
+	}
+	w, refused := g.admit(c, service)
+	if refused != nil {
+		return c.refuse(refused)
+	}
+	defer g.leave()
+	verdict := proto.Admitted
+	if w != nil {
+		verdict = proto.Queued
+	}
+	// A failed ack is not the end of the call: the router resolves it.
+	_ = stream.Send(&proto.Ack{Verdict: verdict, Report: g.Report()})
+	if w != nil {
+		if refused := c.wait(w); refused != nil {
+			return c.fail(refused)
+		}
+	}
+	if refused := g.recheck(c); refused != nil {
+		g.release(head.Class)
+		return c.fail(refused)
+	}
+	return c.run(service)
+}
+
+// refuseUnregistered refuses a call that the ledger did not take. A repeated id gets no Ack, since a refusal would say
+// that the attempt did not run.
+func (c *call) refuseUnregistered(refused *code.Error) error {
+	if refused.Outcome == code.NotRun {
+		return c.sendRefusal(refused)
+	}
+	return c.sendFailure(refused)
+}
+
+func (c *call) refuse(refused *code.Error) error {
+	c.entry.Failed(refused)
+	return c.sendRefusal(refused)
+}
+
+func (c *call) sendRefusal(refused *code.Error) error {
+	c.gate.count(refused.Code)
+	return c.stream.Send(&proto.Ack{
+		Verdict: proto.Refused,
+		Code:    refused.Code,
+		Detail:  refused.Detail,
+		Retry:   c.gate.retryAfter(refused),
+		Report:  c.gate.Report(),
+	})
+}
+
+// fail ends a call whose Ack has been sent.
+func (c *call) fail(failed *code.Error) error {
+	c.entry.Failed(failed)
+	return c.sendFailure(failed)
+}
+
+func (c *call) sendFailure(failed *code.Error) error {
+	c.gate.count(failed.Code)
+	return c.stream.Send(&proto.Failure{
+		Code:    failed.Code,
+		Outcome: failed.Outcome,
+		Detail:  failed.Detail,
+		Report:  c.gate.Report(),
+	})
+}
+
+// wait returns when the call holds a slot, or why it does not.
+func (c *call) wait(w *waiter) *code.Error {
+	timer := time.NewTimer(time.Until(c.deadline))
+	defer timer.Stop()
+	ended := code.NotRunf(code.Cancelled, "the call ended in the queue")
+	select {
+	case <-w.ready:
+		return w.refused
+	case <-timer.C:
+		ended = code.NotRunf(code.DeadlineExceeded, "the deadline passed in the queue")
+	case <-c.stream.Context().Done():
+	}
+	if !c.gate.abandon(w) && w.refused == nil {
+		c.gate.release(c.head.Class)
+	}
+	return ended
+}
+
+// run gives the request to the server and the response to the router.
+func (c *call) run(service *config.Service) error {
+	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
+	defer cancel()
+	c.began = time.Now()
+	c.body.begin(c.stream, c.head)
+	stop := context.AfterFunc(c.stream.Context(), func() { c.lost(ctx, cancel) })
+	defer stop()
+	c.attempt.Request = c.request(ctx)
+	c.attempt.Idempotent = c.head.Idempotent
+	c.attempt.Sheds = service.ShedsBeforeRun
+	c.gate.Limit.Begin()
+	response, failed := c.gate.Server.Do(&c.attempt)
+	if failed != nil {
+		c.release(verdict(failed))
+		if failed.Code == code.ServerUnreachable && failed.Outcome == code.NotRun {
+			c.gate.Limit.Restart(limit.Unreachable)
+		}
+		return c.fail(failed)
+	}
+	defer func() { _ = response.Body.Close() }() // its bytes have been passed on or given up by then
+	c.answered = time.Now()
+	return c.reply(ctx, response)
+}
+
+// lost runs in its own goroutine when the stream ends before the response is complete: by a cancellation or with its
+// connection. The two look the same, so a non-idempotent request goes on until a resolve has had time to come.
+func (c *call) lost(ctx context.Context, cancel context.CancelFunc) {
+	if c.head.Idempotent || !c.body.complete.Load() {
+		cancel()
+		return
+	}
+	if c.kept() {
+		return
+	}
+	timer := time.NewTimer(lostGrace)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+		if !c.kept() {
+			cancel()
+		}
+	}
+}
+
+// kept reports whether a router waits for the held response.
+func (c *call) kept() bool {
+	return c.peer.Revoked() || c.entry.Resolved()
+}
+
+// release returns the slot, once, and gives the limiter its sample.
+func (c *call) release(result limit.Result) {
+	if !c.released.CompareAndSwap(false, true) {
+		return
+	}
+	since := c.began
+	switch written := c.attempt.Written(); {
+	case !written.IsZero():
+		since = written
+	case c.head.End: // a request without a further body; the backend did not tell when it was written
+	case result == limit.Normal || result == limit.Late:
+		result = limit.Ignored // the time holds that of the caller's body
+	}
+	until := c.answered
+	if until.IsZero() {
+		until = time.Now()
+	}
+	c.gate.Limit.End(c.head.Class, until.Sub(since), result)
+	c.gate.release(c.head.Class)
+}
+
+// verdict tells what a request without a response says about the server.
+func verdict(failed *code.Error) limit.Result {
+	switch failed.Code {
+	case code.Cancelled:
+		return limit.Ignored
+	case code.DeadlineExceeded:
+		return limit.Late
+	}
+	return limit.Failed
+}
+
+// judge tells what a response says about the server.
+func judge(response *http.Response) limit.Result {
+	if response.StatusCode >= http.StatusInternalServerError {
+		return limit.Failed
+	}
+	return limit.Normal
+}
--- a/internal/admit/probe/budget.go
+++ b/internal/admit/probe/budget.go
@@ -14,7 +14,7 @@
 
 // Parameters of the budget.
 const (
-	// share of the budget that routers use up when they honour their interval; the rest lets new routers be answered.
+	// share of the budget that routers use up when they honor their interval; the rest lets new routers be answered.
 	share = 0.8
 	// burst is the part of a second's budget that may be answered at once, so that probes that meet are not refused. The
 	// tokens are refilled at the rest of the budget, so that no second exceeds the whole.
--- a/internal/admit/server/client.go
+++ b/internal/admit/server/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
@@ -26,7 +27,7 @@
 )
 
 const (
-	dialBurst   = 4
+	dialBurst   = 1 // connections that arrive together queue at the server, so none may be opened ahead of the rate
 	dialTimeout = time.Second
 	// maxHeader bounds the response header that a server may send.
 	maxHeader = 256 << 10
@@ -93,8 +94,12 @@
 func (c *Client) Do(a *Attempt) (*http.Response, *code.Error) {
 	c.once.Do(c.setUp)
 	trace := &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { a.connected.Store(true) },
-		WroteRequest: func(httptrace.WroteRequestInfo) { a.NoteWritten() },
+		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				a.NoteWritten()
+			}
+		},
 	}
 	req := a.Request.WithContext(httptrace.WithClientTrace(a.Request.Context(), trace))
 	if !a.Idempotent {
@@ -200,7 +205,7 @@
 	result := code.Unknownf(code.ServerUnreachable, "no response from the server")
 	switch {
 	case ctx.Err() == nil:
-	case context.Cause(ctx) == context.DeadlineExceeded:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		result = code.Unknownf(code.DeadlineExceeded, "the deadline passed before the server's response")
 	default:
 		result = code.Unknownf(code.Cancelled, "the request was cancelled")
--- a/internal/admit/server/poll.go
+++ b/internal/admit/server/poll.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return Seen{Error: err.Error()}
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }() // the rest of it has no use
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxPolled))
 	if err != nil {
 		return Seen{Error: err.Error()}
