--- a/internal/admit/ledger/ledger_test.go
+++ b/internal/admit/ledger/ledger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"flag"
+	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +17,17 @@
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
+// TestMain fixes the seed of rapid, so that each run draws the same schedules.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 const own = ident.Incarnation(7)
 
 func attempt(seq uint64, number uint32) ident.AttemptID {
