Grow the warm-up limit only on evidence at that limit

A fake server whose latency grows beyond two requests finished its warm-up: the adaptive limit kept the load at 3 requests, whose latency was just below the high ratio, and the warm-up limit doubled past it to 12. It now grows only when the latency is near its floor and the adaptive limit is not below it. Ruled out: a fault in the floors, which were learned at one request as intended.

--- a/internal/admit/limit/judge.go
+++ b/internal/admit/limit/judge.go
@@ -99,6 +99,9 @@
 		l.publish(AbnormalEvidence, now)
 	case abnormal || l.warmBad*4 > total:
 		l.markWarm(now)
+	case l.window.last > normalRatio || l.adaptive() < l.warm:
+		// The latency grew at this limit, or the adaptive limit kept the requests below it: no evidence for a higher one.
+		l.markWarm(now)
 	case l.warmOK >= l.warm:
 		l.warm *= 2
 		if l.warm >= l.slots {
--- a/internal/admit/limit/limit_test.go
+++ b/internal/admit/limit/limit_test.go
@@ -114,6 +114,26 @@
 		}
 		r.load(20*time.Second, nil)
 		g.Expect(r.Current()).To(BeNumerically("<=", 4), "latency grows")
+		g.Expect(r.Dump().(Dump).WarmUp).To(BeElementOf(1, 2, 4), "latency grows")
+	})
+}
+
+// Guards against a warm-up that grows on fewer answers than its limit, or that is lost in an idle time.
+func TestWarmUpKeepsItsLimitWithoutTraffic(t *testing.T) {
+	inBubble(t, func(g *WithT, r *rig) {
+		r.load(5*time.Second, func() bool { return r.Current() == 4 })
+		time.Sleep(service)
+		for range 3 {
+			time.Sleep(2 * warmStep)
+			r.Begin()
+			r.End(ident.Lookup, service, Normal)
+		}
+		time.Sleep(2 * warmStep)
+		g.Expect(r.Current()).To(Equal(4))
+		r.Begin()
+		r.End(ident.Lookup, service, Normal)
+		time.Sleep(2 * warmStep)
+		g.Expect(r.Current()).To(Equal(8))
 	})
 }
 
