Measure the latency floor by a low quantile of one-second means

The floor was the lowest mean of 8 answers. Random service times alone pushed it far below the usual latency: with times uniform in 5 to 15 ms the latency at three times the floor's concurrency counted as four times the floor, and the test server was taken to be cold instead of getting a lower limit (TestLimitFollowsCapacityBelowTheSlots, seen to fail with 8-answer means). Ruled out: a higher ratio for a cold server, which would only hide the bias. Without the adaptive fall the same test fails too.

--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -64,13 +64,16 @@
 	failureTicks = 5
 	// minShare bounds the adaptive limit from below. When latency stays high at a quarter of the slots, the cause is not
 	// the concurrency, and a lower limit only loses capacity.
-	minShare  = 0.25
-	maxFall   = 0.7 // the adaptive limit falls at most to this part in one window
-	riseBy    = 1.1 // and rises by this factor
-	riseAdd   = 0.04
-	warmStep  = time.Second // the warm-up limit at most doubles in this time
-	minSample = 4           // answers in a window, unless it is older than maxWindow
-	maxWindow = 3 * tick
+	minShare = 0.25
+	maxFall  = 0.7 // the adaptive limit falls at most to this part in one window
+	riseBy   = 1.1 // and rises by this factor
+	riseAdd  = 0.04
+	warmStep = time.Second // the warm-up limit at most doubles in this time
+	// minSample answers make a window; leastSample are enough after maxWindow. The mean of fewer random service times
+	// is often twice the usual one.
+	minSample   = 8
+	leastSample = 4
+	maxWindow   = 5 * tick
 )
 
 // Limiter computes the limit. Its fields are set before Run.
--- a/internal/admit/limit/limit_test.go
+++ b/internal/admit/limit/limit_test.go
@@ -189,6 +189,24 @@
 	})
 }
 
+// Guards against a limit that random service times lower although the server is not slower than before.
+func TestRandomServiceTimesKeepTheSlots(t *testing.T) {
+	inBubble(t, func(g *WithT, r *rig) {
+		random := rand.New(rand.NewPCG(3, 4))
+		r.serve = func(int) (time.Duration, Result) {
+			return time.Duration(random.ExpFloat64() * float64(service)), Normal
+		}
+		r.load(10*time.Second, nil)
+		sum, n := 0, 0
+		r.load(30*time.Second, func() bool {
+			sum += r.Current()
+			n++
+			return false
+		})
+		g.Expect(float64(sum)/float64(n)).To(BeNumerically(">=", 0.95*slots), "mean limit")
+	})
+}
+
 // Guards against slots above what the server can run at once: its latency doubles with its concurrency, so more
 // requests bring no throughput.
 func TestLimitFollowsCapacityBelowTheSlots(t *testing.T) {
@@ -203,6 +221,7 @@
 			n++
 			return false
 		})
+		g.Expect(r.Warming()).To(BeFalse(), "the adaptive limit is enough")
 		g.Expect(float64(sum)/float64(n)).To(BeNumerically("<=", 9), "mean limit")
 		g.Expect(r.Current()).To(BeNumerically(">=", 4))
 	})
--- a/internal/admit/limit/sample.go
+++ b/internal/admit/limit/sample.go
@@ -31,7 +31,7 @@
 
 // close returns the ratio of the window, when it has enough answers or is old enough.
 func (w *window) close(now time.Time) (float64, bool) {
-	if w.answers == 0 || w.answers < minSample && now.Sub(w.opened) < maxWindow {
+	if w.answers == 0 || w.answers < minSample && (w.answers < leastSample || now.Sub(w.opened) < maxWindow) {
 		if w.answers == 0 {
 			w.opened = now
 		}
@@ -44,54 +44,59 @@
 
 // Parameters of the floor.
 const (
-	floorAnswers = 8 // the floor is a mean of so many answers, since a single fast one is no measure
-	floorBuckets = 6
-	floorBucket  = 5 * time.Second
+	// floorAnswers and floorPeriod make a mean that random service times move little: an exponential one by a quarter.
+	floorAnswers = 16
+	floorPeriod  = time.Second
+	floorMeans   = 30
+	// floorRank is the part of the means that lie below the floor. The lowest of many means is far below the usual
+	// latency by chance alone; a fifth keeps the floor through slow times of up to four fifths of the means.
+	floorRank = 0.2
+	// floorAge is when a mean no longer counts.
+	floorAge = 60 * time.Second
 	// leastFloor keeps the resolution of clocks and of the scheduler out of the ratios of very fast servers.
 	leastFloor = 200 * time.Microsecond
 )
 
-// floor is the lowest mean latency of some consecutive answers in the last floorBuckets times floorBucket.
+// floor is a low quantile of the mean latencies of the last periods.
 type floor struct {
+	opened  time.Time
 	answers int
 	spent   time.Duration
-	lowest  [floorBuckets]time.Duration // 0 when empty; the first is the present one
-	turned  time.Time
+	means   []floorMean // oldest first; at most floorMeans
+	least   time.Duration
+}
+
+type floorMean struct {
+	at   time.Time
+	mean time.Duration
 }
 
 func (f *floor) add(latency time.Duration, now time.Time) {
+	if f.answers == 0 && now.Sub(f.opened) > floorPeriod {
+		f.opened = now
+	}
 	f.answers++
 	f.spent += max(latency, leastFloor)
-	if f.answers < floorAnswers {
+	if f.answers < floorAnswers || now.Sub(f.opened) < floorPeriod {
 		return
 	}
-	mean := f.spent / time.Duration(f.answers)
+	f.means = append(f.means, floorMean{at: now, mean: f.spent / time.Duration(f.answers)})
+	f.opened = now
 	f.answers = 0
 	f.spent = 0
-	if f.turned.IsZero() {
-		f.turned = now
-	}
-	for turns := 0; now.Sub(f.turned) >= floorBucket && turns < floorBuckets; turns++ {
-		copy(f.lowest[1:], f.lowest[:])
-		f.lowest[0] = 0
-		f.turned = f.turned.Add(floorBucket)
+	for len(f.means) > floorMeans || now.Sub(f.means[0].at) > floorAge {
+		f.means = f.means[1:]
 	}
-	if now.Sub(f.turned) >= floorBucket {
-		f.turned = now
-	}
-	if f.lowest[0] == 0 || mean < f.lowest[0] {
-		f.lowest[0] = mean
+	sorted := make([]time.Duration, 0, len(f.means))
+	for _, m := range f.means {
+		sorted = append(sorted, m.mean)
 	}
+	slices.Sort(sorted)
+	f.least = sorted[int(floorRank*float64(len(sorted)))]
 }
 
 func (f *floor) value() time.Duration {
-	var least time.Duration
-	for _, mean := range f.lowest {
-		if mean > 0 && (least == 0 || mean < least) {
-			least = mean
-		}
-	}
-	return least
+	return f.least
 }
 
 const medianAnswers = 64
