Test the gate in virtual time and correct the limiter's evidence

Faults found and corrected in the limiter: - A server was taken to be cold by the time since one slow window, also when nothing was sent to it meanwhile. A slow window now counts for 200 ms only (TestIdleTimeAfterSlownessIsNoEvidence). - Answers to requests that began under a lower warm-up limit counted as evidence for the present one, and those from before the warm-up entered its floor. Begin now returns a ticket that End checks. - The floor followed a server that stayed slow after 20 s, and the warm-up limit rose with it. It now holds 60 means of 64 answers.

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -31,6 +31,7 @@
 	entry    *ledger.Entry
 	body     body
 	attempt  server.Attempt
+	ticket   limit.Ticket
 	began    time.Time // when the request was given to the backend
 	answered time.Time // when the response header came; zero before
 	released atomic.Bool
@@ -143,7 +144,7 @@
 	c.attempt.Request = c.request(ctx)
 	c.attempt.Idempotent = c.head.Idempotent
 	c.attempt.Sheds = service.ShedsBeforeRun
-	c.gate.Limit.Begin()
+	c.ticket = c.gate.Limit.Begin()
 	response, failed := c.gate.Server.Do(&c.attempt)
 	if failed != nil {
 		c.release(verdict(failed))
@@ -200,7 +201,7 @@
 	if until.IsZero() {
 		until = time.Now()
 	}
-	c.gate.Limit.End(c.head.Class, until.Sub(since), result)
+	c.gate.Limit.End(c.ticket, c.head.Class, until.Sub(since), result)
 	c.gate.release(c.head.Class)
 }
 
--- /dev/null
+++ b/internal/admit/gate/call_test.go
@@ -0,0 +1,310 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"marigoldwinch.example/marigoldwinch/internal/admit/server"
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+func (r *rig) resolve(id ident.AttemptID) *proto.Resolution {
+	resolution, err := r.Resolve(r.t.Context(), &proto.Peer{}, &proto.Resolve{ID: id, Incarnation: own})
+	r.Expect(err).NotTo(HaveOccurred())
+	return resolution
+}
+
+// order returns the head of a non-idempotent request.
+func (r *rig) order(path string) *proto.Head {
+	head := r.head(ident.Write, 5*time.Second)
+	head.Method, head.Idempotent, head.Target = http.MethodPost, false, path
+	return head
+}
+
+// Guards against an attempt that runs twice, runs after its router was told that it did not, or is told to be not run
+// although it ran, whatever the order of heads, resolves and lost connections.
+func TestResolveRaces(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.service.Slots, r.service.CheckReserve = 2, 0
+		r.backend.set(func() {
+			r.backend.serve = func(*http.Request) time.Duration { return 30 * time.Millisecond }
+		})
+		rapid.Check(t, func(rt *rapid.T) {
+			type sent struct {
+				head  *proto.Head
+				told  []proto.ResolveState
+				calls []*stream
+			}
+			var mu sync.Mutex
+			var attempts []*sent
+			delay := rapid.IntRange(0, 60)
+			for range rapid.IntRange(1, 6).Draw(rt, "attempts") {
+				a := &sent{head: r.order("")}
+				a.head.Target = "/" + strconv.FormatUint(a.head.ID.Request.Seq, 10)
+				attempts = append(attempts, a)
+				peer := &proto.Peer{}
+				for range rapid.IntRange(0, 2).Draw(rt, "heads") {
+					s := newStream(r.t.Context())
+					a.calls = append(a.calls, s)
+					r.after(delay.Draw(rt, "head"), func() { _ = r.Call(peer, a.head, s) })
+				}
+				for range rapid.IntRange(0, 2).Draw(rt, "resolves") {
+					lost := rapid.Bool().Draw(rt, "lost")
+					r.after(delay.Draw(rt, "resolve"), func() {
+						peer.Revoke()
+						state := r.resolve(a.head.ID).State
+						mu.Lock()
+						a.told = append(a.told, state)
+						mu.Unlock()
+						for _, s := range a.calls {
+							if lost {
+								s.cancel()
+							}
+						}
+					})
+				}
+			}
+			r.calls.Wait()
+			for _, a := range attempts {
+				runs := r.backend.count(a.head.Target)
+				if runs > 1 {
+					rt.Fatalf("%s ran %d times", a.head.Target, runs)
+				}
+				for _, state := range a.told {
+					if runs > 0 && state == proto.StateRevoked {
+						rt.Fatalf("%s ran and was told to be revoked: %v", a.head.Target, a.told)
+					}
+				}
+				final := r.resolve(a.head.ID)
+				if final.Failure != nil && final.Failure.Outcome == code.NotRun && runs > 0 {
+					rt.Fatalf("%s ran and is held as not run", a.head.Target)
+				}
+				if runs == 1 && final.Answer == nil {
+					rt.Fatalf("%s ran and its response is not held: %+v", a.head.Target, final.Failure)
+				}
+			}
+		})
+	})
+}
+
+// after runs f, with all others in the order of their delays.
+func (r *rig) after(milliseconds int, f func()) {
+	r.calls.Go(func() {
+		time.Sleep(time.Duration(milliseconds) * time.Millisecond)
+		f()
+	})
+}
+
+// Guards against a cancelled call that keeps its slot, and against an order cancelled because its connection was lost.
+func TestCancelledAndLostCalls(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.backend.serve = func(*http.Request) time.Duration { return 3 * time.Second }
+		lookup := r.get(5 * time.Second)
+		time.Sleep(time.Millisecond)
+		lookup.cancel()
+		synctest.Wait()
+		r.Expect(r.backend.cancelled).To(Equal(1))
+		r.Expect(r.running.Load()).To(BeZero())
+
+		cancelled := r.order("/cancelled")
+		s := r.call(&proto.Peer{}, cancelled)
+		time.Sleep(time.Millisecond)
+		s.cancel()
+		r.calls.Wait()
+		r.Expect(r.backend.cancelled).To(Equal(2))
+		r.Expect(r.resolve(cancelled.ID).Failure.Outcome).To(Equal(code.Unknown))
+
+		lost := r.order("/lost")
+		s = r.call(&proto.Peer{}, lost)
+		time.Sleep(time.Millisecond)
+		s.cancel()
+		time.Sleep(lostGrace / 2)
+		r.Expect(r.resolve(lost.ID).State).To(Equal(proto.StateRunning))
+		r.calls.Wait()
+		r.Expect(string(r.resolve(lost.ID).Answer.Body)).To(Equal("ok"))
+		r.Expect(r.backend.cancelled).To(Equal(2))
+	})
+}
+
+// Guards against a head that reaches the server changed, without its context, or with headers of the connection; and
+// against refusals out of order or a repeated id that is reported as not run.
+func TestHeadersAndRefusals(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		head := r.head(ident.Check, time.Second)
+		head.Depth = 3
+		head.Header = http.Header{"Connection": {"x-one, close"}, "X-One": {"1"}, "Expect": {"100-continue"}, "X-Two": {"2"}}
+		s := r.call(&proto.Peer{}, head)
+		time.Sleep(time.Millisecond)
+		info, found := r.Ledger.Lookup(head.ID.Request)
+		r.Expect(found).To(BeTrue())
+		r.Expect(info.Depth).To(Equal(3))
+		r.calls.Wait()
+		r.Expect(r.backend.last).To(Equal(http.Header{
+			"X-Two": {"2"}, "User-Agent": {""}, timeoutHeader: {"1s"},
+			ident.ContextHeader: {ident.CallContext{Request: head.ID.Request, Depth: 3, Class: ident.Check}.String()},
+		}))
+		ack, last := s.frames()
+		r.Expect(ack.Verdict).To(Equal(proto.Admitted))
+		answer, _ := last.(*proto.Answer)
+		r.Expect(answer.Header).To(Equal(http.Header{"X-End": {"2"}}))
+		again := r.call(&proto.Peer{}, head)
+		r.calls.Wait()
+		r.Expect(again.refusal()).To(Equal([]any{code.DuplicateID, code.Unknown}))
+
+		for want, change := range map[code.Code]func(head *proto.Head){
+			code.WrongServer: func(head *proto.Head) { head.Service = "labels" },
+			code.BadRequest:  func(head *proto.Head) { head.Header = http.Header{"X": {"a\nb"}} },
+			code.StaleTransit: func(head *proto.Head) {
+				head.SentAt -= time.Hour
+			},
+			code.DeadlineExceeded: func(head *proto.Head) { head.Remaining = 0 },
+		} {
+			peer := &proto.Peer{}
+			peer.Transit(time.Since(epoch), time.Since(epoch))
+			head := r.head(ident.Lookup, time.Second)
+			change(head)
+			s := r.call(peer, head)
+			r.calls.Wait()
+			r.Expect(s.refusal()).To(Equal(notRun(want)))
+		}
+		r.configure(func(c *config.Config) { c.Services = nil })
+		s = r.get(time.Second)
+		r.calls.Wait()
+		r.Expect(s.refusal()).To(Equal(notRun(code.UnknownService)))
+	})
+}
+
+// overPipes gives the gate a real client to a server on in-memory connections.
+func (r *rig) overPipes(serve func(conn net.Conn, request *http.Request)) *server.Client {
+	client := &server.Client{Address: r.Target, Dial: func(context.Context) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			if request, err := http.ReadRequest(bufio.NewReaderSize(far, 4<<10)); err == nil {
+				serve(far, request)
+			}
+		}()
+		return near, nil
+	}}
+	r.backend.set(func() { r.backend.client = client })
+	return client
+}
+
+// Guards against a truncated response that passes as complete, in both framings and at every length.
+func TestTruncatedResponseIsAFailure(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.overPipes(func(conn net.Conn, request *http.Request) {
+			header, body := "Content-Length: 100000", strings.Repeat("x", 99_999)
+			switch request.URL.Path {
+			case "/short":
+				header, body = "Content-Length: 10", "123456789"
+			case "/chunked":
+				header, body = "Transfer-Encoding: chunked", "5\r\nhello\r\n"
+			case "/whole":
+				header, body = "Transfer-Encoding: chunked", "5\r\nhello\r\n0\r\n\r\n"
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"\r\n\r\n"+body)
+		})
+		for _, path := range []string{"/short", "/chunked", "/long", "/whole"} {
+			head := r.order(path)
+			s := r.call(&proto.Peer{}, head)
+			r.calls.Wait()
+			if path == "/whole" {
+				r.Expect(string(r.resolve(head.ID).Answer.Body)).To(Equal("hello"))
+				continue
+			}
+			r.Expect(s.refusal()).To(Equal([]any{code.ResponseTruncated, code.Unknown}), path)
+			for _, frame := range s.got {
+				switch f := frame.(type) {
+				case *proto.Answer:
+					r.Expect(f.End).To(BeFalse())
+				case *proto.Piece:
+					r.Expect(f.End).To(BeFalse())
+				}
+			}
+		}
+	})
+}
+
+// Guards against uploads that are buffered whole while the server reads slowly, and against an upload whose stream ends
+// early and reaches the server as complete.
+func TestUploadsUseBoundedMemory(t *testing.T) {
+	const uploads, pieces = 250, 32
+	const perUpload = 128 << 10
+	inBubble(t, func(r *rig) {
+		r.service.Slots, r.service.UploadShare = 2*uploads, 1
+		r.warm()
+		var mu sync.Mutex
+		taken, read, whole, broken := 0, 0, 0, 0
+		resume := make(chan struct{})
+		client := r.overPipes(func(conn net.Conn, request *http.Request) {
+			<-resume
+			n, err := io.Copy(io.Discard, request.Body)
+			mu.Lock()
+			read += int(n)
+			if err == nil {
+				whole++
+			} else {
+				broken++
+			}
+			mu.Unlock()
+			_, _ = io.WriteString(conn, "HTTP/1.1 201 Created\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		})
+		client.MaxConns = uploads
+		var streams []*stream
+		for i := range uploads {
+			head := r.order("/upload")
+			head.Class, head.End, head.ContentLength, head.Remaining = ident.Upload, false, -1, time.Minute
+			s := r.call(&proto.Peer{}, head)
+			streams = append(streams, s)
+			r.calls.Go(func() {
+				for n := range pieces {
+					select {
+					case s.pieces <- &proto.Piece{Data: make([]byte, proto.MaxPiece), End: n == pieces-1 && i > 0}:
+						mu.Lock()
+						taken += proto.MaxPiece
+						mu.Unlock()
+					case <-s.ctx.Done():
+						return
+					}
+				}
+				if i == 0 {
+					close(s.pieces)
+				}
+			})
+		}
+		time.Sleep(5 * time.Second)
+		r.Expect(r.running.Load()).To(BeEquivalentTo(uploads))
+		mu.Lock()
+		r.t.Logf("%d bytes buffered for %d open uploads", taken-read, uploads)
+		r.Expect(taken - read).To(BeNumerically("<=", uploads*perUpload))
+		mu.Unlock()
+		close(resume)
+		r.calls.Wait()
+		r.Expect(whole).To(Equal(uploads - 1))
+		r.Expect(broken).To(Equal(1))
+		for i, s := range streams {
+			_, last := s.frames()
+			if i == 0 {
+				r.Expect(last).To(BeAssignableToTypeOf(&proto.Failure{}))
+				continue
+			}
+			r.Expect(last.(*proto.Answer).Status).To(Equal(http.StatusCreated))
+		}
+	})
+}
--- /dev/null
+++ b/internal/admit/gate/rig_test.go
@@ -0,0 +1,304 @@
+package gate
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/admit/ledger"
+	"marigoldwinch.example/marigoldwinch/internal/admit/limit"
+	"marigoldwinch.example/marigoldwinch/internal/admit/probe"
+	"marigoldwinch.example/marigoldwinch/internal/admit/server"
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// TestMain fixes the seed of rapid, so that each run draws the same schedules.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	own     = ident.Incarnation(7)
+	service = 10 * time.Millisecond
+)
+
+var address = netip.MustParseAddrPort("127.0.0.1:7000")
+
+// backend is a server in virtual time that records what reaches it.
+type backend struct {
+	serve func(r *http.Request) time.Duration // nil: service
+
+	mu        sync.Mutex
+	client    *server.Client // in place of this server, when set
+	draining  bool
+	running   int
+	peak      int
+	cancelled int
+	runs      map[string]int // by path
+	last      http.Header
+}
+
+func (b *backend) Do(a *server.Attempt) (*http.Response, *code.Error) {
+	b.mu.Lock()
+	if client := b.client; client != nil {
+		b.mu.Unlock()
+		return client.Do(a)
+	}
+	b.running++
+	b.peak = max(b.peak, b.running)
+	b.runs[a.Request.URL.Path]++
+	b.last = a.Request.Header
+	lasts := service
+	if b.serve != nil {
+		lasts = b.serve(a.Request)
+	}
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		b.running--
+		b.mu.Unlock()
+	}()
+	if a.Request.Body != nil {
+		if _, err := io.Copy(io.Discard, a.Request.Body); err != nil {
+			return nil, code.Unknownf(code.ServerUnreachable, "body").WithCause(err)
+		}
+	}
+	a.NoteWritten()
+	timer := time.NewTimer(lasts)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		header := http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-End": {"2"}}
+		return &http.Response{StatusCode: http.StatusOK, Header: header, ContentLength: 2, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+	case <-a.Request.Context().Done():
+	}
+	b.mu.Lock()
+	b.cancelled++
+	b.mu.Unlock()
+	if errors.Is(a.Request.Context().Err(), context.DeadlineExceeded) {
+		return nil, code.Unknownf(code.DeadlineExceeded, "late")
+	}
+	return nil, code.Unknownf(code.Cancelled, "cancelled")
+}
+
+func (b *backend) Draining() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.draining
+}
+
+func (b *backend) set(change func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change()
+}
+
+func (b *backend) highest() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peak
+}
+
+func (b *backend) count(path string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[path]
+}
+
+func (b *backend) total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0
+	for _, n := range b.runs {
+		sum += n
+	}
+	return sum
+}
+
+// stream is the gate's end of a call.
+type stream struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	pieces chan *proto.Piece // closed: the router has closed its sending direction
+	mu     sync.Mutex
+	got    []proto.Frame
+	first  time.Time // when the first frame came
+}
+
+func newStream(ctx context.Context) *stream {
+	s := &stream{pieces: make(chan *proto.Piece)}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	return s
+}
+
+func (s *stream) Context() context.Context { return s.ctx }
+func (s *stream) CloseSend() error         { return nil }
+
+func (s *stream) Close() error {
+	s.cancel()
+	return nil
+}
+
+func (s *stream) Send(frame proto.Frame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return s.ctx.Err()
+	}
+	if piece, isPiece := frame.(*proto.Piece); isPiece {
+		frame = &proto.Piece{Data: append([]byte(nil), piece.Data...), End: piece.End, Trailer: piece.Trailer}
+	}
+	if len(s.got) == 0 {
+		s.first = time.Now()
+	}
+	s.got = append(s.got, frame)
+	return nil
+}
+
+func (s *stream) Recv() (proto.Frame, error) {
+	select {
+	case piece, open := <-s.pieces:
+		if !open {
+			return nil, io.EOF
+		}
+		return piece, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+// frames returns the Ack and the last frame of a call that has ended; the last is nil for a refusal in the Ack.
+func (s *stream) frames() (*proto.Ack, proto.Frame) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.got) == 0 {
+		return nil, nil
+	}
+	ack, isAck := s.got[0].(*proto.Ack)
+	if isAck && len(s.got) == 1 {
+		return ack, nil
+	}
+	return ack, s.got[len(s.got)-1]
+}
+
+// refusal returns the code and outcome with which a call failed.
+func (s *stream) refusal() []any {
+	switch ack, last := s.frames(); failure := last.(type) {
+	case *proto.Failure:
+		return []any{failure.Code, failure.Outcome}
+	case nil:
+		return []any{ack.Code, code.NotRun}
+	}
+	return nil
+}
+
+type rig struct {
+	*Gate
+	*WithT
+	t       *testing.T
+	backend *backend
+	service *config.Service
+	next    uint64
+	conf    uint64
+	calls   sync.WaitGroup
+
+	isolated atomic.Bool
+}
+
+// inBubble runs body with a gate whose server is warm.
+func inBubble(t *testing.T, body func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, run := range []func(context.Context) error{r.Run, r.Limit.Run, r.Ledger.Run} {
+			go func() { _ = run(ctx) }()
+		}
+		body(r)
+		r.calls.Wait()
+		cancel()
+	})
+}
+
+func newRig(t *testing.T) *rig {
+	holder := &config.Holder{}
+	b := &backend{runs: make(map[string]int)}
+	r := &rig{t: t, WithT: NewWithT(t), backend: b, service: config.NewService("stock")}
+	r.Gate = &Gate{
+		Config: holder, Service: "stock", Zone: "a", Address: address, Incarnation: own,
+		Target: netip.MustParseAddrPort("127.0.0.1:80"), Server: b,
+		Limit:  &limit.Limiter{Config: holder, Service: "stock", Log: logr.Discard()},
+		Ledger: &ledger.Ledger{Incarnation: own}, Probes: &probe.Budget{Config: holder}, Log: logr.Discard(),
+	}
+	r.Isolated = r.isolated.Load
+	r.configure(func(*config.Config) {})
+	return r
+}
+
+// configure puts a configuration in force that change has completed.
+func (r *rig) configure(change func(c *config.Config)) {
+	r.conf++
+	c := &config.Config{Revision: r.conf, Services: map[string]*config.Service{"stock": r.service}}
+	change(c)
+	r.Expect(r.Config.Set(c)).To(Succeed())
+}
+
+func (r *rig) head(class ident.Class, timeout time.Duration) *proto.Head {
+	r.next++
+	return &proto.Head{
+		ID:      ident.AttemptID{Request: ident.RequestID{Router: 1, Seq: r.next}, Attempt: 1},
+		Service: "stock", Method: http.MethodGet, Target: "/" + class.String(), Host: "stock", Class: class,
+		Remaining: timeout, SentAt: time.Since(epoch), Idempotent: true, End: true,
+	}
+}
+
+// call starts a call; its goroutine ends with it.
+func (r *rig) call(peer *proto.Peer, head *proto.Head) *stream {
+	s := newStream(r.t.Context())
+	r.calls.Go(func() {
+		_ = r.Call(peer, head, s)
+		s.cancel()
+	})
+	return s
+}
+
+func (r *rig) get(timeout time.Duration) *stream {
+	return r.call(&proto.Peer{}, r.head(ident.Lookup, timeout))
+}
+
+// warm loads the server until its limit is the number of slots.
+func (r *rig) warm() {
+	for range 1000 {
+		if !r.Limit.Warming() {
+			break
+		}
+		for range r.Limit.Current() {
+			r.get(time.Second)
+		}
+		time.Sleep(10 * service)
+	}
+	r.calls.Wait()
+	r.Expect(r.Limit.Current()).To(Equal(r.service.Slots))
+	r.backend.set(func() { r.backend.peak = 0 })
+}
--- a/internal/admit/limit/judge.go
+++ b/internal/admit/limit/judge.go
@@ -15,7 +15,7 @@
 		l.slots = slots
 		l.publish(SlotsChanged, now)
 	}
-	ratio, known := l.window.close(now)
+	ratio, known := l.window.close()
 	stalled := l.stalled(now)
 	if cause := l.cold(ratio, known, stalled, now); cause != CauseNone {
 		l.restart(cause, now)
@@ -46,11 +46,13 @@
 	}
 	slow := stalled || known && ratio >= coldRatio
 	switch {
-	case !slow && known:
+	case slow:
+		if l.slowFrom.IsZero() {
+			l.slowFrom = now.Add(-tick) // the window that showed it began earlier
+		}
+		l.slowLast = now
+	case known || now.Sub(l.slowLast) > slowFor:
 		l.slowFrom = time.Time{}
-	case slow && l.slowFrom.IsZero():
-		// The window that showed it began earlier.
-		l.slowFrom = now.Add(-tick)
 	}
 	if l.slowFrom.IsZero() || l.warm > 0 || now.Sub(l.slowFrom) < coldAfter {
 		return CauseNone
--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -69,11 +69,11 @@
 	riseBy   = 1.1 // and rises by this factor
 	riseAdd  = 0.04
 	warmStep = time.Second // the warm-up limit at most doubles in this time
-	// minSample answers make a window; leastSample are enough after maxWindow. The mean of fewer random service times
-	// is often twice the usual one.
-	minSample   = 8
-	leastSample = 4
-	maxWindow   = 5 * tick
+	// minSample is the least number of answers in a window. The mean of fewer random service times is often twice the
+	// usual one, and with more the few answers of a slow server would come too late to detect it within 1 s.
+	minSample = 4
+	// slowFor is how long a slow window counts when no further answer comes.
+	slowFor = 2 * tick
 )
 
 // Limiter computes the limit. Its fields are set before Run.
@@ -95,11 +95,14 @@
 	cause    Cause
 	changed  time.Time
 	warmAt   time.Time // last change of warm
-	warmOK   int       // answers since warmAt
-	warmBad  int
+	warmOK   int       // normal answers since warmAt to requests that began since warmAt
+	warmBad  int       // failed answers since warmAt
+	step     uint64    // rises with warmAt
+	regime   uint64    // rises when the warm-up begins
 	running  int
 	progress time.Time // last answer, or the start of the first request after an idle time
-	slowFrom time.Time // zero while answers are not as slow as a cold server's
+	slowFrom time.Time // since when all answers are as slow as a cold server's; zero when they are not
+	slowLast time.Time // when that was last seen
 	window   window
 	recent   [failureTicks]tally
 	floors   [ident.Classes]floor
@@ -166,8 +169,14 @@
 	l.restart(cause, now)
 }
 
+// Ticket is what End needs to know of the begin of a request.
+type Ticket struct {
+	step   uint64
+	regime uint64
+}
+
 // Begin notes that a request goes to the server.
-func (l *Limiter) Begin() {
+func (l *Limiter) Begin() Ticket {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -176,11 +185,13 @@
 		l.progress = now
 	}
 	l.running++
+	return Ticket{step: l.step, regime: l.regime}
 }
 
 // End notes the end of a request. latency is the server's own time. A Late request passed its deadline unanswered: its
-// latency counts as a slow answer, and it is no evidence of a normal one.
-func (l *Limiter) End(class ident.Class, latency time.Duration, result Result) {
+// latency counts as a slow answer, and it is no evidence of a normal one. Nor is an answer to a request that began under
+// an earlier warm-up limit, and the latency of one that began before the present warm-up says nothing about it.
+func (l *Limiter) End(t Ticket, class ident.Class, latency time.Duration, result Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running--
@@ -192,18 +203,29 @@
 		l.recent[0].failed++
 		l.warmBad++
 	case Late:
-		l.window.add(latency, l.floors[class].value())
+		l.sample(t, class, latency)
 	case Normal:
 		l.recent[0].normal++
-		l.warmOK++
+		if t.step == l.step {
+			l.warmOK++
+		}
 		l.medians[class].add(latency)
 		l.overall.add(latency)
-		l.window.add(latency, l.floors[class].value())
-		l.floors[class].add(latency, now)
+		if l.sample(t, class, latency) {
+			l.floors[class].add(latency, now)
+		}
 	}
 	l.progress = now
 }
 
+func (l *Limiter) sample(t Ticket, class ident.Class, latency time.Duration) bool {
+	if t.regime != l.regime {
+		return false
+	}
+	l.window.add(latency, l.floors[class].value())
+	return true
+}
+
 // Dump returns the state of the limiter.
 func (l *Limiter) Dump() any {
 	l.mu.Lock()
@@ -232,7 +254,6 @@
 	l.started = true
 	l.share = 1
 	l.slots = l.configured()
-	l.window.opened = now
 	l.restart(Started, now)
 }
 
@@ -251,17 +272,19 @@
 // restart also forgets the floors: the answers of a server in warm-up are compared with its own first ones.
 func (l *Limiter) restart(cause Cause, now time.Time) {
 	l.warm = 1
+	l.regime++
 	l.share = 1
 	l.slowFrom = time.Time{}
 	l.recent = [failureTicks]tally{}
 	l.floors = [ident.Classes]floor{}
-	l.window = window{opened: now}
+	l.window = window{}
 	l.markWarm(now)
 	l.publish(cause, now)
 }
 
 func (l *Limiter) markWarm(now time.Time) {
 	l.warmAt = now
+	l.step++
 	l.warmOK = 0
 	l.warmBad = 0
 }
--- a/internal/admit/limit/limit_test.go
+++ b/internal/admit/limit/limit_test.go
@@ -51,7 +51,7 @@
 func (r *rig) load(lasts time.Duration, done func() bool) time.Duration {
 	begun := time.Now()
 	running := 0
-	ends := make(chan func(), 4*slots)
+	ends := make(chan struct{}, 4*slots)
 	timeout := time.After(lasts)
 	step := time.NewTicker(time.Millisecond)
 	defer step.Stop()
@@ -64,12 +64,14 @@
 			}
 			r.peaks[second] = max(r.peaks[second], running)
 			spent, result := r.serve(running)
-			r.Begin()
-			time.AfterFunc(spent, func() { ends <- func() { r.End(ident.Lookup, spent, result) } })
+			ticket := r.Begin()
+			time.AfterFunc(spent, func() {
+				r.End(ticket, ident.Lookup, spent, result)
+				ends <- struct{}{}
+			})
 		}
 		select {
-		case end := <-ends:
-			end()
+		case <-ends:
 			running--
 		case <-step.C:
 			if done != nil && done() {
@@ -125,13 +127,11 @@
 		time.Sleep(service)
 		for range 3 {
 			time.Sleep(2 * warmStep)
-			r.Begin()
-			r.End(ident.Lookup, service, Normal)
+			r.End(r.Begin(), ident.Lookup, service, Normal)
 		}
 		time.Sleep(2 * warmStep)
 		g.Expect(r.Current()).To(Equal(4))
-		r.Begin()
-		r.End(ident.Lookup, service, Normal)
+		r.End(r.Begin(), ident.Lookup, service, Normal)
 		time.Sleep(2 * warmStep)
 		g.Expect(r.Current()).To(Equal(8))
 	})
@@ -189,6 +189,20 @@
 	})
 }
 
+// Guards against a warm-up that follows from the time since one slow answer instead of from slow answers.
+func TestIdleTimeAfterSlownessIsNoEvidence(t *testing.T) {
+	inBubble(t, func(g *WithT, r *rig) {
+		r.load(10*time.Second, nil)
+		time.Sleep(2 * service) // the requests of the load have ended
+		for range slots {
+			ticket := r.Begin()
+			time.AfterFunc(30*service, func() { r.End(ticket, ident.Lookup, 30*service, Normal) })
+		}
+		time.Sleep(5 * time.Second)
+		g.Expect(r.Warming()).To(BeFalse())
+	})
+}
+
 // Guards against a limit that random service times lower although the server is not slower than before.
 func TestRandomServiceTimesKeepTheSlots(t *testing.T) {
 	inBubble(t, func(g *WithT, r *rig) {
--- a/internal/admit/limit/sample.go
+++ b/internal/admit/limit/sample.go
@@ -13,7 +13,6 @@
 
 // window compares the latencies of a short time with their floors.
 type window struct {
-	opened  time.Time
 	answers int
 	spent   time.Duration // sum of the latencies that have a floor
 	least   time.Duration // sum of their floors
@@ -29,30 +28,29 @@
 	w.least += least
 }
 
-// close returns the ratio of the window, when it has enough answers or is old enough.
-func (w *window) close(now time.Time) (float64, bool) {
-	if w.answers == 0 || w.answers < minSample && (w.answers < leastSample || now.Sub(w.opened) < maxWindow) {
-		if w.answers == 0 {
-			w.opened = now
-		}
+// close returns the ratio of the window, when it has enough answers; otherwise the window goes on.
+func (w *window) close() (float64, bool) {
+	if w.answers < minSample {
 		return 0, false
 	}
 	ratio := float64(w.spent) / float64(w.least)
-	*w = window{opened: now, last: ratio}
+	*w = window{last: ratio}
 	return ratio, true
 }
 
 // Parameters of the floor.
 const (
-	// floorAnswers and floorPeriod make a mean that random service times move little: an exponential one by a quarter.
-	floorAnswers = 16
+	// floorAnswers and floorPeriod make a mean that random service times move little: exponential ones by an eighth.
+	// Before the first such mean one of firstAnswers stands in for it, so that a warm-up has a floor.
+	floorAnswers = 64
+	firstAnswers = 16
 	floorPeriod  = time.Second
-	floorMeans   = 30
-	// floorRank is the part of the means that lie below the floor. The lowest of many means is far below the usual
-	// latency by chance alone; a fifth keeps the floor through slow times of up to four fifths of the means.
-	floorRank = 0.2
+	// floorRank is the part of the floorMeans latest means that lie below the floor. The lowest of many means is below
+	// the usual latency by chance alone; a higher rank would forget the floor sooner while the server is slow.
+	floorRank  = 0.05
+	floorMeans = 60
 	// floorAge is when a mean no longer counts.
-	floorAge = 60 * time.Second
+	floorAge = 2 * time.Minute
 	// leastFloor keeps the resolution of clocks and of the scheduler out of the ratios of very fast servers.
 	leastFloor = 200 * time.Microsecond
 )
@@ -77,7 +75,13 @@
 	}
 	f.answers++
 	f.spent += max(latency, leastFloor)
-	if f.answers < floorAnswers || now.Sub(f.opened) < floorPeriod {
+	if now.Sub(f.opened) < floorPeriod || f.answers < firstAnswers {
+		return
+	}
+	if f.answers < floorAnswers {
+		if len(f.means) == 0 {
+			f.least = f.spent / time.Duration(f.answers)
+		}
 		return
 	}
 	f.means = append(f.means, floorMean{at: now, mean: f.spent / time.Duration(f.answers)})
