--- a/internal/admit/gate/call_test.go
+++ b/internal/admit/gate/call_test.go
@@ -241,6 +241,46 @@
 	})
 }
 
+// Guards against a not-run that is reported without proof or missed, and against a restarted server at its old limit.
+func TestServerThatDidNotRun(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.service.ShedsBeforeRun = true
+		r.warm()
+		client := r.overPipes(func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		})
+		dial := client.Dial
+		head := r.order("/shed")
+		s := r.call(&proto.Peer{}, head)
+		r.calls.Wait()
+		r.Expect(s.refusal()).To(Equal(notRun(code.ServerShed)))
+		r.Expect(r.resolve(head.ID).Failure.Outcome).To(Equal(code.NotRun))
+		r.Expect(r.Limit.Warming()).To(BeFalse())
+		client.Dial = func(context.Context) (net.Conn, error) { return nil, net.ErrClosed }
+		s = r.call(&proto.Peer{}, r.order("/down"))
+		r.calls.Wait()
+		r.Expect(s.refusal()).To(Equal(notRun(code.ServerUnreachable)))
+		r.Expect(r.Limit.Warming()).To(BeTrue())
+		client.Dial = dial
+		r.Expect(r.Dump().(Dump).Failures).To(Equal(map[code.Code]uint64{code.ServerShed: 1, code.ServerUnreachable: 1}))
+	})
+}
+
+// Guards against probes that pass the budget by way of the gate.
+func TestProbe(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		ask := func(service string) *proto.ProbeReply {
+			reply, err := r.Gate.Probe(r.t.Context(), &proto.Peer{}, &proto.Probe{Service: service})
+			r.Expect(err).NotTo(HaveOccurred())
+			r.Expect(reply.Next).To(BeNumerically(">", 0))
+			return reply
+		}
+		r.Expect(ask("stock").Report).To(Equal(proto.Report{Server: address, Limit: 1, Warming: true}))
+		r.Expect(ask("labels").Code).To(Equal(code.WrongServer))
+		r.Expect(ask("stock").Code).To(Equal(code.ProbeBudget))
+	})
+}
+
 // Guards against uploads that are buffered whole while the server reads slowly, and against an upload whose stream ends
 // early and reaches the server as complete.
 func TestUploadsUseBoundedMemory(t *testing.T) {
--- a/internal/admit/gate/gate_test.go
+++ b/internal/admit/gate/gate_test.go
@@ -126,6 +126,10 @@
 				before := r.backend.total()
 				c.begin(r)
 				late := r.get(5 * time.Second)
+				synctest.Wait()
+				if name == "zone out" || name == "server leaving" {
+					r.Expect(r.queued.Load()).To(BeZero(), "a decision reaches the queue at once")
+				}
 				time.Sleep(2 * observeEvery)
 				for _, s := range append(waiting, late) {
 					r.Expect(s.refusal()).To(Equal(notRun(c.code)))
