Judge the server only by requests that it has whole

A slow caller's upload counted as a request that the server does not answer: with no other traffic the server was taken to be cold after 0.6 s, and so was one that held a single long request. The server's time now begins when the transport has written the whole request, and a stall needs as many waiting requests as a window needs answers (TestLongRequestsAreNoEvidence).

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/admit/ledger"
@@ -32,9 +31,6 @@
 	body     body
 	attempt  server.Attempt
 	ticket   limit.Ticket
-	began    time.Time // when the request was given to the backend
-	answered time.Time // when the response header came; zero before
-	released atomic.Bool
 }
 
 // Call implements proto.CallHandler.
@@ -137,27 +133,32 @@
 func (c *call) run(service *config.Service) error {
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
 	defer cancel()
-	c.began = time.Now()
 	c.body.begin(c.stream, c.head)
 	stop := context.AfterFunc(c.stream.Context(), func() { c.lost(ctx, cancel) })
 	defer stop()
 	c.attempt.Request = c.request(ctx)
 	c.attempt.Idempotent = c.head.Idempotent
 	c.attempt.Sheds = service.ShedsBeforeRun
-	c.ticket = c.gate.Limit.Begin()
+	c.attempt.Written = c.written
+	c.gate.Limit.Begin(&c.ticket, c.head.Class, c.head.End)
 	response, failed := c.gate.Server.Do(&c.attempt)
 	if failed != nil {
-		c.release(verdict(failed))
+		c.gate.Limit.End(&c.ticket, verdict(failed))
+		c.gate.release(c.head.Class)
 		if failed.Code == code.ServerUnreachable && failed.Outcome == code.NotRun {
 			c.gate.Limit.Restart(limit.Unreachable)
 		}
 		return c.fail(failed)
 	}
 	defer func() { _ = response.Body.Close() }() // its bytes have been passed on or given up by then
-	c.answered = time.Now()
+	c.gate.Limit.End(&c.ticket, judge(response))
 	return c.reply(ctx, response)
 }
 
+func (c *call) written() {
+	c.gate.Limit.Written(&c.ticket)
+}
+
 // lost runs in its own goroutine when the stream ends before the response is complete: by a cancellation or with its
 // connection. The two look the same, so a non-idempotent request goes on until a resolve has had time to come.
 func (c *call) lost(ctx context.Context, cancel context.CancelFunc) {
@@ -184,27 +185,6 @@
 	return c.peer.Revoked() || c.entry.Resolved()
 }
 
-// release returns the slot, once, and gives the limiter its sample.
-func (c *call) release(result limit.Result) {
-	if !c.released.CompareAndSwap(false, true) {
-		return
-	}
-	since := c.began
-	switch written := c.attempt.Written(); {
-	case !written.IsZero():
-		since = written
-	case c.head.End: // a request without a further body; the backend did not tell when it was written
-	case result == limit.Normal || result == limit.Late:
-		result = limit.Ignored // the time holds that of the caller's body
-	}
-	until := c.answered
-	if until.IsZero() {
-		until = time.Now()
-	}
-	c.gate.Limit.End(c.ticket, c.head.Class, until.Sub(since), result)
-	c.gate.release(c.head.Class)
-}
-
 // verdict tells what a request without a response says about the server.
 func verdict(failed *code.Error) limit.Result {
 	switch failed.Code {
--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -94,15 +94,15 @@
 	warm     int     // warm-up limit; 0 when the server is warm
 	cause    Cause
 	changed  time.Time
-	warmAt   time.Time // last change of warm
-	warmOK   int       // normal answers since warmAt to requests that began since warmAt
-	warmBad  int       // failed answers since warmAt
-	step     uint64    // rises with warmAt
-	regime   uint64    // rises when the warm-up begins
-	running  int
-	progress time.Time // last answer, or the start of the first request after an idle time
-	slowFrom time.Time // since when all answers are as slow as a cold server's; zero when they are not
-	slowLast time.Time // when that was last seen
+	warmAt   time.Time                // last change of warm
+	warmOK   int                      // normal answers since warmAt to requests that began since warmAt
+	warmBad  int                      // failed answers since warmAt
+	step     uint64                   // rises with warmAt
+	regime   uint64                   // rises when the warm-up begins
+	waiting  [ident.Classes]int       // requests that the server has whole and has not answered
+	progress [ident.Classes]time.Time // last answer, or the start of the first one waiting after an idle time
+	slowFrom time.Time                // since when all answers are as slow as a cold server's; zero when they are not
+	slowLast time.Time                // when that was last seen
 	window   window
 	recent   [failureTicks]tally
 	floors   [ident.Classes]floor
@@ -169,63 +169,6 @@
 	l.restart(cause, now)
 }
 
-// Ticket is what End needs to know of the begin of a request.
-type Ticket struct {
-	step   uint64
-	regime uint64
-}
-
-// Begin notes that a request goes to the server.
-func (l *Limiter) Begin() Ticket {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	l.start(now)
-	if l.running == 0 {
-		l.progress = now
-	}
-	l.running++
-	return Ticket{step: l.step, regime: l.regime}
-}
-
-// End notes the end of a request. latency is the server's own time. A Late request passed its deadline unanswered: its
-// latency counts as a slow answer, and it is no evidence of a normal one. Nor is an answer to a request that began under
-// an earlier warm-up limit, and the latency of one that began before the present warm-up says nothing about it.
-func (l *Limiter) End(t Ticket, class ident.Class, latency time.Duration, result Result) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.running--
-	now := time.Now()
-	switch result {
-	case Ignored:
-		return
-	case Failed:
-		l.recent[0].failed++
-		l.warmBad++
-	case Late:
-		l.sample(t, class, latency)
-	case Normal:
-		l.recent[0].normal++
-		if t.step == l.step {
-			l.warmOK++
-		}
-		l.medians[class].add(latency)
-		l.overall.add(latency)
-		if l.sample(t, class, latency) {
-			l.floors[class].add(latency, now)
-		}
-	}
-	l.progress = now
-}
-
-func (l *Limiter) sample(t Ticket, class ident.Class, latency time.Duration) bool {
-	if t.regime != l.regime {
-		return false
-	}
-	l.window.add(latency, l.floors[class].value())
-	return true
-}
-
 // Dump returns the state of the limiter.
 func (l *Limiter) Dump() any {
 	l.mu.Lock()
--- a/internal/admit/server/client.go
+++ b/internal/admit/server/client.go
@@ -72,22 +72,10 @@
 	Request    *http.Request
 	Idempotent bool // the transport may send it again when the server closes a reused connection
 	Sheds      bool // a 503 of this server proves that it did not run the request
+	// Written is called when the server has the whole request, by another goroutine and possibly after its answer.
+	Written func()
 
 	connected atomic.Bool
-	written   atomic.Int64 // Unix nanoseconds; 0 until the whole request is written
-}
-
-// Written returns when the server had the whole request, or the zero time.
-func (a *Attempt) Written() time.Time {
-	if at := a.written.Load(); at != 0 {
-		return time.Unix(0, at)
-	}
-	return time.Time{}
-}
-
-// NoteWritten records that the server has the whole request now.
-func (a *Attempt) NoteWritten() {
-	a.written.Store(time.Now().UnixNano())
 }
 
 // Do sends the request and returns the response header. A request that is not idempotent reaches the server at most once.
@@ -96,8 +84,8 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if info.Err == nil {
-				a.NoteWritten()
+			if info.Err == nil && a.Written != nil {
+				a.Written()
 			}
 		},
 	}
