--- a/internal/admit/gate/gate_test.go
+++ b/internal/admit/gate/gate_test.go
@@ -249,11 +249,10 @@
 		checks := start(ident.Check, 4, time.Minute)
 		r.Expect(verdict(checks[1])).To(Equal(proto.Admitted))
 		r.Expect(verdict(checks[2])).To(Equal(proto.Queued))
-		r.mu.Lock()
+		queue := r.Dump().(Dump).Queue
 		for i, class := range []ident.Class{ident.Check, ident.Check, ident.Lookup, ident.Upload, ident.Upload} {
-			r.Expect(r.queue[i].class).To(Equal(class))
+			r.Expect(queue[i].Class).To(Equal(class))
 		}
-		r.mu.Unlock()
 		hopeless := start(ident.Lookup, 1, service+time.Millisecond)
 		r.Expect(hopeless[0].refusal()).To(Equal(notRun(code.QueueDeadline)))
 		start(ident.Lookup, r.service.Queue-5, time.Minute)
