Add the platform adapters, the stand-in platform and the folder parser

Ruled out: taking a bare 503 as proof that a write was not applied, because a device on the path can answer it after passing the write on; only the header Platform-Outcome: not-run is proof. The INI library gives no lines and accepts continued and quoted values, so the parser checks a stricter grammar line by line first and takes only the values from the library.

--- /dev/null
+++ b/internal/conf/files/keys.go
@@ -0,0 +1,158 @@
+package files
+
+import (
+	"fmt"
+	"strconv"
+
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Section -linecomment -output=names.go
+
+// Section is the kind of a section.
+type Section int
+
+// The kinds of sections. All but budgets are followed by a name.
+const (
+	ServiceSection Section = iota // service
+	ZoneSection                   // zone
+	ServerSection                 // server
+	BudgetsSection                // budgets
+)
+
+// Key describes a key of a section. The table of keys is the source of the parser and of docs/configuration.md.
+type Key struct {
+	Section Section
+	Name    string
+	Default string
+	Bound   string
+	Meaning string
+
+	set func(b *builder, name, value string) error
+}
+
+var keys = append(serviceKeys(), otherKeys()...)
+
+// Keys returns every key with its default, bound and meaning.
+func Keys() []Key {
+	return append([]Key(nil), keys...)
+}
+
+func findKey(section Section, name string) (Key, bool) {
+	for _, key := range keys {
+		if key.Section == section && key.Name == name {
+			return key, true
+		}
+	}
+	return Key{}, false
+}
+
+// Texts that several keys share.
+const (
+	empty     = "empty"
+	yes       = "true"
+	no        = "false"
+	boolBound = "true or false"
+)
+
+func serviceKeys() []Key {
+	patterns := fmt.Sprintf("at most %d patterns of %d bytes", MaxListEntries, MaxPatternBytes)
+	rows := []serviceKey{
+		{"owner", empty, fmt.Sprintf("at most %d bytes", MaxTextBytes), "team that owns the service, for people", setOwner},
+		{
+			"zones", "empty: every zone", fmt.Sprintf("at most %d zone names", MaxListEntries),
+			"availability zones that may carry the service, separated by commas", setZones,
+		},
+		{
+			"timeout", config.DefaultTimeout.String(), fmt.Sprintf("%s to %s", MinTimeout, MaxTimeout),
+			"deadline of a request without Request-Timeout", setTimeout,
+		},
+		{"class", "lookup", "check, lookup, write or upload", "class of a request that checks and uploads do not match", setClass},
+		{"checks", empty, patterns, "requests of class check: 'METHOD /path', separated by commas", setChecks},
+		{"uploads", empty, patterns, "requests of class upload", setUploads},
+		{
+			"non-idempotent", empty, patterns,
+			"requests that run at most once, beside POST and PATCH; takes precedence over idempotent", setNonIdempotent,
+		},
+		{"idempotent", empty, patterns, "POST and PATCH requests that may run more than once", setIdempotent},
+		{"slots", strconv.Itoa(config.DefaultSlots), fmt.Sprintf("1 to %d", MaxSlots), "requests that a server runs at once", setSlots},
+		{"queue", strconv.Itoa(config.DefaultQueue), fmt.Sprintf("0 to %d", MaxQueue), "requests that may wait at a server", setQueue},
+		{
+			"check-reserve", strconv.Itoa(config.DefaultCheckReserve), "0 to slots - 1",
+			"slots that only requests of class check may use", setCheckReserve,
+		},
+		{"upload-share", share(config.DefaultUploadShare), "above 0, at most 1", "share of the slots that uploads may hold", setUploadShare},
+		{
+			"retry-share", share(config.DefaultRetryShare), fmt.Sprintf("0 to %g", MaxRetryShare),
+			"additional attempts per request; 0 turns retries off", setRetryShare,
+		},
+		{
+			"hedge-share", share(config.DefaultHedgeShare), fmt.Sprintf("0 to %g", MaxHedgeShare),
+			"hedges per request; 0 turns hedges off", setHedgeShare,
+		},
+		{"claim", no, boolBound, "claim idempotency keys in the platform's table before a run", setClaim},
+		{
+			"claim-retention", config.DefaultClaimRetention.String(), fmt.Sprintf("%s to %s", MinClaimRetention, MaxClaimRetention),
+			"how long a claim blocks a repeated request", setClaimRetention,
+		},
+		{
+			"sheds-before-run", no, boolBound,
+			"a 503 of this service's servers proves that the request was not run", setSheds,
+		},
+	}
+	described := make([]Key, 0, len(rows))
+	for _, row := range rows {
+		described = append(described, row.key())
+	}
+	return described
+}
+
+// serviceKey is a row of the table of service keys.
+type serviceKey struct {
+	name, defaults, bound, meaning string
+	set                            func(*config.Service, string) error
+}
+
+func (row serviceKey) key() Key {
+	set := func(b *builder, name, value string) error { return row.set(b.service(name), value) }
+	return Key{Section: ServiceSection, Name: row.name, Default: row.defaults, Bound: row.bound, Meaning: row.meaning, set: set}
+}
+
+func otherKeys() []Key {
+	const state = "state"
+	return []Key{
+		{
+			Section: ZoneSection, Name: state, Default: config.ZoneIn.String(), Bound: "in or out",
+			Meaning: "whether the zone may receive new work", set: setZone,
+		},
+		{
+			Section: ServerSection, Name: state, Default: config.ServerIn.String(), Bound: "in or leaving",
+			Meaning: "whether the server may receive new work; the section's name is its daemon's inner address", set: setServer,
+		},
+		budgetKey(
+			"probes-per-second", config.DefaultProbes, MinProbes, MaxProbes, "probes per server and second, all routers together",
+			func(b *config.Budgets) *float64 { return &b.Probes },
+		),
+		budgetKey(
+			"head-reads-per-second", config.DefaultHeadReads, MinHeadReads, MaxHeadReads,
+			"reads of the configuration head per second, whole fleet",
+			func(b *config.Budgets) *float64 { return &b.HeadReads },
+		),
+		budgetKey(
+			"exchanges-per-second", config.DefaultExchanges, MinExchanges, MaxExchanges, "eager exchanges per daemon and second",
+			func(b *config.Budgets) *float64 { return &b.Exchanges },
+		),
+	}
+}
+
+func budgetKey(name string, initial, low, high float64, meaning string, field func(*config.Budgets) *float64) Key {
+	set := func(b *builder, _, value string) error {
+		return setFloat(field(&b.config.Budgets), value, low, high)
+	}
+	bound := fmt.Sprintf("%g to %g", low, high)
+	return Key{Section: BudgetsSection, Name: name, Default: share(initial), Bound: bound, Meaning: meaning, set: set}
+}
+
+func share(value float64) string {
+	return strconv.FormatFloat(value, 'g', -1, 64)
+}
--- /dev/null
+++ b/internal/conf/files/merge.go
@@ -0,0 +1,139 @@
+package files
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+)
+
+// Merged is the folder merged in the order of the file names: a later name takes precedence, key by key.
+type Merged struct {
+	Config *config.Config
+	Keys   map[ID]Entry    // the entry in force for each key that any file sets
+	Files  map[string][]ID // the keys that each file sets, in its order
+}
+
+// builder collects the configuration while files are merged.
+type builder struct {
+	config *config.Config
+}
+
+func newBuilder() *builder {
+	return &builder{config: &config.Config{
+		Services: map[string]*config.Service{},
+		Zones:    map[string]config.ZoneState{},
+		Servers:  map[netip.AddrPort]config.ServerState{},
+		Budgets:  config.DefaultBudgets(),
+	}}
+}
+
+func (b *builder) service(name string) *config.Service {
+	service, found := b.config.Services[name]
+	if !found {
+		service = config.NewService(name)
+		b.config.Services[name] = service
+	}
+	return service
+}
+
+// Merge parses and merges the folder. Its error is coded InvalidConfig and has an InvalidError with every problem of every
+// file in its chain.
+func Merge(set Set) (*Merged, error) {
+	if problems := checkFolder(set); len(problems) > 0 {
+		return nil, invalid(problems)
+	}
+	sorted := slices.Clone(set.Files)
+	slices.SortStableFunc(sorted, func(a, b File) int { return cmp.Compare(a.Name, b.Name) })
+	merged := &Merged{Keys: map[ID]Entry{}, Files: map[string][]ID{}}
+	b := newBuilder()
+	b.config.Revision = set.Revision
+	var problems []Problem
+	for _, file := range sorted {
+		if _, found := merged.Files[file.Name]; found {
+			problems = append(problems, Problem{File: file.Name, Detail: "the name occurs twice"})
+			continue
+		}
+		settings, found := parse(file)
+		problems = append(problems, found...)
+		merged.Files[file.Name] = nil
+		for _, s := range settings {
+			merged.Keys[s.ID] = s.Entry
+			merged.Files[file.Name] = append(merged.Files[file.Name], s.ID)
+			b.apply(s)
+		}
+	}
+	merged.Config = b.config
+	problems = append(problems, merged.checkServices()...)
+	if err := invalid(problems); err != nil {
+		return nil, err
+	}
+	return merged, nil
+}
+
+// apply sets a key. The parser has already reported a bad value.
+func (b *builder) apply(s setting) {
+	if s.key.set == nil {
+		b.service(s.ID.Name)
+		return
+	}
+	_ = s.key.set(b, s.ID.Name, s.Value) // reported by the parser
+}
+
+func checkFolder(set Set) []Problem {
+	if len(set.Files) > MaxFiles {
+		return []Problem{{File: "folder", Detail: fmt.Sprintf("%d files: want at most %d", len(set.Files), MaxFiles)}}
+	}
+	total := 0
+	for _, file := range set.Files {
+		total += len(file.Content)
+	}
+	if total > MaxFolderBytes {
+		return []Problem{{File: "folder", Detail: fmt.Sprintf("%d bytes: want at most %d", total, MaxFolderBytes)}}
+	}
+	return nil
+}
+
+// checkServices checks the bounds between keys, which may come from different files.
+func (m *Merged) checkServices() []Problem {
+	var problems []Problem
+	for _, name := range slices.Sorted(maps.Keys(m.Config.Services)) {
+		service := m.Config.Services[name]
+		if service.CheckReserve < service.Slots {
+			continue
+		}
+		id := ID{Section: ServiceSection, Name: name, Key: "check-reserve"}
+		entry, found := m.Keys[id]
+		if !found { // the default of check-reserve is too high for the slots that a file sets
+			entry = m.Keys[ID{Section: ServiceSection, Name: name, Key: "slots"}]
+		}
+		detail := fmt.Sprintf("check-reserve is %d: want less than the %d slots", service.CheckReserve, service.Slots)
+		problems = append(problems, Problem{File: entry.File, Line: entry.Line, Key: id.String(), Detail: detail})
+	}
+	return problems
+}
+
+// Entries returns the entries in force, sorted by section, name and key.
+func (m *Merged) Entries() []Entry {
+	return slices.SortedFunc(maps.Values(m.Keys), func(a, b Entry) int {
+		return cmp.Or(
+			cmp.Compare(a.ID.Section, b.ID.Section),
+			cmp.Compare(a.ID.Name, b.ID.Name),
+			cmp.Compare(a.ID.Key, b.ID.Key),
+		)
+	})
+}
+
+// OverriddenBy returns a file that overrides a key of the named file, when later names override all of its keys.
+func (m *Merged) OverriddenBy(name string) (other Entry, overridden bool) {
+	for _, id := range m.Files[name] {
+		other = m.Keys[id]
+		if other.File == name {
+			return Entry{}, false
+		}
+	}
+	return other, len(m.Files[name]) > 0
+}
--- /dev/null
+++ b/internal/conf/files/report.go
@@ -0,0 +1,69 @@
+package files
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+)
+
+// MaxProblems bounds a report, so that a wrong folder does not fill the terminal or a response.
+const MaxProblems = 200
+
+// Problem is one error in a file.
+type Problem struct {
+	File   string
+	Line   int    // 0 when the problem concerns the whole file
+	Key    string // as "[section] key"; empty when the problem concerns no key
+	Detail string
+}
+
+// String returns the problem as FILE:LINE: KEY: DETAIL.
+func (p Problem) String() string {
+	text := p.File
+	if p.Line > 0 {
+		text += fmt.Sprintf(":%d", p.Line)
+	}
+	if p.Key != "" {
+		text += ": " + p.Key
+	}
+	return text + ": " + p.Detail
+}
+
+// InvalidError is the report of all problems of a folder.
+type InvalidError struct {
+	Problems []Problem // in the order of the files and lines; at least one
+}
+
+// Error implements error with a problem on each line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, problem := range e.Problems {
+		lines = append(lines, problem.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// invalid returns the coded error for the problems, or nil without any.
+func invalid(problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	detail := fmt.Sprintf("%d problems", len(problems))
+	if len(problems) > MaxProblems {
+		detail += fmt.Sprintf(", the first %d", MaxProblems)
+		problems = problems[:MaxProblems]
+	}
+	return code.NotRunf(code.InvalidConfig, "%s", detail).WithCause(&InvalidError{Problems: problems})
+}
+
+// Problems returns the problems in the chain of err.
+func Problems(err error) []Problem {
+	var report *InvalidError
+	if errors.As(err, &report) {
+		return report.Problems
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/plat/fake/control.go
@@ -0,0 +1,129 @@
+package fake
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+)
+
+// The names of the faults in the control interface.
+const (
+	downName = "down"
+	slowName = "slow"
+	loseName = "lose-response"
+)
+
+// faultJSON is a fault of the control interface, such as {"fault": "slow", "target": "table", "delay": "200ms"}.
+type faultJSON struct {
+	Fault       string  `json:"fault"`
+	Target      string  `json:"target,omitempty"` // both, table or objects
+	Kind        string  `json:"kind,omitempty"`   // any, read or write
+	Count       int     `json:"count,omitempty"`
+	Probability float64 `json:"probability,omitempty"`
+	Delay       string  `json:"delay,omitempty"`
+}
+
+// EncodeFault returns the control interface's form of a fault.
+func EncodeFault(fault Fault) ([]byte, error) {
+	body, err := json.Marshal(faultForm(fault))
+	return body, errors.Wrap(err, "encode fault")
+}
+
+func faultForm(fault Fault) faultJSON {
+	scope := fault.scope()
+	form := faultJSON{
+		Target:      scope.Target.String(),
+		Kind:        scope.Kind.String(),
+		Count:       scope.Count,
+		Probability: scope.Probability,
+	}
+	switch f := fault.(type) {
+	case Down:
+		form.Fault = downName
+	case Slow:
+		form.Fault = slowName
+		form.Delay = f.Delay.String()
+	case LoseResponse:
+		form.Fault = loseName
+	}
+	return form
+}
+
+// DecodeFault reads a fault of the control interface.
+func DecodeFault(body []byte) (Fault, error) {
+	var form faultJSON
+	if err := json.Unmarshal(body, &form); err != nil {
+		return nil, errors.Wrap(err, "decode fault")
+	}
+	scope := Scope{Count: form.Count, Probability: form.Probability}
+	if scope.Count < 0 || scope.Probability < 0 || scope.Probability > 1 {
+		return nil, errors.New("count must be at least 0 and probability 0 to 1")
+	}
+	var err error
+	if scope.Target, err = parseName(form.Target, Both, Rows, Objects); err != nil {
+		return nil, errors.Wrap(err, "target")
+	}
+	if scope.Kind, err = parseName(form.Kind, Any, Read, Write); err != nil {
+		return nil, errors.Wrap(err, "kind")
+	}
+	switch form.Fault {
+	case downName:
+		return Down{Scope: scope}, nil
+	case loseName:
+		return LoseResponse{Scope: scope}, nil
+	case slowName:
+		delay, err := time.ParseDuration(form.Delay)
+		return Slow{Scope: scope, Delay: delay}, errors.Wrap(err, "delay")
+	}
+	return nil, errors.Newf("unknown fault %q: want %s, %s or %s", form.Fault, downName, slowName, loseName)
+}
+
+// parseName reads the name of an enum value; no name is the zero value.
+func parseName[T interface{ String() string }](name string, values ...T) (T, error) {
+	if name == "" {
+		return values[0], nil
+	}
+	for _, value := range values {
+		if value.String() == name {
+			return value, nil
+		}
+	}
+	return values[0], errors.Newf("unknown name %q", name)
+}
+
+func (s *Server) injectFault(w http.ResponseWriter, r *http.Request) {
+	body, err := readBody(w, r, maxFaultBytes)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	fault, err := DecodeFault(body)
+	if err != nil {
+		fail(w, code.NotRunf(code.BadRequest, "fault").WithCause(err))
+		return
+	}
+	s.Platform.Faults.Inject(fault)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) clearFaults(w http.ResponseWriter, _ *http.Request) {
+	s.Platform.Faults.Clear()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) listFaults(w http.ResponseWriter, _ *http.Request) {
+	forms := []faultJSON{}
+	for _, fault := range s.Platform.Faults.Active() {
+		forms = append(forms, faultForm(fault))
+	}
+	body, err := json.Marshal(forms)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	writeJSON(w, body)
+}
--- /dev/null
+++ b/internal/plat/fake/fault.go
@@ -0,0 +1,174 @@
+// Package fake is an in-memory table and object store with fault injection, and the HTTP server for them.
+package fake
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=Target,Kind -linecomment -output=names.go
+
+// Target says which store a fault concerns.
+type Target int
+
+// The targets.
+const (
+	Both    Target = iota // both
+	Rows                  // table
+	Objects               // objects
+)
+
+// Kind says which operations a fault concerns.
+type Kind int
+
+// The kinds of operations.
+const (
+	Any   Kind = iota // any
+	Read              // read
+	Write             // write
+)
+
+// Fault is a failure of the platform: Down, Slow or LoseResponse.
+type Fault interface {
+	scope() Scope
+}
+
+// Scope limits a fault.
+type Scope struct {
+	Target      Target
+	Kind        Kind
+	Count       int     // operations it hits before it ends; 0 means until cleared
+	Probability float64 // that it hits an operation; 0 means always
+}
+
+// Down fails operations without applying them.
+type Down struct{ Scope }
+
+// Slow delays operations before they are applied.
+type Slow struct {
+	Scope
+	Delay time.Duration
+}
+
+// LoseResponse applies writes and then fails them with an unknown outcome. It does not hit reads.
+type LoseResponse struct{ Scope }
+
+func (f Down) scope() Scope { return f.Scope }
+
+func (f Slow) scope() Scope { return f.Scope }
+
+func (f LoseResponse) scope() Scope {
+	limited := f.Scope
+	limited.Kind = Write
+	return limited
+}
+
+// Faults decides which operations fail. Its decisions depend only on the seed and the order of operations.
+type Faults struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	active []*active
+	counts Counts
+}
+
+// Counts is the number of operations that reached the stores, failed ones included.
+type Counts struct {
+	TableReads, TableWrites, ObjectReads, ObjectWrites int
+}
+
+type active struct {
+	fault Fault
+	left  int // hits before the fault ends; counts only when the fault has a count
+}
+
+// NewFaults returns no faults, with the random numbers of seed.
+func NewFaults(seed uint64) *Faults {
+	return &Faults{random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// Inject switches a fault on.
+func (f *Faults) Inject(fault Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active = append(f.active, &active{fault: fault, left: fault.scope().Count})
+}
+
+// Clear switches every fault off.
+func (f *Faults) Clear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active = nil
+}
+
+// Active returns the faults that are on.
+func (f *Faults) Active() []Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var faults []Fault
+	for _, a := range f.active {
+		faults = append(faults, a.fault)
+	}
+	return faults
+}
+
+// Counts returns the operations so far.
+func (f *Faults) Counts() Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts
+}
+
+type verdict struct {
+	down  bool
+	lose  bool
+	delay time.Duration
+}
+
+// decide counts an operation and returns what happens to it.
+func (f *Faults) decide(target Target, kind Kind) verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count(target, kind)
+	var v verdict
+	kept := f.active[:0]
+	for _, a := range f.active {
+		if f.hits(a, target, kind) {
+			switch fault := a.fault.(type) {
+			case Down:
+				v.down = true
+			case Slow:
+				v.delay += fault.Delay
+			case LoseResponse:
+				v.lose = true
+			}
+			a.left--
+		}
+		if a.fault.scope().Count == 0 || a.left > 0 {
+			kept = append(kept, a)
+		}
+	}
+	f.active = kept
+	return v
+}
+
+func (f *Faults) hits(a *active, target Target, kind Kind) bool {
+	scope := a.fault.scope()
+	if scope.Target != Both && scope.Target != target || scope.Kind != Any && scope.Kind != kind {
+		return false
+	}
+	return scope.Probability == 0 || f.random.Float64() < scope.Probability
+}
+
+func (f *Faults) count(target Target, kind Kind) {
+	switch {
+	case target == Rows && kind == Read:
+		f.counts.TableReads++
+	case target == Rows:
+		f.counts.TableWrites++
+	case kind == Read:
+		f.counts.ObjectReads++
+	default:
+		f.counts.ObjectWrites++
+	}
+}
--- /dev/null
+++ b/internal/plat/table/codec.go
@@ -0,0 +1,97 @@
+package table
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The paths and headers of the table's HTTP interface.
+const (
+	RowPath         = "/rows/"        // followed by the escaped key: GET, and PUT with If-Match or If-None-Match
+	RangePath       = "/rows"         // GET with the parameters prefix, after and limit
+	TransactionPath = "/transactions" // POST of a transaction
+	OutcomeHeader   = "Platform-Outcome"
+	NotApplied      = "not-run" // value of OutcomeHeader: the write was certainly not applied
+)
+
+// MaxTransactionBytes bounds the body of a transaction. A change of the whole configuration folder has its 4 MiB twice,
+// in file rows and in the log row, in base64.
+const MaxTransactionBytes = 24 << 20
+
+// The JSON forms. An absent version in a condition requires that the row does not exist; values are in base64.
+type (
+	rowJSON struct {
+		Key     string `json:"key"`
+		Value   []byte `json:"value"`
+		Version string `json:"version"`
+	}
+	pageJSON struct {
+		Rows []rowJSON `json:"rows"`
+	}
+	conditionJSON struct {
+		Key     string `json:"key"`
+		Version string `json:"version,omitempty"`
+	}
+	putJSON struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+	}
+	txnJSON struct {
+		Conditions []conditionJSON `json:"conditions,omitempty"`
+		Puts       []putJSON       `json:"puts,omitempty"`
+		Deletes    []string        `json:"deletes,omitempty"`
+	}
+)
+
+// EncodeTxn returns the body of a transaction.
+func EncodeTxn(txn Txn) ([]byte, error) {
+	form := txnJSON{Deletes: txn.Deletes}
+	for _, condition := range txn.Conditions {
+		form.Conditions = append(form.Conditions, conditionJSON(condition))
+	}
+	for _, put := range txn.Puts {
+		form.Puts = append(form.Puts, putJSON(put))
+	}
+	body, err := json.Marshal(form)
+	return body, errors.Wrap(err, "encode transaction")
+}
+
+// DecodeTxn reads the body of a transaction.
+func DecodeTxn(body []byte) (Txn, error) {
+	var form txnJSON
+	if err := json.Unmarshal(body, &form); err != nil {
+		return Txn{}, errors.Wrap(err, "decode transaction")
+	}
+	txn := Txn{Deletes: form.Deletes}
+	for _, condition := range form.Conditions {
+		txn.Conditions = append(txn.Conditions, Condition(condition))
+	}
+	for _, put := range form.Puts {
+		txn.Puts = append(txn.Puts, Put(put))
+	}
+	return txn, nil
+}
+
+// EncodePage returns the body of a range response.
+func EncodePage(rows []Row) ([]byte, error) {
+	form := pageJSON{Rows: []rowJSON{}}
+	for _, row := range rows {
+		form.Rows = append(form.Rows, rowJSON(row))
+	}
+	body, err := json.Marshal(form)
+	return body, errors.Wrap(err, "encode page")
+}
+
+// DecodePage reads the body of a range response.
+func DecodePage(body []byte) ([]Row, error) {
+	var form pageJSON
+	if err := json.Unmarshal(body, &form); err != nil {
+		return nil, errors.Wrap(err, "decode page")
+	}
+	rows := make([]Row, 0, len(form.Rows))
+	for _, row := range form.Rows {
+		rows = append(rows, Row(row))
+	}
+	return rows, nil
+}
--- a/internal/plat/table/table.go
+++ b/internal/plat/table/table.go
@@ -35,7 +35,8 @@
 type Store interface {
 	// Get reads one row.
 	Get(ctx context.Context, key string) (Row, error)
-	// Range reads at most limit rows with the prefix whose keys are above after, in the order of their keys.
+	// Range reads at most limit rows with the prefix whose keys are above after, in the order of their keys. A page may
+	// have fewer rows than limit, because its bytes are bounded too; only an empty page is the end.
 	Range(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit applies the transaction or nothing.
 	Commit(ctx context.Context, txn Txn) error
