Add the writer of configuration changes and its commands

ruled out: to answer 'not accepted' when the platform stays away after a lost response; the outcome is then unknown, with the change id to look up.

--- /dev/null
+++ b/internal/cli/cmds/list.go
@@ -0,0 +1,47 @@
+package cmds
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+type listingJSON struct {
+	Revision uint64        `json:"revision"`
+	Files    []listingFile `json:"files"`
+}
+
+type listingFile struct {
+	Name  string `json:"name"`
+	Bytes int    `json:"bytes"`
+}
+
+func newList() *cobra.Command {
+	var p platform
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List the files of the configuration folder",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			writer, err := p.writer(cmd.ErrOrStderr(), false)
+			if err != nil {
+				return err
+			}
+			set, err := writer.Show(cmd.Context(), 0)
+			if err != nil {
+				return err
+			}
+			form := listingJSON{Revision: set.Revision, Files: []listingFile{}}
+			var text strings.Builder
+			fmt.Fprintf(&text, "revision %d, %d files\n", set.Revision, len(set.Files))
+			for _, file := range set.Files {
+				form.Files = append(form.Files, listingFile{Name: file.Name, Bytes: len(file.Content)})
+				fmt.Fprintln(&text, file.Name)
+			}
+			return p.write(cmd.OutOrStdout(), form, text.String())
+		},
+	}
+	p.addRead(cmd)
+	return cmd
+}
--- /dev/null
+++ b/internal/cli/cmds/log.go
@@ -0,0 +1,58 @@
+package cmds
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+const defaultLogLimit = 20
+
+type changeJSON struct {
+	Revision uint64    `json:"revision"`
+	ID       string    `json:"change-id"`
+	Operator string    `json:"operator"`
+	At       time.Time `json:"at"`
+	Put      []string  `json:"put,omitempty"`
+	Remove   []string  `json:"remove,omitempty"`
+}
+
+func newLog() *cobra.Command {
+	var p platform
+	var limit int
+	cmd := &cobra.Command{
+		Use:   "log",
+		Short: "List the latest accepted changes",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if limit < 0 {
+				return usagef("--limit %d: want 0 or more", limit)
+			}
+			writer, err := p.writer(cmd.ErrOrStderr(), false)
+			if err != nil {
+				return err
+			}
+			history, err := writer.History(cmd.Context(), limit)
+			if err != nil {
+				return err
+			}
+			forms := []changeJSON{}
+			var text strings.Builder
+			for _, change := range history {
+				form := changeJSON{Revision: change.Revision, ID: change.ID, Operator: change.Operator, At: change.At, Remove: change.Remove}
+				for _, file := range change.Put {
+					form.Put = append(form.Put, file.Name)
+				}
+				forms = append(forms, form)
+				fmt.Fprintf(&text, "%d %s %s %s", form.Revision, form.At.Format(time.RFC3339), form.Operator, form.ID)
+				fmt.Fprintf(&text, " put=%s remove=%s\n", strings.Join(form.Put, ","), strings.Join(form.Remove, ","))
+			}
+			return p.write(cmd.OutOrStdout(), forms, text.String())
+		},
+	}
+	p.addRead(cmd)
+	cmd.Flags().IntVar(&limit, "limit", defaultLogLimit, "number of changes; 0: all that the log still has")
+	return cmd
+}
--- /dev/null
+++ b/internal/cli/cmds/options.go
@@ -0,0 +1,113 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
+	"marigoldwinch.example/marigoldwinch/internal/conf/change"
+	"marigoldwinch.example/marigoldwinch/internal/plat/object"
+	"marigoldwinch.example/marigoldwinch/internal/plat/rest"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+)
+
+// Names and values of the flag for the form of the output.
+const (
+	outputFlag = "output"
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// output is the flag for the form of the output.
+type output struct {
+	form string
+}
+
+func (o *output) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&o.form, outputFlag, outputText, "form of the output: text or json")
+}
+
+// write prints form as JSON, or the text.
+func (o *output) write(w io.Writer, form any, text string) error {
+	if o.form == outputText {
+		_, err := io.WriteString(w, text)
+		return err
+	}
+	body, err := json.MarshalIndent(form, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(w, string(body))
+	return err
+}
+
+func (o *output) check() error {
+	if o.form != outputText && o.form != outputJSON {
+		return usagef("--output %q: want text or json", o.form)
+	}
+	return nil
+}
+
+// platform holds the flags of the commands that use the platform.
+type platform struct {
+	output
+	table    string
+	objects  string
+	operator string
+	timeout  time.Duration
+	verbose  bool
+	changes  change.Options
+}
+
+// addRead adds the flags of a command that reads.
+func (p *platform) addRead(cmd *cobra.Command) {
+	p.add(cmd)
+	cmd.Flags().StringVar(&p.table, "platform-table", "", "IP:PORT of the platform's table service")
+	cmd.Flags().StringVar(&p.objects, "platform-objects", "", "IP:PORT of the platform's object store; empty: that of the table")
+	cmd.Flags().DurationVar(&p.timeout, "platform-timeout", rest.DefaultTimeout, "limit of one request to the platform")
+	cmd.Flags().BoolVar(&p.verbose, "verbose", false, "write events to the standard error output")
+}
+
+// addWrite adds the flags of a command that changes the configuration.
+func (p *platform) addWrite(cmd *cobra.Command) {
+	p.addRead(cmd)
+	cmd.Flags().StringVar(&p.operator, "operator", "", "name that is recorded with the change")
+	cmd.Flags().BoolVar(&p.changes.DryRun, "dry-run", false, "check the change and print its effects without making it")
+	cmd.Flags().Uint64Var(&p.changes.Base, "base", 0, "revision that the change was made from; 0: the latest")
+}
+
+// writer returns the writer that the flags describe. Its diagnostics go to errOut.
+func (p *platform) writer(errOut io.Writer, changing bool) (*change.Writer, error) {
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	rows, err := netip.ParseAddrPort(p.table)
+	if err != nil {
+		return nil, usagef("--platform-table %q: want IP:PORT", p.table)
+	}
+	objects := rows
+	if p.objects != "" {
+		if objects, err = netip.ParseAddrPort(p.objects); err != nil {
+			return nil, usagef("--platform-objects %q: want IP:PORT", p.objects)
+		}
+	}
+	if changing && p.operator == "" {
+		return nil, usagef("--operator is missing")
+	}
+	level := slog.LevelWarn
+	if p.verbose {
+		level = slog.LevelDebug
+	}
+	return &change.Writer{
+		Store:    &table.HTTP{Client: rest.Client{Address: rows, Timeout: p.timeout}},
+		Objects:  &object.HTTP{Client: rest.Client{Address: objects, Timeout: p.timeout}},
+		Operator: p.operator,
+		Log:      logs.New(errOut, level),
+	}, nil
+}
--- a/internal/cli/cmds/root.go
+++ b/internal/cli/cmds/root.go
@@ -2,23 +2,44 @@
 package cmds
 
 import (
-	"fmt"
+	"context"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 )
 
 // Execute runs the command line and returns the exit status.
 func Execute() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
+
+// Run runs a command with the arguments and returns its exit status.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	started := false
 	root := &cobra.Command{
-		Use:           "marigoldwinch",
-		Short:         "Load balancer for servers whose load shifts in milliseconds",
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Use:               "marigoldwinch",
+		Short:             "Load balancer for servers whose load shifts in milliseconds",
+		SilenceUsage:      true,
+		SilenceErrors:     true,
+		PersistentPreRun:  func(*cobra.Command, []string) { started = true },
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+	}
+	root.AddCommand(newConfig(), newZone(), newServer(), newStandIn())
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	ran, err := root.ExecuteContextC(ctx)
+	if err == nil {
+		return StatusOK
 	}
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "marigoldwinch:", err)
-		return 1
+	if !started { // cobra refused the command, its flags or its arguments
+		err = usagef("%v", err)
 	}
-	return 0
+	report(ran, errOut, err)
+	return exitStatus(err)
 }
--- /dev/null
+++ b/internal/cli/cmds/status.go
@@ -0,0 +1,102 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+)
+
+// The exit statuses, as docs/configuration.md has them.
+const (
+	StatusOK            = 0
+	StatusFailure       = 1 // any other failure, and a change whose fate is not known
+	StatusUsage         = 2
+	StatusRefused       = 3 // conflict with another change, overridden, or nothing with this name or revision
+	StatusUnavailable   = 4 // the platform is down; nothing was changed
+	StatusInvalidConfig = 5
+)
+
+// usageError is a mistake in the command line.
+type usageError struct {
+	detail string
+}
+
+// Error implements error.
+func (e *usageError) Error() string {
+	return e.detail
+}
+
+func usagef(format string, args ...any) error {
+	return &usageError{detail: fmt.Sprintf(format, args...)}
+}
+
+func exitStatus(err error) int {
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return StatusUsage
+	}
+	coded := code.Of(err)
+	if coded.Outcome == code.Unknown {
+		return StatusFailure
+	}
+	switch coded.Code {
+	case code.BadRequest:
+		return StatusUsage
+	case code.ChangeConflict, code.ChangeOverridden, code.StaleRevision, code.NotFound:
+		return StatusRefused
+	case code.PlatformUnavailable:
+		return StatusUnavailable
+	case code.InvalidConfig:
+		return StatusInvalidConfig
+	default:
+		return StatusFailure
+	}
+}
+
+// errorJSON is the form of a failure with --output json.
+type errorJSON struct {
+	Status   int           `json:"exit-status"`
+	Code     int           `json:"code"`
+	Name     string        `json:"code-name"`
+	Outcome  string        `json:"outcome"`
+	Detail   string        `json:"detail"`
+	Problems []problemJSON `json:"problems,omitempty"`
+}
+
+type problemJSON struct {
+	File   string `json:"file"`
+	Line   int    `json:"line,omitempty"`
+	Key    string `json:"key,omitempty"`
+	Detail string `json:"detail"`
+}
+
+// report writes a failure in the form that the command's flags ask for.
+func report(cmd *cobra.Command, w io.Writer, err error) {
+	if flag := cmd.Flags().Lookup(outputFlag); flag == nil || flag.Value.String() != outputJSON {
+		_, _ = fmt.Fprintln(w, "marigoldwinch:", err)
+		return
+	}
+	form := errorJSON{Status: exitStatus(err), Detail: err.Error()}
+	var usage *usageError
+	if errors.As(err, &usage) {
+		form.Code, form.Name, form.Outcome = int(code.BadRequest), code.BadRequest.String(), code.NotRun.String()
+	} else {
+		coded := code.Of(err)
+		form.Code, form.Name, form.Outcome, form.Detail = int(coded.Code), coded.Code.String(), coded.Outcome.String(), coded.Detail
+	}
+	for _, problem := range files.Problems(err) {
+		form.Problems = append(form.Problems, problemJSON(problem))
+	}
+	body, encodeErr := json.MarshalIndent(form, "", "  ")
+	if encodeErr != nil {
+		_, _ = fmt.Fprintln(w, "marigoldwinch:", err)
+		return
+	}
+	_, _ = fmt.Fprintln(w, string(body))
+}
--- /dev/null
+++ b/internal/conf/change/plan.go
@@ -0,0 +1,220 @@
+package change
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+)
+
+// plan is a change checked against the current folder.
+type plan struct {
+	put     []files.File // those that differ from the current folder, sorted by name
+	remove  []string     // those that the current folder has, sorted
+	effects []Effect
+}
+
+// conflictError says that a racing change gave a key another value, or another content to a file.
+type conflictError struct {
+	key  files.ID
+	name string // of the file, when the conflict is about its content
+}
+
+// Error implements error.
+func (e *conflictError) Error() string {
+	if e.name != "" {
+		return "file " + e.name
+	}
+	return e.key.String()
+}
+
+// newPlan merges a change that was made from base with the current folder. A conflictError says what both changed.
+func newPlan(base, current files.Set, put []files.File, remove []string) (*plan, error) {
+	p := &plan{}
+	for _, file := range put {
+		if found, ok := current.Find(file.Name); !ok || found.Content != file.Content {
+			p.put = append(p.put, file)
+		}
+	}
+	for _, name := range remove {
+		if _, ok := current.Find(name); ok {
+			p.remove = append(p.remove, name)
+		}
+	}
+	slices.SortFunc(p.put, func(a, b files.File) int { return cmp.Compare(a.Name, b.Name) })
+	slices.Sort(p.remove)
+	before, err := files.Merge(current)
+	if err != nil { // accepted under wider bounds of an earlier version: a change that corrects it must stay possible
+		before = &files.Merged{}
+	}
+	after, err := files.Merge(files.Set{Revision: current.Revision + 1, Files: files.Replace(current.Files, p.put, p.remove)})
+	if err != nil {
+		return nil, err
+	}
+	if base.Revision != current.Revision {
+		if err := p.checkRace(base, current, before, after, put, remove); err != nil {
+			return nil, err
+		}
+	}
+	for _, file := range p.put {
+		if other, overridden := after.OverriddenBy(file.Name); overridden {
+			detail := "every key of %s is overridden by a later file: %s by %s"
+			return nil, code.NotRunf(code.ChangeOverridden, detail, file.Name, other.ID, other.File)
+		}
+	}
+	p.effects = effects(before, after)
+	return p, nil
+}
+
+// checkRace looks for keys that changes since base gave another value, and that this change would set or had set
+// differently. A file that both wrote or removed is a conflict too, because one content replaces the other.
+func (p *plan) checkRace(base, current files.Set, before, after *files.Merged, put []files.File, remove []string) error {
+	for _, file := range p.put {
+		if changed(base, current, file.Name) {
+			return &conflictError{name: file.Name}
+		}
+	}
+	for _, name := range p.remove {
+		if changed(base, current, name) {
+			return &conflictError{name: name}
+		}
+	}
+	origin, err := files.Merge(base)
+	if err != nil {
+		return err
+	}
+	desired, err := files.Merge(files.Set{Files: files.Replace(base.Files, put, remove)})
+	if err != nil {
+		return err
+	}
+	own := map[files.ID]bool{}
+	for _, file := range put {
+		for _, id := range after.Files[file.Name] {
+			own[id] = true
+		}
+	}
+	for _, id := range sortedKeys(origin, before) {
+		others := value(before, id)
+		if others == value(origin, id) {
+			continue
+		}
+		undone := value(after, id) != others
+		ineffective := own[id] && value(desired, id) != value(after, id)
+		if undone || ineffective {
+			return &conflictError{key: id}
+		}
+	}
+	return nil
+}
+
+func changed(base, current files.Set, name string) bool {
+	was, hadIt := base.Find(name)
+	is, hasIt := current.Find(name)
+	return hadIt != hasIt || was.Content != is.Content
+}
+
+// setting is the value of a key; a key that no file sets differs from one that is set to nothing.
+type setting struct {
+	value string
+	isSet bool
+}
+
+func value(merged *files.Merged, id files.ID) setting {
+	entry, found := merged.Keys[id]
+	return setting{value: entry.Value, isSet: found}
+}
+
+func sortedKeys(a, b *files.Merged) []files.ID {
+	all := map[files.ID]files.Entry{}
+	maps.Copy(all, a.Keys)
+	maps.Copy(all, b.Keys)
+	return slices.SortedFunc(maps.Keys(all), func(x, y files.ID) int {
+		return cmp.Or(cmp.Compare(x.Section, y.Section), cmp.Compare(x.Name, y.Name), cmp.Compare(x.Key, y.Key))
+	})
+}
+
+func effects(before, after *files.Merged) []Effect {
+	var found []Effect
+	for _, id := range sortedKeys(before, after) {
+		was, is := value(before, id), value(after, id)
+		if was != is {
+			found = append(found, Effect{Key: id, Before: was.value, After: is.value, File: after.Keys[id].File})
+		}
+	}
+	return found
+}
+
+func (p *plan) unchanged() bool {
+	return len(p.put) == 0 && len(p.remove) == 0
+}
+
+func (p *plan) result(revision uint64, id string, dryRun bool) Result {
+	result := Result{
+		Revision:  revision,
+		ID:        id,
+		Unchanged: p.unchanged(),
+		DryRun:    dryRun,
+		Remove:    p.remove,
+		Effects:   p.effects,
+	}
+	for _, file := range p.put {
+		result.Put = append(result.Put, file.Name)
+	}
+	return result
+}
+
+// blame turns a conflictError into the coded error that names the other change. Other errors pass through.
+func (w *Writer) blame(ctx context.Context, base, current files.Set, failure error) error {
+	conflict, ok := failure.(*conflictError) //nolint:errorlint // newPlan returns it unwrapped
+	if !ok {
+		return failure
+	}
+	unnamed := code.NotRunf(code.ChangeConflict, "not accepted: %s changed since revision %d", conflict, base.Revision)
+	changes, err := w.reader().changes(ctx, base.Revision, current.Revision)
+	if err != nil {
+		return unnamed.WithCause(err)
+	}
+	set := base
+	var guilty *files.Change
+	file := conflict.name
+	for i, change := range changes {
+		next, err := files.Apply(set, change)
+		if err != nil {
+			return unnamed.WithCause(err)
+		}
+		if name, found := conflict.madeBy(set, next); found {
+			guilty, file = &changes[i], name
+		}
+		set = next
+	}
+	if guilty == nil {
+		return unnamed
+	}
+	detail := "not accepted: %s was changed by file %s of %s in revision %d, after revision %d"
+	return code.NotRunf(code.ChangeConflict, detail, conflict, file, guilty.Operator, guilty.Revision, base.Revision)
+}
+
+// madeBy reports whether the step from one folder to the next made the conflict, and with which file.
+func (e *conflictError) madeBy(set, next files.Set) (name string, made bool) {
+	if e.name != "" {
+		return e.name, changed(set, next, e.name)
+	}
+	was, err := files.Merge(set)
+	if err != nil {
+		return "", false
+	}
+	is, err := files.Merge(next)
+	if err != nil {
+		return "", false
+	}
+	if value(was, e.key) == value(is, e.key) {
+		return "", false
+	}
+	if entry, found := is.Keys[e.key]; found {
+		return entry.File, true
+	}
+	return was.Keys[e.key].File, true // its file was removed
+}
--- /dev/null
+++ b/internal/conf/change/reader.go
@@ -0,0 +1,218 @@
+// Package change commits changes of the configuration folder through the platform's table, and reads them back.
+package change
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/go-logr/logr"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/plat/object"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+)
+
+const (
+	pageRows = 256
+	// movedReads is how often a read of the file rows starts again because the head moved meanwhile. Changes are seconds
+	// apart, such a read takes far less.
+	movedReads = 5
+)
+
+// Head is the row that orders all changes.
+type Head struct {
+	Revision  uint64
+	ID        string   // of the change that made the revision
+	Snapshots []uint64 // revisions of the snapshots kept, ascending; the log goes back to the first
+
+	version string // of the row; empty before the first change
+}
+
+// Reader reads the accepted configuration. Its methods may be called from many goroutines.
+type Reader struct {
+	Store   table.Store
+	Objects object.Store
+	Log     logr.Logger
+}
+
+// ReadHead returns the head with one read of the table. Before the first change its revision is 0.
+func (r *Reader) ReadHead(ctx context.Context) (Head, error) {
+	row, err := r.Store.Get(ctx, headKey)
+	if err != nil {
+		if code.Of(err).Code == code.NotFound {
+			return Head{}, nil
+		}
+		return Head{}, err
+	}
+	head, err := decodeHead(row.Value)
+	if err != nil {
+		return Head{}, damaged(err)
+	}
+	head.version = row.Version
+	return head, nil
+}
+
+// Changes returns the changes after the revision since, in order. When the log no longer goes back that far its error is
+// coded NotFound, and Snapshot has the configuration instead.
+func (r *Reader) Changes(ctx context.Context, since uint64) ([]files.Change, error) {
+	return r.changes(ctx, since, 0)
+}
+
+// changes reads the log after since, up to the revision until or to its end when that is 0. It asks for a page after
+// until has been seen only when it does not know the end.
+func (r *Reader) changes(ctx context.Context, since, until uint64) ([]files.Change, error) {
+	var found []files.Change
+	for last := since; until == 0 || last < until; {
+		rows, err := r.Store.Range(ctx, logPrefix, logKey(last), pageRows)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			change, err := decodeChange(row.Value)
+			if err != nil {
+				return nil, damaged(err)
+			}
+			if change.Revision != last+1 {
+				return nil, code.NotRunf(code.NotFound, "the log no longer has revision %d", last+1)
+			}
+			if until > 0 && change.Revision > until {
+				break
+			}
+			last = change.Revision
+			found = append(found, change)
+		}
+		if len(rows) == 0 {
+			if until > 0 {
+				return nil, code.NotRunf(code.NotFound, "the log ends at revision %d, before %d", last, until)
+			}
+			break
+		}
+	}
+	return found, nil
+}
+
+// Snapshot returns the whole folder at the head's revision, or later.
+func (r *Reader) Snapshot(ctx context.Context) (files.Set, error) {
+	head, err := r.ReadHead(ctx)
+	if err != nil {
+		return files.Set{}, err
+	}
+	return r.load(ctx, head)
+}
+
+// load returns the folder at the head's revision from the newest snapshot and the log. Both are immutable, so that the
+// result is consistent without a lock. Without the object store, or after the log was trimmed meanwhile, the file rows
+// are read instead; the set is then that of the head found there, which may be later.
+func (r *Reader) load(ctx context.Context, head Head) (files.Set, error) {
+	set, err := r.at(ctx, head, head.Revision)
+	if err == nil {
+		return set, nil
+	}
+	r.Log.V(1).Info("snapshot-not-read", "revision", head.Revision, "reason", err.Error())
+	set, _, err = r.fromRows(ctx)
+	return set, err
+}
+
+// at returns the folder at a revision that the head's log still covers.
+func (r *Reader) at(ctx context.Context, head Head, revision uint64) (files.Set, error) {
+	if revision > head.Revision {
+		return files.Set{}, code.NotRunf(code.NotFound, "revision %d: the latest is %d", revision, head.Revision)
+	}
+	base, err := r.base(ctx, head, revision)
+	if err != nil {
+		return files.Set{}, err
+	}
+	changes, err := r.changes(ctx, base.Revision, revision)
+	if err != nil {
+		return files.Set{}, err
+	}
+	return replay(base, changes)
+}
+
+// base returns the newest snapshot that is not above the revision, or the empty folder while the log is whole.
+func (r *Reader) base(ctx context.Context, head Head, revision uint64) (files.Set, error) {
+	newest, found := uint64(0), false
+	for _, kept := range head.Snapshots {
+		if kept <= revision {
+			newest, found = kept, true
+		}
+	}
+	if !found && head.trimmed() {
+		return files.Set{}, code.NotRunf(code.NotFound, "revision %d: the history starts at %d", revision, head.Snapshots[0])
+	}
+	if !found {
+		return files.Set{}, nil
+	}
+	body, err := r.Objects.Get(ctx, snapshotName(newest))
+	if err != nil {
+		return files.Set{}, err
+	}
+	set, err := decodeSet(body)
+	if err != nil {
+		return files.Set{}, damaged(err)
+	}
+	return set, nil
+}
+
+// trimmed reports whether log rows have been removed: only when the list of snapshots is full.
+func (h Head) trimmed() bool {
+	return len(h.Snapshots) >= SnapshotsKept
+}
+
+// fromRows reads the file rows, page by page, until the head is the same before and after.
+func (r *Reader) fromRows(ctx context.Context) (files.Set, Head, error) {
+	for range movedReads {
+		before, err := r.ReadHead(ctx)
+		if err != nil {
+			return files.Set{}, Head{}, err
+		}
+		found, err := r.fileRows(ctx)
+		if err != nil {
+			return files.Set{}, Head{}, err
+		}
+		after, err := r.ReadHead(ctx)
+		if err != nil {
+			return files.Set{}, Head{}, err
+		}
+		if before.version == after.version {
+			return files.Set{Revision: after.Revision, Files: found}, after, nil
+		}
+	}
+	return files.Set{}, Head{}, code.NotRunf(code.PlatformUnavailable, "the configuration changed during %d reads", movedReads)
+}
+
+func (r *Reader) fileRows(ctx context.Context) ([]files.File, error) {
+	var found []files.File
+	for after := filePrefix; ; {
+		rows, err := r.Store.Range(ctx, filePrefix, after, pageRows)
+		if err != nil {
+			return nil, err
+		}
+		if len(rows) == 0 {
+			slices.SortFunc(found, func(a, b files.File) int { return cmp.Compare(a.Name, b.Name) })
+			return found, nil
+		}
+		for _, row := range rows {
+			found = append(found, files.File{Name: strings.TrimPrefix(row.Key, filePrefix), Content: string(row.Value)})
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func replay(set files.Set, changes []files.Change) (files.Set, error) {
+	for _, change := range changes {
+		next, err := files.Apply(set, change)
+		if err != nil {
+			return files.Set{}, err
+		}
+		set = next
+	}
+	return set, nil
+}
+
+func damaged(err error) error {
+	return code.NotRunf(code.Internal, "the platform's copy of the configuration can't be read").WithCause(err)
+}
