--- /dev/null
+++ b/internal/conf/files/files_test.go
@@ -0,0 +1,192 @@
+package files_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+)
+
+func TestFiles(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "files")
+}
+
+// TestMergeScripts guards against a wrong precedence of names, wrong provenance, and errors without file, line or key.
+func TestMergeScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/merge", func(t *testing.T, path string) {
+		set := files.Set{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "file":
+				set.Files = files.Replace(set.Files, []files.File{{Name: d.CmdArgs[0].Key, Content: d.Input}}, nil)
+				return ""
+			case "remove":
+				set.Files = files.Replace(set.Files, nil, []string{d.CmdArgs[0].Key})
+				return ""
+			case "merge":
+				merged, err := files.Merge(set)
+				if err != nil {
+					return code.Of(err).Detail + "\n" + code.Of(err).Cause.Error()
+				}
+				return render(merged)
+			case "overridden":
+				merged, err := files.Merge(set)
+				if err != nil {
+					return err.Error()
+				}
+				other, overridden := merged.OverriddenBy(d.CmdArgs[0].Key)
+				return fmt.Sprintf("%v %s", overridden, other.File)
+			}
+			t.Fatalf("unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func render(merged *files.Merged) string {
+	var text strings.Builder
+	for _, entry := range merged.Entries() {
+		fmt.Fprintf(&text, "%s = %s (%s:%d)\n", entry.ID, entry.Value, entry.File, entry.Line)
+	}
+	return text.String()
+}
+
+var _ = ginkgo.Describe("the table of keys", func() {
+	// Guards against a field that the parser forgets or sets to the value of another key.
+	ginkgo.It("sets every field of a service and of the budgets", func() {
+		merged, err := files.Merge(files.Set{Revision: 7, Files: []files.File{{Name: "all.ini", Content: everyKey}}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(merged.Config.Revision).To(Equal(uint64(7)))
+		Expect(merged.Config.Services["orders"]).To(Equal(&config.Service{
+			Name:           "orders",
+			Owner:          "shop = team # 1",
+			Zones:          []string{"a", "b-1"},
+			Timeout:        3 * time.Second,
+			Class:          ident.Write,
+			Checks:         []config.Pattern{{Method: "GET", Path: "/check/*"}},
+			Uploads:        []config.Pattern{{Method: "PUT", Path: "/photo/**"}},
+			NonIdempotent:  []config.Pattern{{Method: "PUT", Path: "/a"}, {Path: "/b/**"}},
+			Idempotent:     []config.Pattern{{Method: "POST", Path: "/search"}},
+			Slots:          14,
+			Queue:          0,
+			CheckReserve:   3,
+			UploadShare:    0.25,
+			RetryShare:     0.05,
+			HedgeShare:     0,
+			Claim:          true,
+			ClaimRetention: 48 * time.Hour,
+			ShedsBeforeRun: true,
+		}))
+		Expect(merged.Config.Budgets).To(Equal(config.Budgets{Probes: 10, HeadReads: 20.5, Exchanges: 4}))
+		Expect(merged.Config.ZoneOut("a")).To(BeTrue())
+		Expect(merged.Keys).To(HaveLen(len(files.Keys())))
+	})
+
+	// Guards against a default or bound in the table that is not the one in force.
+	ginkgo.It("accepts its defaults and refuses a value out of bounds, with file, line and key", func() {
+		for _, key := range files.Keys() {
+			section := map[files.Section]string{
+				files.ServiceSection: "[service s]", files.ZoneSection: "[zone z]",
+				files.ServerSection: "[server 10.0.0.1:80]", files.BudgetsSection: "[budgets]",
+			}[key.Section]
+			def := strings.TrimPrefix(strings.Split(key.Default, ":")[0], "empty")
+			_, err := files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: section + "\n" + key.Name + " = " + def}}})
+			Expect(err).NotTo(HaveOccurred(), key.Name)
+			bad := strings.Repeat("-1, ", 100)
+			_, err = files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: section + "\n\n" + key.Name + " = " + bad}}})
+			Expect(code.Of(err).Code).To(Equal(code.InvalidConfig), key.Name)
+			problems := files.Problems(err)
+			Expect(problems).To(HaveLen(1), key.Name)
+			Expect(problems[0].File).To(Equal("a.ini"))
+			Expect(problems[0].Line).To(Equal(3))
+			Expect(problems[0].Key).To(Equal(section + " " + key.Name))
+		}
+	})
+})
+
+var _ = ginkgo.Describe("bounds of the folder", func() {
+	// Guards against unbounded memory for a wrong folder.
+	ginkgo.It("refuses files and folders above their bounds", func() {
+		big := "[zone a]\nstate = in\n" + strings.Repeat("#", files.MaxFileBytes)
+		_, err := files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: big}}})
+		Expect(files.Problems(err)[0].Detail).To(ContainSubstring("want at most 65536"))
+		var many []files.File
+		for i := range 65 {
+			many = append(many, files.File{Name: fmt.Sprintf("f-%d.ini", i), Content: big[:files.MaxFileBytes]})
+		}
+		_, err = files.Merge(files.Set{Files: many})
+		Expect(files.Problems(err)[0].Detail).To(ContainSubstring("want at most 4194304"))
+		_, err = files.Merge(files.Set{Files: make([]files.File, files.MaxFiles+1)})
+		Expect(files.Problems(err)[0].Detail).To(ContainSubstring("want at most 16384"))
+	})
+
+	// Guards against a report that stops at the first wrong file of a folder on disk.
+	ginkgo.It("reports every problem of a folder on disk", func() {
+		dir := ginkgo.GinkgoT().TempDir()
+		Expect(os.Mkdir(filepath.Join(dir, "sub"), 0o700)).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(dir, ".hidden"), nil, 0o600)).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(dir, "A.ini"), nil, 0o600)).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(dir, "b.ini"), []byte("[zone a]\nstate = up"), 0o600)).To(Succeed())
+		_, err := files.ReadFolder(dir)
+		Expect(files.Problems(err)).To(HaveLen(3))
+	})
+})
+
+var _ = ginkgo.Describe("Apply", func() {
+	// Guards against a change applied twice or over a gap.
+	ginkgo.It("takes only the next revision", func() {
+		set := files.Set{Revision: 3, Files: []files.File{{Name: "a.ini"}, {Name: "c.ini"}}}
+		change := files.Change{Revision: 4, Put: []files.File{{Name: "b.ini"}}, Remove: []string{"a.ini"}}
+		next, err := files.Apply(set, change)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(next).To(Equal(files.Set{Revision: 4, Files: []files.File{{Name: "b.ini"}, {Name: "c.ini"}}}))
+		_, err = files.Apply(next, change)
+		Expect(code.Of(err).Code).To(Equal(code.StaleRevision))
+		_, err = files.Apply(set, files.Change{Revision: 5})
+		Expect(code.Of(err).Code).To(Equal(code.StaleRevision))
+	})
+})
+
+const everyKey = `
+[service orders]
+owner = shop = team # 1
+zones = a, b-1
+timeout = 3s
+class = write
+checks = GET /check/*
+uploads = PUT /photo/**
+non-idempotent = PUT /a, * /b/**
+idempotent = POST /search
+slots = 14
+queue = 0
+check-reserve = 3
+upload-share = 0.25
+retry-share = 0.05
+hedge-share = 0
+claim = true
+claim-retention = 48h
+sheds-before-run = true
+
+[zone a]
+state = out
+
+[server [::1]:7000]
+state = leaving
+
+[budgets]
+probes-per-second = 10
+head-reads-per-second = 20.5
+exchanges-per-second = 4
+`
--- a/internal/conf/files/parse.go
+++ b/internal/conf/files/parse.go
@@ -64,10 +64,11 @@
 		p.add(0, "", fmt.Sprintf("%d bytes: want at most %d", len(file.Content), MaxFileBytes))
 		return nil, p.problems
 	}
-	if !p.scan() {
+	content, ok := p.scan()
+	if !ok {
 		return nil, p.problems
 	}
-	loaded, err := ini.LoadSources(loadOptions(), []byte(file.Content))
+	loaded, err := ini.LoadSources(loadOptions(), []byte(content))
 	if err != nil {
 		p.add(0, "", err.Error())
 		return nil, p.problems
@@ -93,72 +94,84 @@
 	p.problems = append(p.problems, Problem{File: p.file.Name, Line: line, Key: key, Detail: detail})
 }
 
-// scan checks the grammar of each line and reports whether the library can read the file.
-func (p *parser) scan() bool {
+// scan checks the grammar of each line and returns the content without the lines that the library must not see, so that
+// the other keys of the file are still checked. The keys of a wrong section are left out: they can't be judged.
+func (p *parser) scan() (content string, ok bool) {
 	if !utf8.ValidString(p.file.Content) {
 		p.add(0, "", "the file is not UTF-8 text")
-		return false
+		return "", false
 	}
-	section := ""
-	for i, line := range strings.Split(p.file.Content, "\n") {
+	section, skip := "", false
+	lines := strings.Split(p.file.Content, "\n")
+	for i, line := range lines {
 		line = strings.TrimSpace(strings.TrimSuffix(line, "\r"))
+		keep := true
 		switch {
 		case strings.IndexFunc(line, isControl) >= 0:
 			p.add(i+1, "", "the line has a control character")
+			keep = false
 		case line == "" || line[0] == '#' || line[0] == ';':
 		case line[0] == '[':
-			section = p.scanHeader(i+1, line)
+			section, keep = p.scanHeader(i+1, line)
+			skip = !keep
+		case skip:
+			keep = false
 		default:
-			p.scanKey(i+1, section, line)
+			keep = p.scanKey(i+1, section, line)
+		}
+		if !keep {
+			lines[i] = ""
 		}
 	}
-	return len(p.problems) == 0
+	return strings.Join(lines, "\n"), true
 }
 
 func isControl(r rune) bool {
 	return r != '\t' && (unicode.IsControl(r) || r == '\uFEFF' || r == '\u2028' || r == '\u2029')
 }
 
-func (p *parser) scanHeader(line int, text string) string {
-	name := strings.TrimSuffix(strings.TrimPrefix(text, "["), "]")
+func (p *parser) scanHeader(line int, text string) (name string, ok bool) {
+	name = strings.TrimSuffix(strings.TrimPrefix(text, "["), "]")
 	if !strings.HasSuffix(text, "]") || name != strings.TrimSpace(name) || name == "" {
-		p.add(line, "", fmt.Sprintf("%q: want a section as [service NAME], [zone NAME], [server ADDRESS] or [budgets]", text))
-		return ""
+		p.add(line, "", fmt.Sprintf("%q: want a section as [service NAME], [zone NAME], [server ADDRESS] or [budgets]", clip(text)))
+		return "", false
 	}
 	if first, found := p.headers[name]; found {
 		p.add(line, "["+name+"]", fmt.Sprintf("the section is already on line %d", first))
-		return name
+		return name, true
 	}
 	if _, _, detail := splitHeader(name); detail != "" {
-		p.add(line, "["+name+"]", detail)
+		p.add(line, "["+clip(name)+"]", detail)
+		return "", false
 	}
 	p.headers[name] = line
 	p.order = append(p.order, name)
 	p.lines[name] = map[string]int{}
-	return name
+	return name, true
 }
 
-func (p *parser) scanKey(line int, section, text string) {
+func (p *parser) scanKey(line int, section, text string) (ok bool) {
 	match := keyLine.FindStringSubmatch(text)
 	if match == nil {
 		p.add(line, "", fmt.Sprintf("%q: want key = value with a key in kebab case", clip(text)))
-		return
+		return false
 	}
 	key, value := match[1], strings.TrimSpace(match[2])
 	if section == "" {
 		p.add(line, key, "the key is in no section")
-		return
+		return false
 	}
 	shown := "[" + section + "] " + key
 	if first, found := p.lines[section][key]; found {
 		p.add(line, shown, fmt.Sprintf("the key is already on line %d", first))
-		return
+		return false
 	}
 	if strings.HasPrefix(value, "`") || strings.HasPrefix(value, `"`) || strings.HasPrefix(value, "'") {
 		p.add(line, shown, "a value has no quotes")
-		return
+		return false
 	}
 	p.lines[section][key] = line
+	return true
 }
 
 // clip bounds the text that an error repeats.
@@ -217,7 +230,7 @@
 			continue
 		}
 		declared := section.Keys()
-		if len(declared) == 0 {
+		if len(declared) == 0 && len(p.lines[text]) == 0 {
 			settings = p.declare(settings, kind, name, p.headers[text])
 		}
 		for _, key := range declared {
--- a/internal/conf/files/report.go
+++ b/internal/conf/files/report.go
@@ -1,7 +1,9 @@
 package files
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +53,9 @@
 	if len(problems) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+	})
 	detail := fmt.Sprintf("%d problems", len(problems))
 	if len(problems) > MaxProblems {
 		detail += fmt.Sprintf(", the first %d", MaxProblems)
