--- a/internal/plat/fake/fake_test.go
+++ b/internal/plat/fake/fake_test.go
@@ -173,7 +173,9 @@
 		_, outcome := coded(gone.Commit(ctx, table.Txn{Puts: []table.Put{put("a", "1")}}))
 		Expect(outcome).To(Equal(code.NotRun))
 
-		device := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+		device := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
 		defer device.Close()
 		behind := &table.HTTP{Client: rest.Client{Address: netip.MustParseAddrPort(device.Listener.Addr().String())}}
 		failure, outcome := coded(behind.Commit(ctx, table.Txn{Puts: []table.Put{put("a", "1")}}))
