--- /dev/null
+++ b/internal/cli/cmds/cmds_test.go
@@ -0,0 +1,160 @@
+package cmds_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/cli/cmds"
+	"marigoldwinch.example/marigoldwinch/internal/plat/fake"
+)
+
+func TestCmds(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "cmds")
+}
+
+// command runs a command line and returns its status and outputs.
+func command(args ...string) (status int, out, errOut string) {
+	var o, e bytes.Buffer
+	status = cmds.Run(context.Background(), args, &o, &e)
+	return status, o.String(), e.String()
+}
+
+var _ = ginkgo.Describe("configuration commands", func() {
+	var platform *fake.Platform
+	var flags, reads []string
+	var dir string
+
+	ginkgo.BeforeEach(func() {
+		platform = fake.NewPlatform(1)
+		server := httptest.NewServer((&fake.Server{Platform: platform}).Handler())
+		ginkgo.DeferCleanup(server.Close)
+		reads = []string{"--platform-table", server.Listener.Addr().String()}
+		flags = append([]string{"--operator", "ann"}, reads...)
+		dir = ginkgo.GinkgoT().TempDir()
+	})
+	write := func(name, content string) string {
+		path := filepath.Join(dir, name)
+		Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+		return path
+	}
+	run := func(args ...string) string {
+		ginkgo.GinkgoHelper()
+		status, out, errOut := command(args...)
+		Expect(status).To(Equal(cmds.StatusOK), errOut)
+		return out
+	}
+
+	// Guards against a command that is not wired to its operation or flags.
+	ginkgo.It("changes and shows the folder from push to log", func() {
+		write("orders.ini", "[service orders]\nowner = shop\n")
+		Expect(run("config", "check", dir)).To(Equal("valid: 1 files, 1 services\n"))
+		Expect(run(append(flags, "config", "push", dir)...)).To(HavePrefix("accepted as revision 1"))
+		slow := write("slow.ini", "[service orders]\ntimeout = 9s\n")
+		Expect(run(append(flags, "config", "add", slow)...)).To(HavePrefix("accepted as revision 2"))
+		Expect(run(append(flags, "zone", "out", "a", "--dry-run")...)).To(HavePrefix("dry run against revision 2"))
+		Expect(run(append(flags, "zone", "out", "a")...)).To(HavePrefix("accepted as revision 3"))
+		Expect(run(append(flags, "server", "leave", "10.0.0.1:7000")...)).To(HavePrefix("accepted as revision 4"))
+		Expect(run(append(reads, "config", "list")...)).
+			To(Equal("revision 4, 4 files\norders.ini\nserver-10-0-0-1-7000.ini\nslow.ini\nzone-a.ini\n"))
+		Expect(run(append(reads, "config", "show")...)).To(Equal(`# revision 4
+[service orders]
+owner = shop
+# from orders.ini:2
+timeout = 9s
+# from slow.ini:2
+[zone a]
+state = out
+# from zone-a.ini:2
+[server 10.0.0.1:7000]
+state = leaving
+# from server-10-0-0-1-7000.ini:2
+`))
+		Expect(run(append(reads, "config", "show", "--revision", "1")...)).NotTo(ContainSubstring("slow.ini"))
+		Expect(run(append(flags, "zone", "in", "a")...)).To(ContainSubstring("remove zone-a.ini"))
+		Expect(run(append(flags, "server", "return", "10.0.0.1:7000")...)).To(ContainSubstring("remove server-10-0-0-1-7000.ini"))
+		Expect(run(append(flags, "config", "remove", "slow.ini")...)).To(HavePrefix("accepted as revision 7"))
+		Expect(run(append(flags, "config", "push", "--revision", "4")...)).To(HavePrefix("accepted as revision 8"))
+		var log []map[string]any
+		Expect(json.Unmarshal([]byte(run(append(reads, "config", "log", "--limit", "2", "--output", "json")...)), &log)).To(Succeed())
+		Expect(log).To(HaveLen(2))
+		Expect(log[1]).To(HaveKeyWithValue("revision", 8.0))
+		Expect(log[1]).To(HaveKeyWithValue("operator", "ann"))
+		Expect(log[1]).To(HaveKey("change-id"))
+	})
+
+	// Guards against scripts that can't tell a conflict, an outage and a mistake apart.
+	ginkgo.It("has an exit status for each kind of failure", func() {
+		good := write("a.ini", "[service a]\nslots = 5\n")
+		run(append(flags, "config", "add", good)...)
+		run(append(flags, "config", "add", write("b.ini", "[service a]\nslots = 6\n"))...)
+		expect := func(want int, args ...string) string {
+			ginkgo.GinkgoHelper()
+			status, out, errOut := command(args...)
+			Expect(status).To(Equal(want), errOut)
+			Expect(out).To(BeEmpty())
+			return errOut
+		}
+		expect(cmds.StatusUsage, "nothing")
+		expect(cmds.StatusUsage, "config")
+		expect(cmds.StatusUsage, "config", "nothing")
+		expect(cmds.StatusUsage, "config", "list", "--nothing")
+		expect(cmds.StatusUsage, "config", "list", "--platform-table", "host:1")
+		expect(cmds.StatusUsage, append(reads, "config", "list", "--output", "xml")...)
+		expect(cmds.StatusUsage, append(reads, "zone", "out", "a")...)
+		expect(cmds.StatusUsage, append(flags, "zone", "out", "A")...)
+		expect(cmds.StatusUsage, append(flags, "config", "push")...)
+		expect(cmds.StatusRefused, append(flags, "config", "add", write("a0.ini", "[service a]\nslots = 7\n"))...)
+		expect(cmds.StatusRefused, append(flags, "config", "add", "--base", "1", write("b.ini", "[service a]\nslots = 7\n"))...)
+		expect(cmds.StatusRefused, append(flags, "config", "remove", "none.ini")...)
+		expect(cmds.StatusRefused, append(reads, "config", "show", "--revision", "9")...)
+		bad := write("z.ini", "[service a]\nslots = x\n")
+		expect(cmds.StatusInvalidConfig, append(flags, "config", "add", bad)...)
+		Expect(expect(cmds.StatusInvalidConfig, "config", "check", dir)).To(ContainSubstring("z.ini:2: [service a] slots:"))
+		var form map[string]any
+		text := expect(cmds.StatusInvalidConfig, "config", "check", dir, "--output", "json")
+		Expect(json.Unmarshal([]byte(text), &form)).To(Succeed())
+		Expect(form).To(HaveKeyWithValue("code-name", "invalid-configuration"))
+		Expect(form["problems"]).To(HaveLen(1))
+		platform.Faults.Inject(fake.Down{})
+		Expect(expect(cmds.StatusUnavailable, append(flags, "zone", "out", "a")...)).To(ContainSubstring("platform-unavailable (32, not-run)"))
+		platform.Faults.Clear()
+		Expect(run(append(reads, "config", "list")...)).To(HavePrefix("revision 2,"))
+	})
+})
+
+var _ = ginkgo.Describe("stand-in platform", func() {
+	// Guards against a process that does not stop, or whose address its starter can't learn.
+	ginkgo.It("prints its address, serves, and stops with its context", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		out := make(addresses, 1)
+		done := make(chan int)
+		go func() {
+			done <- cmds.Run(ctx, []string{"stand-in", "platform", "--listen", "127.0.0.1:0"}, out, ginkgo.GinkgoWriter)
+		}()
+		var address string
+		Eventually(out).Should(Receive(&address))
+		status, text, errOut := command("zone", "out", "a", "--operator", "ann", "--platform-table", strings.TrimSpace(address))
+		Expect(status).To(Equal(cmds.StatusOK), errOut)
+		Expect(text).To(HavePrefix("accepted as revision 1"))
+		cancel()
+		Eventually(done, "10s").Should(Receive(Equal(cmds.StatusOK)))
+	})
+})
+
+// addresses is a writer that hands over what is written to it.
+type addresses chan string
+
+func (a addresses) Write(text []byte) (int, error) {
+	a <- string(text)
+	return len(text), nil
+}
--- a/internal/conf/change/change_test.go
+++ b/internal/conf/change/change_test.go
@@ -304,3 +304,32 @@
 		Expect(after.Files).To(Equal(before.Files))
 	})
 })
+
+var _ = ginkgo.Describe("the load on the platform", func() {
+	// Guards against a change that costs more as the history grows, and a poll of the head that takes more than one read.
+	ginkgo.It("stays the same for each change however long the history is", func() {
+		p := fake.NewPlatform(1)
+		ann := writer(p, "ann")
+		const changes = 640
+		for i := range changes {
+			before := p.Faults.Counts()
+			_, err := add(ann, 0, fmt.Sprintf("f-%d.ini", i%7), owner(fmt.Sprint("s", i%7), fmt.Sprint(i)))
+			Expect(err).NotTo(HaveOccurred())
+			after := p.Faults.Counts()
+			Expect(after.TableWrites - before.TableWrites).To(Equal(1))
+			Expect(after.TableReads - before.TableReads).To(BeNumerically("<=", 3))
+			Expect(after.ObjectReads - before.ObjectReads).To(BeNumerically("<=", 1))
+			Expect(after.ObjectWrites - before.ObjectWrites).To(BeNumerically("<=", 1))
+		}
+		total := p.Faults.Counts()
+		ginkgo.GinkgoWriter.Printf("%d changes: %+v\n", changes, total)
+		before := p.Faults.Counts().TableReads
+		_, err := reader(p).ReadHead(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.Faults.Counts().TableReads - before).To(Equal(1))
+		before = p.Faults.Counts().TableReads
+		_, err = reader(p).Changes(ctx, changes-3)
+		Expect(err).NotTo(HaveOccurred())
+		ginkgo.GinkgoWriter.Printf("3 changes read back: %d reads\n", p.Faults.Counts().TableReads-before)
+	})
+})
--- a/internal/conf/files/files_test.go
+++ b/internal/conf/files/files_test.go
@@ -94,6 +94,17 @@
 		Expect(merged.Keys).To(HaveLen(len(files.Keys())))
 	})
 
+	// Guards against a page that operators rely on and that differs from the table.
+	ginkgo.It("is in docs/configuration.md", func() {
+		page, err := os.ReadFile("../../../docs/configuration.md")
+		Expect(err).NotTo(HaveOccurred())
+		sections := strings.Split(string(page), "\n## ")
+		for _, key := range files.Keys() {
+			row := fmt.Sprintf("| `%s` | %s | %s | %s |\n", key.Name, key.Default, key.Bound, key.Meaning)
+			Expect(sections).To(ContainElement(And(HavePrefix("["+key.Section.String()), ContainSubstring(row))), row)
+		}
+	})
+
 	// Guards against a default or bound in the table that is not the one in force.
 	ginkgo.It("accepts its defaults and refuses a value out of bounds, with file, line and key", func() {
 		for _, key := range files.Keys() {
