--- a/internal/cli/cmds/check.go
+++ b/internal/cli/cmds/check.go
@@ -8,6 +8,12 @@
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 )
 
+type checkedJSON struct {
+	Files      int      `json:"files"`
+	Services   int      `json:"services"`
+	Overridden []string `json:"overridden"`
+}
+
 func newCheck() *cobra.Command {
 	var form output
 	cmd := &cobra.Command{
@@ -26,16 +32,23 @@
 			if err != nil {
 				return err
 			}
-			counts := map[string]int{
-				"files":    len(found),
-				"services": len(merged.Config.Services),
-				"zones":    len(merged.Config.Zones),
-				"servers":  len(merged.Config.Servers),
-			}
-			text := fmt.Sprintf("valid: %d files, %d services\n", counts["files"], counts["services"])
-			return form.write(cmd.OutOrStdout(), counts, text)
+			checked, text := summarize(merged, found)
+			return form.write(cmd.OutOrStdout(), checked, text)
 		},
 	}
 	form.add(cmd)
 	return cmd
 }
+
+// summarize also names the files without effect, which config add would refuse.
+func summarize(merged *files.Merged, found []files.File) (form checkedJSON, text string) {
+	form = checkedJSON{Files: len(found), Services: len(merged.Config.Services), Overridden: []string{}}
+	text = fmt.Sprintf("valid: %d files, %d services\n", form.Files, form.Services)
+	for _, file := range found {
+		if other, overridden := merged.OverriddenBy(file.Name); overridden {
+			form.Overridden = append(form.Overridden, file.Name)
+			text += fmt.Sprintf("no effect: every key of %s is overridden, %s by %s\n", file.Name, other.ID, other.File)
+		}
+	}
+	return form, text
+}
--- a/internal/cli/cmds/cmds_test.go
+++ b/internal/cli/cmds/cmds_test.go
@@ -97,6 +97,7 @@
 		good := write("a.ini", "[service a]\nslots = 5\n")
 		run(append(flags, "config", "add", good)...)
 		run(append(flags, "config", "add", write("b.ini", "[service a]\nslots = 6\n"))...)
+		Expect(run("config", "check", dir)).To(ContainSubstring("no effect: every key of a.ini is overridden, [service a] slots by b.ini"))
 		expect := func(want int, args ...string) string {
 			ginkgo.GinkgoHelper()
 			status, out, errOut := command(args...)
--- a/internal/conf/change/operate.go
+++ b/internal/conf/change/operate.go
@@ -41,7 +41,8 @@
 // Push makes the folder equal to the given one, except for the state files of zones and servers that it does not have.
 func (w *Writer) Push(ctx context.Context, folder []files.File, options Options) (Result, error) {
 	return w.change(ctx, options, func(base files.Set) ([]files.File, []string, error) {
-		return folder, slices.DeleteFunc(missing(base, folder), func(name string) bool { return isState(base, name) }), duplicate(folder)
+		remove := slices.DeleteFunc(missing(base, folder), func(name string) bool { return isState(base, name) })
+		return differing(base, folder), remove, duplicate(folder)
 	})
 }
 
@@ -52,7 +53,7 @@
 		return Result{}, err
 	}
 	return w.change(ctx, options, func(base files.Set) ([]files.File, []string, error) {
-		return listing.Files, missing(base, listing.Files), nil
+		return differing(base, listing.Files), missing(base, listing.Files), nil
 	})
 }
 
@@ -193,6 +194,17 @@
 	return len(set) == 0 || len(set) == 1 && set[0] == id
 }
 
+// differing returns the folder's files that the set does not have with the same content.
+func differing(set files.Set, folder []files.File) []files.File {
+	var found []files.File
+	for _, file := range folder {
+		if has, ok := set.Find(file.Name); !ok || has.Content != file.Content {
+			found = append(found, file)
+		}
+	}
+	return found
+}
+
 // missing returns the names of the set's files that the folder does not have.
 func missing(set files.Set, folder []files.File) []string {
 	has := map[string]bool{}
--- a/internal/conf/change/plan.go
+++ b/internal/conf/change/plan.go
@@ -46,20 +46,21 @@
 	}
 	slices.SortFunc(p.put, func(a, b files.File) int { return cmp.Compare(a.Name, b.Name) })
 	slices.Sort(p.remove)
-	before, err := files.Merge(current)
+	merger := new(files.Merger) // the folders differ in few files
+	before, err := merger.Merge(current)
 	if err != nil { // accepted under wider bounds of an earlier version: a change that corrects it must stay possible
 		before = &files.Merged{}
 	}
-	after, err := files.Merge(files.Set{Revision: current.Revision + 1, Files: files.Replace(current.Files, p.put, p.remove)})
+	after, err := merger.Merge(files.Set{Revision: current.Revision + 1, Files: files.Replace(current.Files, p.put, p.remove)})
 	if err != nil {
 		return nil, err
 	}
 	if base.Revision != current.Revision {
-		if err := p.checkRace(base, current, before, after, put, remove); err != nil {
+		if err := p.checkRace(merger, base, current, before, after, put, remove); err != nil {
 			return nil, err
 		}
 	}
-	for _, file := range p.put {
+	for _, file := range put {
 		if other, overridden := after.OverriddenBy(file.Name); overridden {
 			detail := "every key of %s is overridden by a later file: %s by %s"
 			return nil, code.NotRunf(code.ChangeOverridden, detail, file.Name, other.ID, other.File)
@@ -71,7 +72,9 @@
 
 // checkRace looks for keys that changes since base gave another value, and that this change would set or had set
 // differently. A file that both wrote or removed is a conflict too, because one content replaces the other.
-func (p *plan) checkRace(base, current files.Set, before, after *files.Merged, put []files.File, remove []string) error {
+func (p *plan) checkRace(
+	merger *files.Merger, base, current files.Set, before, after *files.Merged, put []files.File, remove []string,
+) error {
 	for _, file := range p.put {
 		if changed(base, current, file.Name) {
 			return &conflictError{name: file.Name}
@@ -82,11 +85,11 @@
 			return &conflictError{name: name}
 		}
 	}
-	origin, err := files.Merge(base)
+	origin, err := merger.Merge(base)
 	if err != nil {
 		return err
 	}
-	desired, err := files.Merge(files.Set{Files: files.Replace(base.Files, put, remove)})
+	desired, err := merger.Merge(files.Set{Files: files.Replace(base.Files, put, remove)})
 	if err != nil {
 		return err
 	}
--- a/internal/conf/files/files_test.go
+++ b/internal/conf/files/files_test.go
@@ -155,6 +155,28 @@
 	})
 })
 
+var _ = ginkgo.Describe("Merger", func() {
+	// Guards against a file that was changed, removed or wrong before and is still merged as it was then.
+	ginkgo.It("merges each folder as the function does", func() {
+		merger := new(files.Merger)
+		for _, contents := range [][]string{
+			{"[service a]\nslots = 3\n", "[zone z]\nstate = out\n"},
+			{"[service a]\nslots = 0\n", "[zone z]\nstate = out\n"},
+			{"[service a]\nslots = 4\n"},
+			{"[service a]\nslots = 4\n", "[service a]\nslots = 5\n"},
+		} {
+			var set files.Set
+			for i, content := range contents {
+				set.Files = append(set.Files, files.File{Name: fmt.Sprintf("%d.ini", i), Content: content})
+			}
+			want, wantErr := files.Merge(set)
+			got, err := merger.Merge(set)
+			Expect(got).To(Equal(want))
+			Expect(files.Problems(err)).To(Equal(files.Problems(wantErr)))
+		}
+	})
+})
+
 var _ = ginkgo.Describe("Apply", func() {
 	// Guards against a change applied twice or over a gap.
 	ginkgo.It("takes only the next revision", func() {
--- a/internal/conf/files/merge.go
+++ b/internal/conf/files/merge.go
@@ -40,32 +40,56 @@
 	return service
 }
 
+// Merger merges one revision of the folder after another, and parses only the files that are not as in the one before: a
+// change concerns few of thousands of files. It is not safe for use by several goroutines at once.
+type Merger struct {
+	parsed map[string]parsedFile // by name, as of the last folder
+}
+
+type parsedFile struct {
+	content  string
+	settings []setting
+	problems []Problem
+}
+
 // Merge parses and merges the folder. Its error is coded InvalidConfig and has an InvalidError with every problem of every
 // file in its chain.
 func Merge(set Set) (*Merged, error) {
+	return new(Merger).Merge(set)
+}
+
+// Merge does the same as the function Merge.
+func (m *Merger) Merge(set Set) (*Merged, error) {
 	if problems := checkFolder(set); len(problems) > 0 {
 		return nil, invalid(problems)
 	}
 	sorted := slices.Clone(set.Files)
 	slices.SortStableFunc(sorted, func(a, b File) int { return cmp.Compare(a.Name, b.Name) })
-	merged := &Merged{Keys: map[ID]Entry{}, Files: map[string][]ID{}}
+	merged := &Merged{Keys: make(map[ID]Entry, len(sorted)), Files: make(map[string][]ID, len(sorted))}
 	b := newBuilder()
 	b.config.Revision = set.Revision
+	parsed := make(map[string]parsedFile, len(sorted))
 	var problems []Problem
 	for _, file := range sorted {
 		if _, found := merged.Files[file.Name]; found {
 			problems = append(problems, Problem{File: file.Name, Detail: "the name occurs twice"})
 			continue
 		}
-		settings, found := parse(file)
-		problems = append(problems, found...)
+		read, found := m.parsed[file.Name]
+		if !found || read.content != file.Content {
+			read = parsedFile{content: file.Content}
+			read.settings, read.problems = parse(file)
+		}
+		parsed[file.Name] = read
+		problems = append(problems, read.problems...)
 		merged.Files[file.Name] = nil
-		for _, s := range settings {
+		for _, s := range read.settings {
 			merged.Keys[s.ID] = s.Entry
 			merged.Files[file.Name] = append(merged.Files[file.Name], s.ID)
 			b.apply(s)
 		}
 	}
+	m.parsed = parsed
 	merged.Config = b.config
 	problems = append(problems, merged.checkServices()...)
 	if err := invalid(problems); err != nil {
--- a/internal/conf/files/parse.go
+++ b/internal/conf/files/parse.go
@@ -222,6 +222,7 @@
 
 func (p *parser) settings(loaded *ini.File) []setting {
 	var settings []setting
+	trial := newBuilder()
 	for _, text := range p.order {
 		kind, name, _ := splitHeader(text)
 		section, err := loaded.GetSection(text)
@@ -242,7 +243,7 @@
 				continue
 			}
 			entry := Entry{ID: id, Value: key.Value(), File: p.file.Name, Line: line}
-			if err := described.set(newBuilder(), name, entry.Value); err != nil {
+			if err := described.set(trial, name, entry.Value); err != nil {
 				p.add(line, id.String(), err.Error())
 			}
 			settings = append(settings, setting{Entry: entry, key: described})
--- a/internal/plat/rest/rest.go
+++ b/internal/plat/rest/rest.go
@@ -29,10 +29,24 @@
 	notApplied    = "not-run"
 )
 
+// idlePerStore is the number of idle connections kept to a store. Claims make many small requests at once.
+const idlePerStore = 32
+
+// shared follows no redirect and uses no proxy: the platform is addressed by IP numbers, and a write must reach exactly the
+// store that it was meant for.
+var shared = &http.Client{
+	Transport: &http.Transport{
+		MaxIdleConnsPerHost: idlePerStore,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true, // the bound of a response is on the bytes that are kept
+	},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
 // Client sends requests to one platform store.
 type Client struct {
 	Address     netip.AddrPort
-	HTTP        *http.Client  // nil: http.DefaultClient
+	HTTP        *http.Client  // nil: one that all clients share
 	Timeout     time.Duration // of one request; 0: DefaultTimeout
 	MaxResponse int64         // bytes; 0: DefaultMaxResponse
 }
@@ -82,7 +96,7 @@
 	if c.HTTP != nil {
 		return c.HTTP
 	}
-	return http.DefaultClient
+	return shared
 }
 
 func (c *Client) read(r Request, sent *http.Response) (Response, error) {
