Test a late platform write without a time limit

Cause: the spec gave its client 50 ms, so on a stalled machine the connection itself could take longer and the outcome was then rightly not-run. The server now holds the request until the caller has given up, which checks the same statement without a clock.

Seen to fail: a handler whose write ends with its caller (the row never appears), and every transport failure taken as proof of not-run.

--- a/internal/plat/fake/fake_test.go
+++ b/internal/plat/fake/fake_test.go
@@ -152,15 +152,31 @@
 	adapterSpecs(func(s system) table.Store { return s.rows })
 
 	// Guards against a not-run for a write that is applied after its caller has given up.
-	ginkgo.It("answers unknown for a write that times out, and the write is still applied", func() {
-		s := start()
-		s.platform.Faults.Inject(fake.Slow{Scope: fake.Scope{Kind: fake.Write, Count: 1}, Delay: 300 * time.Millisecond})
-		s.rows.Client.Timeout = 50 * time.Millisecond
-		failure, outcome := coded(s.rows.Commit(ctx, table.Txn{Puts: []table.Put{put("a", "1"), put("b", "1")}}))
+	ginkgo.It("answers unknown when its caller gives up, and the write is still applied", func() {
+		platform := fake.NewPlatform(1)
+		handler := (&fake.Server{Platform: platform}).Handler()
+		arrived, released := make(chan struct{}), make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			close(arrived)
+			<-released
+			handler.ServeHTTP(w, r)
+		}))
+		defer server.Close()
+		release := sync.OnceFunc(func() { close(released) })
+		defer release() // a failed check must not leave the server waiting
+		limited, cancel := context.WithCancel(ctx)
+		go func() {
+			<-arrived
+			cancel()
+		}()
+		rows := &table.HTTP{Client: rest.Client{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Timeout: time.Minute}}
+		failure, outcome := coded(rows.Commit(limited, table.Txn{Puts: []table.Put{put("a", "1"), put("b", "1")}}))
 		Expect(failure).To(Equal(code.PlatformUnavailable))
 		Expect(outcome).To(Equal(code.Unknown))
-		s.rows.Client.Timeout = 5 * time.Second
-		Eventually(func() error { _, err := s.rows.Get(ctx, "a"); return err }, "5s").Should(Succeed())
+		release()
+		Eventually(func() error { _, err := platform.Table.Get(ctx, "a"); return err }, "10s").Should(Succeed())
 	})
 
 	// Guards against an unknown for a write that never left this process, and against a 503 of a device taken as proof.
