--- /dev/null
+++ b/internal/cli/cmds/check.go
@@ -0,0 +1,54 @@
+package cmds
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+)
+
+type checkedJSON struct {
+	Files      int      `json:"files"`
+	Services   int      `json:"services"`
+	Overridden []string `json:"overridden"`
+}
+
+func newCheck() *cobra.Command {
+	var form output
+	cmd := &cobra.Command{
+		Use:   "check DIR",
+		Short: "Check a configuration folder without the platform",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := form.check(); err != nil {
+				return err
+			}
+			found, err := files.ReadFolder(args[0])
+			if err != nil {
+				return err
+			}
+			merged, err := files.Merge(files.Set{Files: found})
+			if err != nil {
+				return err
+			}
+			checked, text := summarize(merged, found)
+			return form.write(cmd.OutOrStdout(), checked, text)
+		},
+	}
+	form.add(cmd)
+	return cmd
+}
+
+// summarize also names the files without effect, which config add would refuse.
+func summarize(merged *files.Merged, found []files.File) (form checkedJSON, text string) {
+	form = checkedJSON{Files: len(found), Services: len(merged.Config.Services), Overridden: []string{}}
+	text = fmt.Sprintf("valid: %d files, %d services\n", form.Files, form.Services)
+	for _, file := range found {
+		if other, overridden := merged.OverriddenBy(file.Name); overridden {
+			form.Overridden = append(form.Overridden, file.Name)
+			text += fmt.Sprintf("no effect: every key of %s is overridden, %s by %s\n", file.Name, other.ID, other.File)
+		}
+	}
+	return form, text
+}
--- a/internal/cli/cmds/load.go
+++ b/internal/cli/cmds/load.go
@@ -19,7 +19,7 @@
 	loadConnectTimeout = 2 * time.Second
 )
 
-func loadCommand() *cobra.Command {
+func newLoad() *cobra.Command {
 	var plot string
 	command := &cobra.Command{
 		Use:   "load PLAN",
--- a/internal/cli/cmds/root.go
+++ b/internal/cli/cmds/root.go
@@ -3,7 +3,7 @@
 
 import (
 	"context"
-	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,29 +15,30 @@
 func Execute() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := rootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "marigoldwinch:", err)
-		return 1
-	}
-	return 0
+	return Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 }
 
-func rootCommand() *cobra.Command {
+// Run runs a command with the arguments and returns its exit status.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	started := false
 	root := &cobra.Command{
-		Use:           "marigoldwinch",
-		Short:         "Load balancer for servers whose load shifts in milliseconds",
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Use:              "marigoldwinch",
+		Short:            "Load balancer for servers whose load shifts in milliseconds",
+		SilenceUsage:     true,
+		SilenceErrors:    true,
+		PersistentPreRun: func(*cobra.Command, []string) { started = true },
 	}
-	root.AddCommand(loadCommand(), standInCommand())
-	return root
-}
-
-func standInCommand() *cobra.Command {
-	command := &cobra.Command{
-		Use:   "stand-in",
-		Short: "Run a stand-in for an outside system, for tests and trials",
+	root.AddCommand(newConfig(), newZone(), newServer(), newStandIn(), newLoad())
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	ran, err := root.ExecuteContextC(ctx)
+	if err == nil {
+		return StatusOK
+	}
+	if !started { // cobra refused the command, its flags or its arguments
+		err = usagef("%v", err)
 	}
-	command.AddCommand(standInServerCommand())
-	return command
+	report(ran, errOut, err)
+	return exitStatus(err)
 }
--- a/internal/cli/cmds/sample.go
+++ b/internal/cli/cmds/sample.go
@@ -13,7 +13,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
 )
 
-func standInServerCommand() *cobra.Command {
+func newStandInServer() *cobra.Command {
 	server := &sample.Server{}
 	var listen string
 	command := &cobra.Command{
