--- /dev/null
+++ b/internal/route/choice/policy.go
@@ -0,0 +1,258 @@
+package choice
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+)
+
+// Policy is a way to select a server: Probing, RoundRobin, RandomTwo, LeastInFlight or Perfect.
+type Policy interface{ isPolicy() }
+
+// Probing selects by load reports: servers with much load are hot; among cold ones low latency decides, then low load.
+type Probing struct{}
+
+// RoundRobin takes servers in turn. It is a baseline for measurements.
+type RoundRobin struct{}
+
+// RandomTwo draws two servers and takes the one with fewer requests by its report, or by the own count without one. It
+// is a baseline for measurements.
+type RandomTwo struct{}
+
+// LeastInFlight takes the server with the fewest own requests. It is a baseline for measurements.
+type LeastInFlight struct{}
+
+// Perfect takes the server with the lowest cost that an outside observer knows. Only tests can provide one.
+type Perfect struct {
+	Cost func(server netip.AddrPort) time.Duration
+}
+
+func (Probing) isPolicy()       {}
+func (RoundRobin) isPolicy()    {}
+func (RandomTwo) isPolicy()     {}
+func (LeastInFlight) isPolicy() {}
+func (Perfect) isPolicy()       {}
+
+const (
+	// hotQuantile of the loads in the pool separates hot servers from cold ones.
+	hotQuantile = 0.84
+	// sameLatency is the ratio up to which latencies count as equal: a median over few responses varies by as much, and
+	// following that noise would send all routers to one server.
+	sameLatency = 2.5
+	// sample is the number of cold servers compared. All routers see nearly the same reports, and comparing every server
+	// would send all requests of one round trip to the same one.
+	sample = 5
+	// fewReports is the number of reports below which servers are drawn without them.
+	fewReports = 3
+	// warmShare is one in how many selections may take a free slot of a warming server ahead of the others. It needs
+	// some work to show that it is warm, and every router sees the same free slot.
+	warmShare = 8
+	// zoneRoom is the load up to which the own zone is preferred; above it the difference in queueing outweighs a
+	// millisecond between zones.
+	zoneRoom = 0.8
+)
+
+// pick is one selection.
+type pick struct {
+	chooser *Chooser
+	state   *state
+	list    *list
+	tried   []netip.AddrPort
+}
+
+// Pick implements pool.Picker.
+func (p *pick) Pick(look *pool.Look) (netip.AddrPort, bool) {
+	if len(p.list.servers) == 0 {
+		return netip.AddrPort{}, false
+	}
+	switch policy := p.chooser.Policy.(type) {
+	case RoundRobin:
+		turn := p.state.turn.Add(1)
+		return p.list.servers[turn%uint64(len(p.list.servers))], true
+	case RandomTwo:
+		return p.randomTwo(look, true), true
+	case LeastInFlight:
+		return p.lowest(look, func(server netip.AddrPort) float64 { return float64(look.InFlight(server)) }), true
+	case Perfect:
+		return p.lowest(look, func(server netip.AddrPort) float64 { return float64(policy.Cost(server)) }), true
+	default: // Probing
+		return p.probing(look), true
+	}
+}
+
+// lowest returns the server with the lowest cost, a random one of equals.
+func (p *pick) lowest(look *pool.Look, cost func(netip.AddrPort) float64) netip.AddrPort {
+	best, low, equal := p.list.servers[0], math.Inf(1), 0
+	for _, server := range p.list.servers {
+		value := cost(server)
+		switch {
+		case value < low:
+			best, low, equal = server, value, 1
+		case value == low:
+			equal++
+			if look.Rand.IntN(equal) == 0 {
+				best = server
+			}
+		}
+	}
+	return best
+}
+
+// randomTwo draws two usable servers and returns the one with the lower count.
+func (p *pick) randomTwo(look *pool.Look, reports bool) netip.AddrPort {
+	first, second := p.draw(look), p.draw(look)
+	count := func(server netip.AddrPort) int {
+		if reports {
+			for i := range look.Views {
+				if look.Views[i].Server == server {
+					return look.Views[i].Load
+				}
+			}
+		}
+		return look.InFlight(server)
+	}
+	if count(second) < count(first) {
+		return second
+	}
+	return first
+}
+
+// draw returns a random server that is neither tried nor avoided, unless a few draws find none.
+func (p *pick) draw(look *pool.Look) netip.AddrPort {
+	var server netip.AddrPort
+	for range 4 {
+		server = p.list.servers[look.Rand.IntN(len(p.list.servers))]
+		if _, ok := p.usable(server, look.Now); ok {
+			return server
+		}
+	}
+	for _, other := range p.list.servers {
+		if _, ok := p.usable(other, look.Now); ok {
+			return other
+		}
+	}
+	return server
+}
+
+// usable returns the factor on the server's latency, and false for a server that is tried or avoided.
+func (p *pick) usable(server netip.AddrPort, now time.Time) (float64, bool) {
+	if slices.Contains(p.tried, server) {
+		return 1, false
+	}
+	if !p.state.penalties.Load() {
+		return 1, true
+	}
+	p.state.mu.Lock()
+	defer p.state.mu.Unlock()
+	factor, avoided := p.state.avoid.penalty(server, now)
+	return factor, !avoided
+}
+
+// option is a report that may be followed.
+type option struct {
+	server  netip.AddrPort
+	ratio   float64 // load after this request, relative to the limit
+	latency float64 // with the error penalty, in nanoseconds; 0 when unknown
+	own     bool    // in the own zone
+}
+
+// probing is the policy of the Probing type.
+func (p *pick) probing(look *pool.Look) netip.AddrPort {
+	var space [pool.Size]option
+	options := space[:0]
+	for i := range look.Views {
+		v := &look.Views[i]
+		index, listed := p.list.index[v.Server]
+		if !listed || v.Refusing != code.None {
+			continue
+		}
+		factor, ok := p.usable(v.Server, look.Now)
+		if !ok {
+			continue
+		}
+		if v.Warming && v.Load < v.Limit && look.Rand.IntN(warmShare) == 0 {
+			return v.Server
+		}
+		options = append(options, option{
+			server:  v.Server,
+			ratio:   float64(v.Load+1) / float64(v.Limit),
+			latency: float64(v.Latency) * factor,
+			own:     index < p.list.own,
+		})
+	}
+	if len(options) < min(fewReports, len(p.list.servers)) {
+		return p.randomTwo(look, false)
+	}
+	cold := keepCold(options)
+	if len(cold) == 0 {
+		return leastLoaded(look, options)
+	}
+	cold = keepFast(cold)
+	if near := keepNear(cold); len(near) > 0 {
+		cold = near
+	}
+	return leastLoaded(look, cold)
+}
+
+// keepCold moves the options that are not hot to the front. A server that would queue the request is always hot.
+func keepCold(options []option) []option {
+	var space [pool.Size]float64
+	ratios := space[:0]
+	for i := range options {
+		ratios = append(ratios, options[i].ratio)
+	}
+	slices.Sort(ratios)
+	bound := min(ratios[int(hotQuantile*float64(len(ratios)-1))], 1)
+	return keep(options, func(o *option) bool { return o.ratio <= bound })
+}
+
+// keepFast moves the options whose latency is as good as the lowest to the front.
+func keepFast(options []option) []option {
+	low := math.Inf(1)
+	for i := range options {
+		if options[i].latency > 0 {
+			low = min(low, options[i].latency)
+		}
+	}
+	return keep(options, func(o *option) bool { return o.latency <= low*sameLatency })
+}
+
+// keepNear moves the options in the own zone that have room to the front.
+func keepNear(options []option) []option {
+	return keep(options, func(o *option) bool { return o.own && o.ratio <= zoneRoom })
+}
+
+func keep(options []option, good func(*option) bool) []option {
+	n := 0
+	for i := range options {
+		if good(&options[i]) {
+			options[n], options[i] = options[i], options[n]
+			n++
+		}
+	}
+	return options[:n]
+}
+
+// leastLoaded returns the lowest load among a random sample, a random one of equals.
+func leastLoaded(look *pool.Look, options []option) netip.AddrPort {
+	n := min(sample, len(options))
+	best, equal := 0, 0
+	for i := range n {
+		j := i + look.Rand.IntN(len(options)-i)
+		options[i], options[j] = options[j], options[i]
+		switch {
+		case i == 0 || options[i].ratio < options[best].ratio:
+			best, equal = i, 1
+		case options[i].ratio == options[best].ratio:
+			equal++
+			if look.Rand.IntN(equal) == 0 {
+				best = i
+			}
+		}
+	}
+	return options[best].server
+}
