Prefer servers with a short expected time before cold ones

A drained slow server was cold and was selected whenever the others were hot. The expected time now comes first, an attempt that waits long marks its server as slow, and an idle slow server gets a rare retrial.

--- /dev/null
+++ b/internal/route/budget/budget_test.go
@@ -0,0 +1,43 @@
+package budget
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against more additional attempts than their share, also by retries and hedges together and by concurrent calls.
+func TestAdditionalAttemptsStayWithinTheirShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := &Budgets{}
+	s := b.Service("stock")
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 1000 {
+				s.Request(0.1, 0.05)
+				s.Hedge()
+				s.Retry()
+			}
+		})
+	}
+	group.Wait()
+	d := b.Dump().(Dump).Services[0]
+	g.Expect(d.Retries + d.Hedges).To(gomega.BeNumerically("<=", 800))
+	g.Expect(d.Retries+d.Hedges).To(gomega.BeNumerically(">=", 799), "the budget can be used up")
+	g.Expect(d.Hedges).To(gomega.BeNumerically("<=", 400))
+}
+
+// Guards against a burst of retries after a long time without failures.
+func TestSavedAttemptsAreBounded(t *testing.T) {
+	s := (&Budgets{}).Service("stock")
+	for range 10_000 {
+		s.Request(0.1, 0.05)
+	}
+	n := 0
+	for s.Retry() {
+		n++
+	}
+	gomega.NewWithT(t).Expect(n).To(gomega.Equal(maxTokens))
+}
--- a/internal/route/choice/choice.go
+++ b/internal/route/choice/choice.go
@@ -73,25 +73,26 @@
 }
 
 // Select selects a server for an attempt and counts the attempt as sent to it: the caller reports its end to the pool.
-// Servers in tried are selected only when there is no other one.
-func (c *Chooser) Select(service string, tried []netip.AddrPort) (netip.AddrPort, error) {
+// Servers in tried are selected only when there is no other one. A timed attempt is one whose answer is expected within
+// the usual latency.
+func (c *Chooser) Select(service string, tried []netip.AddrPort, timed bool) (pool.Sent, error) {
 	conf := c.Config.Get()
 	if conf == nil {
-		return netip.AddrPort{}, code.NotRunf(code.NoConfiguration, "no configuration is known yet")
+		return pool.Sent{}, code.NotRunf(code.NoConfiguration, "no configuration is known yet")
 	}
 	s := c.service(service)
 	l := c.candidates(service, conf)
 	p := pick{chooser: c, state: s, list: l, tried: tried}
-	server, ok := s.pool.Pick(&p)
+	sent, ok := s.pool.Pick(&p, timed)
 	if !ok {
-		return server, code.NotRunf(code.NoServer, "service %s has no server that may be used", service)
+		return sent, code.NotRunf(code.NoServer, "service %s has no server that may be used", service)
 	}
-	counter, ok := s.selected.Load(server)
+	counter, ok := s.selected.Load(sent.Server)
 	if !ok {
-		counter, _ = s.selected.LoadOrStore(server, &atomic.Uint64{})
+		counter, _ = s.selected.LoadOrStore(sent.Server, &atomic.Uint64{})
 	}
 	counter.(*atomic.Uint64).Add(1)
-	return server, nil
+	return sent, nil
 }
 
 func (c *Chooser) service(name string) *state {
--- a/internal/route/choice/policy.go
+++ b/internal/route/choice/policy.go
@@ -51,6 +51,11 @@
 	// warmShare is one in how many selections may take a free slot of a warming server ahead of the others. It needs
 	// some work to show that it is warm, and every router sees the same free slot.
 	warmShare = 8
+	// waitsLong is the multiple of the usual latency at which a waiting attempt shows that its server is slow. About one
+	// in 150 responses of a healthy server with exponential service times takes as long.
+	waitsLong = 3
+	// retrialShare is one in how many selections may try an idle server whose latest latency was high.
+	retrialShare = 32
 	// zoneRoom is the load up to which the own zone is preferred; above it the difference in queueing outweighs a
 	// millisecond between zones.
 	zoneRoom = 0.8
@@ -158,6 +163,7 @@
 	ratio   float64 // load after this request, relative to the limit
 	latency float64 // with the error penalty, in nanoseconds; 0 when unknown
 	own     bool    // in the own zone
+	idle    bool    // no request is at the server
 }
 
 // probing is the policy of the Probing type.
@@ -180,24 +186,66 @@
 		options = append(options, option{
 			server:  v.Server,
 			ratio:   float64(v.Load+1) / float64(v.Limit),
-			latency: float64(v.Latency) * factor,
+			latency: float64(latency(v)) * factor,
 			own:     index < p.list.own,
+			idle:    v.Load == 0,
 		})
 	}
 	if len(options) < min(fewReports, len(p.list.servers)) {
 		return p.randomTwo(look, false)
 	}
-	cold := keepCold(options)
+	fast, slow := keepFast(options)
+	if idle, ok := idleOne(look, slow); ok {
+		return idle
+	}
+	cold := keepCold(fast)
 	if len(cold) == 0 {
-		return leastLoaded(look, options)
+		return leastLoaded(look, fast)
 	}
-	cold = keepFast(cold)
 	if near := keepNear(cold); len(near) > 0 {
 		cold = near
 	}
 	return leastLoaded(look, cold)
 }
 
+// idleOne returns an idle one of the slow servers for one in retrialShare selections. Without requests a server that has
+// recovered cannot show it; a single request at a time costs little when it has not.
+func idleOne(look *pool.Look, slow []option) (netip.AddrPort, bool) {
+	for i := range slow {
+		if slow[i].idle && look.Rand.IntN(retrialShare) == 0 {
+			return slow[i].server, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// keepFast separates the options whose expected time is as good as the lowest from the slow ones. It comes before the
+// division into hot and cold: a slow server that is drained is cold, and would attract load whenever the others are hot.
+func keepFast(options []option) (fast, slow []option) {
+	low := math.Inf(1)
+	for i := range options {
+		if options[i].latency > 0 {
+			low = min(low, options[i].expected())
+		}
+	}
+	fast = keep(options, func(o *option) bool { return o.expected() <= low*sameLatency })
+	return fast, options[len(fast):]
+}
+
+// expected is the time that the request would take, with its share of the queue.
+func (o *option) expected() float64 {
+	return o.latency * max(o.ratio, 1)
+}
+
+// latency is what a new request may expect. A server that has just become slow has few responses that show it, so an
+// attempt that waits much longer than usual counts as well.
+func latency(v *pool.View) time.Duration {
+	if v.Latency > 0 && v.Waiting > v.Latency*waitsLong {
+		return v.Waiting
+	}
+	return v.Latency
+}
+
 // keepCold moves the options that are not hot to the front. A server that would queue the request is always hot.
 func keepCold(options []option) []option {
 	var space [pool.Size]float64
@@ -210,17 +258,6 @@
 	return keep(options, func(o *option) bool { return o.ratio <= bound })
 }
 
-// keepFast moves the options whose latency is as good as the lowest to the front.
-func keepFast(options []option) []option {
-	low := math.Inf(1)
-	for i := range options {
-		if options[i].latency > 0 {
-			low = min(low, options[i].latency)
-		}
-	}
-	return keep(options, func(o *option) bool { return o.latency <= low*sameLatency })
-}
-
 // keepNear moves the options in the own zone that have room to the front.
 func keepNear(options []option) []option {
 	return keep(options, func(o *option) bool { return o.own && o.ratio <= zoneRoom })
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -4,6 +4,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,8 @@
 	MaxUses = 8
 	// idleServer is how long the counts of a server that is no longer used are kept.
 	idleServer = time.Minute
+	// maxWaiting bounds the attempts per server whose waiting time is tracked. The oldest ones matter.
+	maxWaiting = 32
 	// roundTripWeight is the weight of a new sample in the round-trip average.
 	roundTripWeight = 8
 )
@@ -66,6 +69,14 @@
 	roundTrip time.Duration
 	nextProbe time.Time // the server asked not to be probed before
 	last      time.Time
+	waiting   []time.Time // when the timed attempts with no answer yet were sent, oldest first; at most maxWaiting
+}
+
+// Sent is an attempt that was counted as sent.
+type Sent struct {
+	Server netip.AddrPort
+	At     time.Time
+	Timed  bool // its answer is expected within the usual latency, unlike an upload's
 }
 
 // View is a report as it counts for a selection now.
@@ -75,6 +86,7 @@
 	Limit    int // at least 1
 	Latency  time.Duration
 	Age      time.Duration
+	Waiting  time.Duration // the oldest timed attempt of this router with no answer yet
 	Warming  bool
 	Refusing code.Code
 }
@@ -130,7 +142,7 @@
 
 // Pick selects a server and counts an attempt as sent to it. Every Pick that returns true is followed by one Ended, so
 // that concurrent selections see each other.
-func (s *Service) Pick(picker Picker) (netip.AddrPort, bool) {
+func (s *Service) Pick(picker Picker, timed bool) (Sent, bool) {
 	s.requests.Add(1)
 	now := s.pool.now()
 	s.mu.Lock()
@@ -138,15 +150,18 @@
 	look := Look{Views: s.look(now), Rand: s.rand, Now: now, s: s}
 	server, ok := picker.Pick(&look)
 	if !ok {
-		return server, false
+		return Sent{}, false
 	}
 	c := s.count(server, now)
 	c.inFlight++
 	c.unacked++
+	if timed && len(c.waiting) < maxWaiting {
+		c.waiting = append(c.waiting, now)
+	}
 	if i := s.find(server); i >= 0 {
 		s.reports[i].uses++
 	}
-	return server, true
+	return Sent{Server: server, At: now, Timed: timed}, true
 }
 
 // look drops spent reports and returns the others, corrected by what this router has sent since.
@@ -161,12 +176,16 @@
 		kept = append(kept, e)
 		r := e.report
 		load := r.InFlight + r.Queued
+		var waiting time.Duration
 		if c := s.counts[r.Server]; c != nil {
 			load += c.unacked
+			if len(c.waiting) > 0 {
+				waiting = now.Sub(c.waiting[0])
+			}
 		}
 		s.views = append(s.views, View{
 			Server: r.Server, Load: load, Limit: max(r.Limit, 1), Latency: r.Latency,
-			Age: age, Warming: r.Warming, Refusing: r.Refusing,
+			Age: age, Waiting: waiting, Warming: r.Warming, Refusing: r.Refusing,
 		})
 	}
 	s.reports = kept
@@ -192,12 +211,13 @@
 	return c
 }
 
-// Acked counts the ack of an attempt, which took elapsed from its sending, and learns the report in it.
-func (s *Service) Acked(server netip.AddrPort, elapsed time.Duration, report proto.Report) {
+// Acked counts the ack of an attempt and learns the report in it.
+func (s *Service) Acked(sent Sent, report proto.Report) {
 	now := s.pool.now()
+	elapsed := now.Sub(sent.At)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.count(server, now)
+	c := s.count(sent.Server, now)
 	c.unacked = max(c.unacked-1, 0)
 	if c.roundTrip == 0 {
 		c.roundTrip = elapsed
@@ -207,16 +227,35 @@
 	s.learn(report, now)
 }
 
+// Answered counts the header of an attempt's answer and learns the report in it.
+func (s *Service) Answered(sent Sent, report proto.Report) {
+	now := s.pool.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(sent.Server, now).answered(sent)
+	s.learn(report, now)
+}
+
 // Ended counts the end of an attempt, acked or not.
-func (s *Service) Ended(server netip.AddrPort, acked bool) {
+func (s *Service) Ended(sent Sent, acked bool) {
 	now := s.pool.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.count(server, now)
+	c := s.count(sent.Server, now)
 	c.inFlight = max(c.inFlight-1, 0)
 	if !acked {
 		c.unacked = max(c.unacked-1, 0)
 	}
+	c.answered(sent)
+}
+
+func (c *counts) answered(sent Sent) {
+	if !sent.Timed {
+		return
+	}
+	if i := slices.Index(c.waiting, sent.At); i >= 0 {
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+	}
 }
 
 // Learn takes in a report. One without a server is ignored.
