--- /dev/null
+++ b/internal/route/call/fake_test.go
@@ -0,0 +1,225 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/route/budget"
+	"marigoldwinch.example/marigoldwinch/internal/route/choice"
+	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// fake is a CallClient whose attempts follow scripts. A script is a list of steps separated by semicolons.
+type fake struct {
+	plan func(head *proto.Head) string // script of an attempt
+
+	mu       sync.Mutex
+	heads    []*proto.Head
+	streams  []*fakeStream
+	resolves []string // the replies still to give; the last one is repeated
+	log      []string
+}
+
+func (f *fake) note(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log = append(f.log, fmt.Sprintf(format, args...))
+}
+
+type fakeStream struct {
+	ctx    context.Context
+	f      *fake
+	number int
+	steps  []string
+	gone   chan struct{}
+	once   sync.Once
+	mu     sync.Mutex
+	body   []byte
+}
+
+func (f *fake) Call(ctx context.Context, to netip.AddrPort, head *proto.Head) (proto.ClientStream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := &fakeStream{ctx: ctx, f: f, number: len(f.streams) + 1, gone: make(chan struct{}), body: append([]byte(nil), head.Body...)}
+	f.heads = append(f.heads, head)
+	f.streams = append(f.streams, s)
+	f.log = append(f.log, fmt.Sprintf("attempt %d", head.ID.Attempt))
+	for step := range strings.SplitSeq(f.plan(head), ";") {
+		s.steps = append(s.steps, strings.TrimSpace(step))
+	}
+	switch s.steps[0] {
+	case "refused-connection":
+		return nil, code.NotRunf(code.PeerUnreachable, "connection refused")
+	case "broken-connection":
+		return nil, code.Unknownf(code.PeerUnreachable, "broken while sending")
+	}
+	return s, nil
+}
+
+func (f *fake) Probe(context.Context, netip.AddrPort, *proto.Probe) (*proto.ProbeReply, error) {
+	return nil, code.NotRunf(code.PeerUnreachable, "no probes")
+}
+
+func (f *fake) Resolve(ctx context.Context, _ netip.AddrPort, ask *proto.Resolve) (*proto.Resolution, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ask.Done {
+		f.log = append(f.log, "confirmed")
+		return &proto.Resolution{}, nil
+	}
+	reply := "error"
+	if len(f.resolves) > 0 {
+		reply = f.resolves[0]
+		if len(f.resolves) > 1 {
+			f.resolves = f.resolves[1:]
+		}
+	}
+	f.log = append(f.log, fmt.Sprintf("resolve conn %d: %s", ask.Conn, reply))
+	word, rest, _ := strings.Cut(reply, ":")
+	switch word {
+	case "revoked":
+		return &proto.Resolution{State: proto.StateRevoked}, nil
+	case "running":
+		return &proto.Resolution{State: proto.StateRunning}, nil
+	case "finished":
+		return &proto.Resolution{State: proto.StateFinished, Answer: answer("200 "+rest, true)}, nil
+	case "unknown":
+		return &proto.Resolution{State: proto.StateUnknown}, nil
+	default:
+		return nil, code.NotRunf(code.PeerUnreachable, "no reply")
+	}
+}
+
+func answer(text string, end bool) *proto.Answer {
+	status, body, _ := strings.Cut(text, " ")
+	number, _ := strconv.Atoi(status)
+	return &proto.Answer{Status: number, Header: http.Header{}, ContentLength: -1, Body: []byte(body), End: end}
+}
+
+var errBroken = errors.New("connection reset")
+
+func (s *fakeStream) Recv() (proto.Frame, error) {
+	for {
+		select {
+		case <-s.gone:
+			return nil, errBroken
+		case <-s.ctx.Done():
+			return nil, s.ctx.Err()
+		default:
+		}
+		if len(s.steps) == 0 {
+			return nil, io.EOF
+		}
+		step := s.steps[0]
+		s.steps = s.steps[1:]
+		word, rest, _ := strings.Cut(step, " ")
+		switch word {
+		case "ack":
+			return &proto.Ack{Verdict: proto.Admitted}, nil
+		case "queue":
+			return &proto.Ack{Verdict: proto.Queued}, nil
+		case "refuse":
+			return &proto.Ack{Verdict: proto.Refused, Code: code.Overloaded, Detail: "full"}, nil
+		case "answer":
+			return answer(rest, true), nil
+		case "start":
+			return answer(rest, false), nil
+		case "piece":
+			return &proto.Piece{Data: []byte(rest)}, nil
+		case "end":
+			return &proto.Piece{Data: []byte(rest), End: true, Trailer: http.Header{"X-Sum": {"1"}}}, nil
+		case "not-run":
+			return &proto.Failure{Code: code.QueueDeadline, Outcome: code.NotRun}, nil
+		case "fail":
+			return &proto.Failure{Code: code.ServerUnreachable, Outcome: code.Unknown}, nil
+		case "break":
+			return nil, errBroken
+		default: // a time
+			wait, err := time.ParseDuration(word)
+			if err != nil {
+				panic(err)
+			}
+			timer := time.NewTimer(wait)
+			select {
+			case <-timer.C:
+			case <-s.gone:
+			case <-s.ctx.Done():
+			}
+			timer.Stop()
+		}
+	}
+}
+
+func (s *fakeStream) Context() context.Context { return s.ctx }
+func (s *fakeStream) Send(frame proto.Frame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.body = append(s.body, frame.(*proto.Piece).Data...)
+	return nil
+}
+func (s *fakeStream) CloseSend() error               { return nil }
+func (s *fakeStream) Conn() uint64                   { return uint64(s.number) }
+func (s *fakeStream) Incarnation() ident.Incarnation { return 9 }
+
+func (s *fakeStream) Close() error {
+	s.once.Do(func() {
+		s.f.note("closed %d", s.number)
+		close(s.gone)
+	})
+	return nil
+}
+
+func (s *fakeStream) Silent() {
+	s.once.Do(func() {
+		s.f.note("silent %d", s.number)
+		close(s.gone)
+	})
+}
+
+type records []member.Record
+
+func (r records) Service(string) []member.Record { return r }
+
+// newCaller returns a caller with n servers and a budget of one additional attempt for every ten requests.
+func newCaller(f *fake, n int) *Caller {
+	var list records
+	for i := range n {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+		list = append(list, member.Record{Address: address, State: member.Serving})
+	}
+	holder := &config.Holder{}
+	_ = holder.Set(&config.Config{Revision: 1, Services: map[string]*config.Service{"stock": config.NewService("stock")}})
+	p := &pool.Pool{Rand: func(string) *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }}
+	return &Caller{
+		Client: f, Config: holder, Pool: p, Budgets: &budget.Budgets{}, Incarnation: 5, Start: time.Now(),
+		Choice: &choice.Chooser{Policy: choice.Probing{}, Pool: p, Members: list, Config: holder},
+	}
+}
+
+// readAll reads a response to its end.
+func readAll(x *Response) (string, error) {
+	defer x.Close()
+	var body []byte
+	for {
+		piece, err := x.Next()
+		body = append(body, piece...)
+		if err != nil {
+			return string(body), err
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/call/resolve.go
@@ -0,0 +1,153 @@
+package call
+
+import (
+	"context"
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+const (
+	resolveEvery = time.Second // while the server runs the request; each resolve opens a connection
+	resolveBound = 500 * time.Millisecond
+	resolveRetry = 100 * time.Millisecond
+	// resolveTries is the number of failures in a row after which the daemon is taken to be gone or paused.
+	resolveTries = 3
+	// settleWait is the time for an answer on its way when a resolve no longer finds the request running.
+	settleWait = 100 * time.Millisecond
+	// noConn in a resolve leaves the connection of the attempt alone. Connection numbers start at 1.
+	noConn = 0
+)
+
+// broken finds out what became of an attempt whose stream has failed.
+func (a *attempt) broken(cause error) (*proto.Answer, error) {
+	failure := code.Of(cause)
+	if ended := a.ended(failure); ended != failure {
+		return nil, ended
+	}
+	found := a.settled.Load()
+	if found == nil {
+		conn := a.stream.Conn()
+		var err error
+		if found, err = a.resolve(conn); err != nil {
+			return nil, err
+		}
+	}
+	return a.follow(found)
+}
+
+// follow turns the result of a resolve into an answer or a failure.
+func (a *attempt) follow(found *proto.Resolution) (*proto.Answer, error) {
+	a.r.pool.Learn(found.Report)
+	switch {
+	case found.State == proto.StateRevoked && !a.isAcked():
+		a.r.c.counters.revoked.Add(1)
+		return nil, code.NotRunf(code.Revoked, "the connection was silent and the request was revoked")
+	case found.State == proto.StateFinished && found.Answer != nil:
+		go a.confirm()
+		return found.Answer, nil
+	case found.State == proto.StateFinished && found.Failure != nil:
+		f := found.Failure
+		return nil, &code.Error{Code: f.Code, Outcome: f.Outcome, Detail: f.Detail}
+	default:
+		// An acked attempt that is revoked contradicts its ack, so it proves nothing.
+		return nil, code.Unknownf(code.OutcomeUnknown, "the connection failed and the server's daemon does not know the outcome")
+	}
+}
+
+// resolve asks until the request is no longer running.
+func (a *attempt) resolve(conn uint64) (*proto.Resolution, error) {
+	failures := 0
+	for {
+		found, err := a.askResolve(conn)
+		wait := resolveEvery
+		switch {
+		case err != nil:
+			failures++
+			if failures == resolveTries {
+				return nil, code.Unknownf(code.PeerUnreachable, "the connection failed and resolve got no reply").WithCause(err)
+			}
+			wait = resolveRetry
+		case found.State != proto.StateRunning:
+			return found, nil
+		default:
+			failures = 0
+		}
+		if !sleep(a.ctx, wait) {
+			return nil, a.ended(code.Unknownf(code.OutcomeUnknown, "the request ended while its outcome was asked for"))
+		}
+	}
+}
+
+func (a *attempt) askResolve(conn uint64) (*proto.Resolution, error) {
+	a.r.c.counters.resolves.Add(1)
+	ctx, cancel := context.WithTimeout(a.ctx, resolveBound)
+	defer cancel()
+	return a.r.c.Client.Resolve(ctx, a.sent.Server, &proto.Resolve{
+		ID: a.id, Conn: conn, Incarnation: a.stream.Incarnation(), Elapsed: time.Since(a.began),
+	})
+}
+
+// confirm tells admission that a held response has arrived.
+func (a *attempt) confirm() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), resolveBound)
+	defer cancel()
+	// An unconfirmed response is forgotten after its time.
+	_, _ = a.r.c.Client.Resolve(ctx, a.sent.Server, &proto.Resolve{
+		ID: a.id, Conn: noConn, Incarnation: a.stream.Incarnation(), Elapsed: time.Since(a.began), Done: true,
+	})
+}
+
+// watch starts the checks of a stream that stays quiet after the ack.
+func (a *attempt) watch() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.over {
+		a.stall = time.AfterFunc(resolveEvery, func() { a.check(0) })
+	}
+}
+
+// check resolves a quiet attempt, on the connection's own number only when the stream has failed: naming a connection
+// closes it at the other side.
+func (a *attempt) check(failures int) {
+	last := a.last.Load()
+	if quiet := time.Since(a.began) - time.Duration(last); quiet < resolveEvery {
+		a.checkAgain(resolveEvery-quiet, 0)
+		return
+	}
+	found, err := a.askResolve(noConn)
+	if err == nil && found.State == proto.StateRunning {
+		a.checkAgain(resolveEvery, 0)
+		return
+	}
+	if err != nil && failures+1 < resolveTries {
+		a.checkAgain(resolveEvery, failures+1)
+		return
+	}
+	if !sleep(a.ctx, settleWait) {
+		return
+	}
+	if a.last.Load() != last {
+		a.checkAgain(resolveEvery, 0)
+		return
+	}
+	if err != nil {
+		found = &proto.Resolution{State: proto.StateUnknown}
+	}
+	a.settled.Store(found)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.over {
+		a.r.c.counters.silent.Add(1)
+		a.stream.Silent()
+	}
+}
+
+func (a *attempt) checkAgain(wait time.Duration, failures int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.over {
+		a.stall = time.AfterFunc(wait, func() { a.check(failures) })
+	}
+}
--- a/internal/route/choice/choice_test.go
+++ b/internal/route/choice/choice_test.go
@@ -16,6 +16,7 @@
 // Guards against a server that answers every request with an error at once: its low load and latency must not draw more
 // than its even share, and after the first second hardly anything.
 func TestFailFastServerDoesNotAttractLoad(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
 	q := newQueueing(7, fixed(Probing{}))
 	q.servers[4].fails = true
--- a/internal/route/choice/policy_test.go
+++ b/internal/route/choice/policy_test.go
@@ -70,7 +70,7 @@
 	speed   float64
 	running []*job
 	queue   []*job
-	coming  int // sent and not arrived; only Perfect sees it
+	coming  int             // sent and not arrived; only Perfect sees it
 	times   []time.Duration // of the latest responses
 	median  time.Duration   // of times
 	work    time.Duration
@@ -316,6 +316,7 @@
 
 // Guards the tail latency targets of section 1.6 against a policy that follows slow servers or stale reports.
 func TestTailLatencyWithSlowingServers(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2} {
 		var probing, robin, two, best time.Duration
 		var group sync.WaitGroup
@@ -334,6 +335,7 @@
 
 // Guards against uneven work and herding in the steady state: no slowdowns, every server the same.
 func TestSteadyWorkIsEven(t *testing.T) {
+	t.Parallel()
 	q := newQueueing(1, fixed(Probing{}))
 	q.run()
 	t.Logf("max over average %.3f, p99 %v", q.imbalance(), q.p99())
--- /dev/null
+++ b/internal/route/claim/sweep.go
@@ -0,0 +1,71 @@
+package claim
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+)
+
+const (
+	sweepRows = 100 // per read; a transaction with more deletes could exceed the table's bounds
+	// sweepEvery is the time between two reads by the whole fleet, a small part of the platform's reads a second.
+	sweepEvery = 250 * time.Millisecond
+	// sweepMin bounds the reads of one daemon in a small fleet, which has few claims.
+	sweepMin = 10 * time.Second
+)
+
+// Run removes expired claims until ctx ends. Each daemon begins at a random place, so that the daemons together pass over
+// all rows.
+func (c *Claims) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.sweepAt = prefix + string(rune('a'+rand.IntN(26)))
+	c.mu.Unlock()
+	for {
+		daemons := 1
+		if c.Daemons != nil {
+			daemons = max(c.Daemons(), 1)
+		}
+		wait := max(sweepEvery*time.Duration(daemons), sweepMin)
+		if !pause(ctx, wait/2+rand.N(wait)) {
+			return nil
+		}
+		c.sweep(ctx)
+	}
+}
+
+// sweep removes the expired claims among the next rows. Each delete names the version read, so that a claim that was
+// taken over in the meantime stays.
+func (c *Claims) sweep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tableBound)
+	defer cancel()
+	c.mu.Lock()
+	after := c.sweepAt
+	c.mu.Unlock()
+	rows, err := c.Store.Range(ctx, prefix, after, sweepRows)
+	if err != nil {
+		return
+	}
+	next := ""
+	if len(rows) == sweepRows {
+		next = rows[len(rows)-1].Key
+	}
+	var txn table.Txn
+	now := time.Now()
+	for _, row := range rows {
+		if found, err := decode(row.Value); err == nil && found.expires.Before(now) {
+			txn.Conditions = append(txn.Conditions, table.Condition{Key: row.Key, Version: row.Version})
+			txn.Deletes = append(txn.Deletes, row.Key)
+		}
+	}
+	if len(txn.Deletes) > 0 && c.Store.Commit(ctx, txn) != nil {
+		next = after // again next time
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweepAt = next
+	if next != after {
+		c.counters.Swept += uint64(len(txn.Deletes))
+	}
+}
