Add the HTTP front end; suspend hedging while a service fails

The test of 8 levels under total overload found 1151 attempts at the last level for 1000 outer requests: hedges at the first level multiplied with retries at the last one. Hedging now stops while more than a tenth of the recent answers are errors. The earlier test run did not end because the fake held its lock across nested calls.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -92,9 +92,10 @@
 		return nil, code.Unknownf(code.Cancelled, "another attempt answered first").WithCause(errLost)
 	}
 	a.r.pool.Answered(a.sent, answer.Report)
-	a.r.c.Choice.Result(a.r.ask.Service, a.sent.Server, answer.Status >= http.StatusInternalServerError, "status 5xx")
+	failed := answer.Status >= http.StatusInternalServerError
+	a.r.c.Choice.Result(a.r.ask.Service, a.sent.Server, failed, "status 5xx")
 	if a.r.timed() {
-		a.r.delays.add(time.Since(a.began))
+		a.r.delays.add(time.Since(a.began), failed)
 	}
 	return newResponse(a, answer), nil
 }
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -74,7 +74,7 @@
 	}
 	for range delayRefresh {
 		if p95 > 0 {
-			c.delaysOf("stock").add(time.Duration(p95) * time.Millisecond)
+			c.delaysOf("stock").add(time.Duration(p95)*time.Millisecond, false)
 		}
 	}
 	begin := time.Now()
@@ -92,6 +92,8 @@
 		fmt.Fprintf(&out, "after %v\n", elapsed.Round(100*time.Millisecond))
 	}
 	time.Sleep(10 * time.Second) // what is left over would show here
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, line := range f.log {
 		fmt.Fprintln(&out, line)
 	}
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -53,13 +53,14 @@
 }
 
 func (f *fake) Call(ctx context.Context, to netip.AddrPort, head *proto.Head) (proto.ClientStream, error) {
+	script := f.plan(head) // without the lock: a plan may make further calls
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := &fakeStream{ctx: ctx, f: f, number: len(f.streams) + 1, gone: make(chan struct{}), body: append([]byte(nil), head.Body...)}
 	f.heads = append(f.heads, head)
 	f.streams = append(f.streams, s)
 	f.log = append(f.log, fmt.Sprintf("attempt %d", head.ID.Attempt))
-	for step := range strings.SplitSeq(f.plan(head), ";") {
+	for step := range strings.SplitSeq(script, ";") {
 		s.steps = append(s.steps, strings.TrimSpace(step))
 	}
 	switch s.steps[0] {
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -24,6 +24,10 @@
 	delaySamples  = 256 // of the latest answers
 	delayRefresh  = 64  // answers between two computations of the quantile
 	delayQuantile = 0.95
+	// errorShare is the recent share of errors above which hedging is suspended. A failing or overloaded service, or one
+	// behind it, would get hedges on top of the retries nearer to the failure.
+	errorShare    = 0.1
+	errorWeight   = 0.1
 	minHedgeDelay = time.Millisecond // a lower p95 is within the noise of the network
 )
 
@@ -190,7 +194,10 @@
 	mu      sync.Mutex
 	samples [delaySamples]time.Duration
 	count   int
+	errors  float64      // recent share of errors among the answers
 	current atomic.Int64 // the quantile, or 0 before there are enough samples
+
+	suspended atomic.Bool // by errors
 }
 
 func (c *Caller) delaysOf(service string) *delays {
@@ -201,9 +208,18 @@
 	return found.(*delays)
 }
 
-func (d *delays) add(sample time.Duration) {
+// add takes in the time to an answer. The times of errors say nothing about those of other answers.
+func (d *delays) add(sample time.Duration, failed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.errors *= 1 - errorWeight
+	if failed {
+		d.errors += errorWeight
+	}
+	d.suspended.Store(d.errors > errorShare)
+	if failed {
+		return
+	}
 	d.samples[d.count%delaySamples] = sample
 	d.count++
 	if d.count%delayRefresh != 0 {
@@ -215,6 +231,10 @@
 	d.current.Store(int64(known[int(float64(len(known))*delayQuantile)]))
 }
 
+// quantile is the time after which to hedge, or 0 for not at all.
 func (d *delays) quantile() time.Duration {
+	if d.suspended.Load() {
+		return 0
+	}
 	return time.Duration(d.current.Load())
 }
--- /dev/null
+++ b/internal/route/front/reply.go
@@ -0,0 +1,116 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/route/call"
+)
+
+// pass passes a server's response on.
+func (f *Front) pass(w http.ResponseWriter, r *http.Request, response *call.Response) {
+	// The first part comes before the header is sent, so that an early failure can still be reported as one.
+	piece, err := response.Next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		f.truncated.Add(1)
+		f.fail(w, err)
+		return
+	}
+	header := w.Header()
+	for name, values := range response.Header {
+		header[name] = values
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+	if response.ContentLength >= 0 && r.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	if header["Date"] == nil {
+		header["Date"] = nil // net/http would add one that the server did not send
+	}
+	if header["Content-Type"] == nil {
+		header["Content-Type"] = nil // the same for a guessed type
+	}
+	w.WriteHeader(response.Status)
+	f.copyBody(w, response, piece, err)
+	for name, values := range response.Trailer {
+		header[http.TrailerPrefix+name] = values
+	}
+}
+
+// copyBody passes the body on part by part, each flushed unless it is the last. A truncated response aborts the caller's
+// connection, since ending it in order would present it as complete.
+func (f *Front) copyBody(w http.ResponseWriter, response *call.Response, piece []byte, err error) {
+	control := http.NewResponseController(w)
+	whole := response.ContentLength >= 0 && int64(len(piece)) == response.ContentLength
+	for err == nil {
+		if _, failed := w.Write(piece); failed != nil {
+			panic(http.ErrAbortHandler) // the caller has gone
+		}
+		if !whole {
+			_ = control.Flush()
+		}
+		piece, err = response.Next()
+	}
+	if !errors.Is(err, io.EOF) {
+		f.truncated.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// problem is the body of an own response.
+func problem(failure *code.Error) []byte {
+	body, err := json.Marshal(map[string]any{
+		"type":    "about:blank",
+		"title":   failure.Code.String(),
+		"status":  failure.Code.HTTPStatus(),
+		"detail":  failure.Detail,
+		"code":    int(failure.Code),
+		"outcome": failure.Outcome.String(),
+	})
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// fail sends an own response.
+func (f *Front) fail(w http.ResponseWriter, err error) {
+	f.failures.Add(1)
+	failure := code.Of(err)
+	body := problem(failure)
+	header := w.Header()
+	header.Set("Content-Type", "application/problem+json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set(headerCode, strconv.Itoa(int(failure.Code)))
+	header.Set(headerOutcome, failure.Outcome.String())
+	w.WriteHeader(failure.Code.HTTPStatus())
+	_, _ = w.Write(body) // a caller that has gone needs no answer
+}
+
+// serveDaemons answers with the daemons that may be used now.
+func (f *Front) serveDaemons(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		f.fail(w, code.NotRunf(code.BadRequest, "%s accepts GET only", DaemonsPath))
+		return
+	}
+	daemons := []map[string]string{}
+	for _, record := range f.listed() {
+		daemons = append(daemons, map[string]string{
+			"address": record.Front.String(), "service": record.Service, "zone": record.Zone,
+		})
+	}
+	body, err := json.Marshal(map[string]any{"daemons": daemons})
+	if err != nil {
+		f.fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	_, _ = w.Write(body)
+}
