--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -177,7 +177,7 @@
 // await receives until the answer's header has come or the attempt has failed.
 func (a *attempt) await(whole bool) (*proto.Answer, error) {
 	for {
-		frame, err := a.stream.Recv()
+		frame, err := a.recv()
 		if err != nil {
 			return a.broken(err)
 		}
@@ -215,6 +215,16 @@
 	}
 }
 
+// recv receives a frame. The end of a stream before the end of the response is unexpected, and its error must not be
+// taken for the io.EOF that ends a complete response.
+func (a *attempt) recv() (proto.Frame, error) {
+	frame, err := a.stream.Recv()
+	if errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return frame, err
+}
+
 var errLateAck = errors.New("the ack came after the bound")
 
 func (a *attempt) isAcked() bool {
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -52,7 +52,7 @@
 	body   []byte
 }
 
-func (f *fake) Call(ctx context.Context, to netip.AddrPort, head *proto.Head) (proto.ClientStream, error) {
+func (f *fake) Call(ctx context.Context, _ netip.AddrPort, head *proto.Head) (proto.ClientStream, error) {
 	script := f.plan(head) // without the lock: a plan may make further calls
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -76,7 +76,7 @@
 	return nil, code.NotRunf(code.PeerUnreachable, "no probes")
 }
 
-func (f *fake) Resolve(ctx context.Context, _ netip.AddrPort, ask *proto.Resolve) (*proto.Resolution, error) {
+func (f *fake) Resolve(_ context.Context, _ netip.AddrPort, ask *proto.Resolve) (*proto.Resolution, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if ask.Done {
--- a/internal/route/call/response.go
+++ b/internal/route/call/response.go
@@ -59,7 +59,7 @@
 	if x.done {
 		return nil, io.EOF
 	}
-	frame, err := x.a.stream.Recv()
+	frame, err := x.a.recv()
 	if err != nil {
 		return x.resume(err)
 	}
