Keep the caller's connection after a request with a body; tighten the tests of routing

The end of every request aborted the read side of the caller's connection, because the abort at the deadline hung on a context that is always cancelled in the end.

Three tests had passed with their mechanism disabled (stampede, own zone, late ack) and are stricter now.

--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -138,7 +138,11 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, errDeadline)
 	if ask.Body != nil && ask.Abort != nil {
-		context.AfterFunc(ctx, ask.Abort)
+		stop, end := context.AfterFunc(ctx, ask.Abort), cancel
+		cancel = func() { // the end of the request in order aborts nothing: the connection may serve the next one
+			stop()
+			end()
+		}
 	}
 	if stored, err := r.takeClaim(ctx); err != nil || stored != nil {
 		cancel()
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -46,7 +46,7 @@
 		return scripts[min(int(head.ID.Attempt)-1, len(scripts)-1)]
 	}
 	c := newCaller(f, 3)
-	tokens, depth, size, p95 := 50, 0, 0, 0
+	tokens, depth, size, p95, failed := 50, 0, 0, 0, 0
 	ask := &Request{Service: "stock", Method: d.Cmd, Path: "/", Target: "/", Timeout: 5 * time.Second, ContentLength: -1}
 	scan := func(key string, into *int) {
 		if d.HasArg(key) {
@@ -63,11 +63,13 @@
 	scan("depth", &depth)
 	scan("body", &size)
 	scan("p95", &p95)
+	scan("errors", &failed)
 	if depth > 0 {
 		ask.Context = &ident.CallContext{Request: ident.RequestID{Router: 1, Seq: 1}, Depth: depth - 1, Class: ident.Lookup}
 	}
 	if size > 0 {
 		ask.Body = strings.NewReader(strings.Repeat("b", size))
+		ask.Abort = func() { f.note("aborted the caller's body") }
 	}
 	for range tokens * 10 {
 		c.Budgets.Service("stock").Request(0.1, 0.05)
@@ -77,6 +79,9 @@
 			c.delaysOf("stock").add(time.Duration(p95)*time.Millisecond, false)
 		}
 	}
+	for range failed {
+		c.delaysOf("stock").add(0, true)
+	}
 	begin := time.Now()
 	x, err := c.Do(context.Background(), ask)
 	var out strings.Builder
@@ -110,6 +115,7 @@
 func TestRandomFailuresKeepOutcomesTrue(t *testing.T) {
 	g := gomega.NewWithT(t)
 	g.Expect(flag.Set("rapid.seed", "1")).To(gomega.Succeed())
+	g.Expect(flag.Set("rapid.nofailfile", "true")).To(gomega.Succeed())
 	g.Expect(flag.Set("rapid.checks", "500")).To(gomega.Succeed())
 	rapid.Check(t, func(rt *rapid.T) {
 		scripts := rapid.SliceOfN(rapid.SampledFrom([]string{
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -46,6 +46,7 @@
 	f      *fake
 	number int
 	steps  []string
+	deaf   bool // to its own closing
 	gone   chan struct{}
 	once   sync.Once
 	mu     sync.Mutex
@@ -116,8 +117,12 @@
 
 func (s *fakeStream) Recv() (proto.Frame, error) {
 	for {
+		gone := s.gone
+		if s.deaf {
+			gone = nil
+		}
 		select {
-		case <-s.gone:
+		case <-gone:
 			return nil, errBroken
 		case <-s.ctx.Done():
 			return nil, s.ctx.Err()
@@ -148,6 +153,10 @@
 			return &proto.Failure{Code: code.QueueDeadline, Outcome: code.NotRun}, nil
 		case "fail":
 			return &proto.Failure{Code: code.ServerUnreachable, Outcome: code.Unknown}, nil
+		case "late": // what follows was received before the connection was closed
+			wait, _ := time.ParseDuration(rest)
+			time.Sleep(wait)
+			s.deaf = true
 		case "break":
 			return nil, errBroken
 		default: // a time
--- a/internal/route/choice/choice_test.go
+++ b/internal/route/choice/choice_test.go
@@ -47,17 +47,16 @@
 	q := newQueueing(3, fixed(Probing{}))
 	got := map[netip.AddrPort]int{}
 	for _, c := range q.routers {
+		c.Zone = "none" // the preference for the own zone would spread them
 		for i, b := range q.servers {
-			c.Pool.Service("stock").Learn(proto.Report{Server: b.address, InFlight: 2 + i%2, Limit: slots, Latency: meanWork})
-		}
-		for range 4 {
-			sent, err := c.Select("stock", nil, true)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			got[sent.Server]++
+			c.Pool.Service("stock").Learn(proto.Report{Server: b.address, InFlight: 2 + min(i, 1), Limit: slots, Latency: meanWork})
 		}
+		sent, err := c.Select("stock", nil, true)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		got[sent.Server]++
 	}
 	for server, n := range got {
-		g.Expect(n).To(gomega.BeNumerically("<=", 10), "%v got %d of 52", server, n) // free slots of each server
+		g.Expect(n).To(gomega.BeNumerically("<=", 10), "%v got %d of 13", server, n) // its free slots
 	}
 }
 
@@ -149,5 +148,6 @@
 		return own
 	}
 	g.Expect(share(3)).To(gomega.Equal(100))
+	g.Expect(share(slots-2)).To(gomega.BeNumerically("<=", 2), "one slot left")
 	g.Expect(share(slots)).To(gomega.Equal(0))
 }
--- a/internal/route/front/front_test.go
+++ b/internal/route/front/front_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -70,6 +71,10 @@
 	return x, nil
 }
 
+func (s *server) Resolve(context.Context, netip.AddrPort, *proto.Resolve) (*proto.Resolution, error) {
+	return &proto.Resolution{State: proto.StateRunning}, nil
+}
+
 func (x *stream) Recv() (proto.Frame, error) {
 	select {
 	case frame, ok := <-x.out:
@@ -194,20 +199,29 @@
 		{"address":"10.0.0.1:2","service":"stock","zone":"b"}]}`))
 }
 
-// Guards streaming in both directions on one request: each part is echoed before the next is sent, after
+// Guards streaming in both directions on one request: each part is echoed before the next is sent, also after
 // 100 Continue, and the trailer follows.
 func TestStreamingBothWays(t *testing.T) {
-	g := gomega.NewWithT(t)
 	_, base, _ := start(t, &server{})
+	for _, expect := range []string{"", "Expect: 100-continue\r\n"} {
+		echoParts(t, base, expect)
+	}
+}
+
+func echoParts(t *testing.T, base, expect string) {
+	g := gomega.NewWithT(t)
 	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", base)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer func() { _ = conn.Close() }()
+	g.Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
 	reader := bufio.NewReader(conn)
-	_, _ = io.WriteString(conn, "POST /stock/echo HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n")
-	line, err := reader.ReadString('\n')
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(line).To(gomega.HavePrefix("HTTP/1.1 100"))
-	_, _ = reader.ReadString('\n')
+	_, _ = io.WriteString(conn, "POST /stock/echo HTTP/1.1\r\nHost: x\r\n"+expect+"Transfer-Encoding: chunked\r\n\r\n")
+	if expect != "" {
+		line, err := reader.ReadString('\n')
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(line).To(gomega.HavePrefix("HTTP/1.1 100"))
+		_, _ = reader.ReadString('\n')
+	}
 	_, _ = io.WriteString(conn, "3\r\none\r\n")
 	response, err := http.ReadResponse(reader, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -232,6 +246,8 @@
 	g := gomega.NewWithT(t)
 	s := &server{gate: make(chan struct{})}
 	f, base, stop := start(t, s)
+	open := sync.OnceFunc(func() { close(s.gate) })
+	t.Cleanup(open)
 	f.Grace = 200 * time.Millisecond
 	body := make(chan string, 1)
 	go func() {
@@ -251,7 +267,7 @@
 		}
 		return err
 	}, 5*time.Second).Should(gomega.HaveOccurred(), "still accepting after the grace period")
-	close(s.gate)
+	open()
 	g.Eventually(body, 5*time.Second).Should(gomega.Receive(gomega.Equal("/gated")))
 }
 
