--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -47,7 +47,7 @@
 	}
 	c := newCaller(f, 3)
 	tokens, depth, size, p95, failed := 50, 0, 0, 0, 0
-	ask := &Request{Service: "stock", Method: d.Cmd, Path: "/", Target: "/", Timeout: 5 * time.Second, ContentLength: -1}
+	ask := &Request{Service: "stock", Method: d.Cmd, Path: "/", Target: "/", Timeout: 5500 * time.Millisecond, ContentLength: -1}
 	scan := func(key string, into *int) {
 		if d.HasArg(key) {
 			var value string
