Add the membership: table, gossip and the platform watch

The daemons need one view of members and configuration without a coordination service. member.Table keeps records in 64 shards that are also the digest buckets; gossip spreads members and revisions and detects failures; watch announces the daemon and polls the configuration head within the fleet budget.

proto.Exchange gains Try and Reached for the second attempt through another peer. A digest leaves gone records out, so that daemons that remove them at different times still agree.

--- /dev/null
+++ b/internal/fleet/gossip/heard.go
@@ -0,0 +1,115 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// neverSeen is the age of the head observation of a daemon that has none.
+const neverSeen = 365 * 24 * time.Hour
+
+// heard is when others were last heard.
+type heard struct {
+	mu       sync.Mutex
+	peer     time.Time // zero before the first
+	platform time.Time
+}
+
+// Isolated reports whether neither the platform nor any peer was heard for IsolatedAfter.
+func (n *Node) Isolated() bool {
+	n.init()
+	n.heard.mu.Lock()
+	defer n.heard.mu.Unlock()
+	now := time.Now()
+	return now.Sub(n.heard.peer) > n.IsolatedAfter && now.Sub(n.heard.platform) > n.IsolatedAfter
+}
+
+// HeardPlatform records that the platform answered.
+func (n *Node) HeardPlatform() {
+	n.heard.mu.Lock()
+	defer n.heard.mu.Unlock()
+	n.heard.platform = time.Now()
+}
+
+// hearPeer is called before records of a peer are merged. A daemon that heard no peer for longer than member.CutOff
+// discards its own records first, because they may bring back members whose gone records have been removed elsewhere.
+func (n *Node) hearPeer() {
+	n.heard.mu.Lock()
+	defer n.heard.mu.Unlock()
+	now := time.Now()
+	if !n.heard.peer.IsZero() && now.Sub(n.heard.peer) > member.CutOff {
+		n.Log.Info("members-discarded", "silence", now.Sub(n.heard.peer))
+		n.contacts.set(n.Table.Forget())
+	}
+	n.heard.peer = now
+}
+
+func (n *Node) heardPeerWithin(d time.Duration) bool {
+	n.heard.mu.Lock()
+	defer n.heard.mu.Unlock()
+	return !n.heard.peer.IsZero() && time.Since(n.heard.peer) <= d
+}
+
+// contacts are the addresses of members that were discarded.
+type contacts struct {
+	mu        sync.Mutex
+	addresses []netip.AddrPort
+}
+
+func (c *contacts) set(addresses []netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = addresses
+}
+
+func (c *contacts) pick() (netip.AddrPort, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.addresses) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return c.addresses[rand.IntN(len(c.addresses))], true
+}
+
+// headSeen is the highest revision seen at the configuration head and the time of the latest read by any daemon.
+type headSeen struct {
+	mu       sync.Mutex
+	revision uint64
+	at       time.Time // zero before the first
+}
+
+// Observe records a read of the configuration head by this daemon.
+func (n *Node) Observe(revision uint64) {
+	n.observe(revision, time.Now())
+}
+
+// Seen returns the highest revision seen at the head by any daemon, and the age of the latest known read.
+func (n *Node) Seen() (revision uint64, age time.Duration) {
+	n.seen.mu.Lock()
+	defer n.seen.mu.Unlock()
+	if n.seen.at.IsZero() {
+		return n.seen.revision, neverSeen
+	}
+	return n.seen.revision, time.Since(n.seen.at)
+}
+
+func (n *Node) observe(revision uint64, at time.Time) {
+	n.seen.mu.Lock()
+	defer n.seen.mu.Unlock()
+	n.seen.revision = max(n.seen.revision, revision)
+	if at.After(n.seen.at) {
+		n.seen.at = at
+	}
+}
+
+func (n *Node) mergeSeen(seen proto.HeadSeen) {
+	if seen.Age < 0 || seen.Age >= neverSeen {
+		return
+	}
+	n.observe(seen.Revision, time.Now().Add(-seen.Age))
+}
--- /dev/null
+++ b/internal/fleet/member/digest.go
@@ -0,0 +1,130 @@
+package member
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of the records in one message. A record takes about 100 bytes, so the larger bound stays far below a frame.
+const (
+	maxDiff = 128 // of buckets that both sides hold
+	maxFill = 512 // of buckets that the other side does not hold at all
+)
+
+// recentFor is how long a change is preferred in differences: eager news reaches all daemons within it.
+const recentFor = 30 * time.Second
+
+// Old differences are rare and their records many, so these are sent in one of so many exchanges only.
+const (
+	oddsBesideRecent = 8
+	oddsAlone        = 4
+)
+
+// Digests returns the digest of each bucket.
+func (t *Table) Digests() []uint64 {
+	digests := make([]uint64, Buckets)
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		digests[i] = s.digest
+		s.mu.Unlock()
+	}
+	return digests
+}
+
+// Diff is the outcome of a comparison with the digests of another daemon.
+type Diff struct {
+	Equal   bool
+	Records []Record // a bounded selection of the records in the buckets that differ
+	More    bool     // the other daemon lacks whole buckets that were not all sent
+}
+
+// Compare selects the records that another daemon with these digests may lack: all of the buckets that it does not
+// hold, recent changes of the others, and sometimes a sample of older records.
+func (t *Table) Compare(remote []uint64) Diff {
+	if len(remote) != Buckets {
+		return Diff{Equal: true}
+	}
+	diff := Diff{Equal: true}
+	var recent, older []Record
+	now := time.Now()
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		if s.digest == remote[i] {
+			s.mu.Unlock()
+			continue
+		}
+		diff.Equal = false
+		if remote[i] == 0 {
+			diff.fill(s)
+		} else {
+			recent, older = s.split(now, recent, older)
+		}
+		s.mu.Unlock()
+	}
+	diff.Records = append(diff.Records, choose(recent, older)...)
+	return diff
+}
+
+func (d *Diff) fill(s *shard) {
+	if len(d.Records) > 0 && len(d.Records)+len(s.records) > maxFill {
+		d.More = true
+		return
+	}
+	for _, e := range s.records {
+		if e.record.State != Gone {
+			d.Records = append(d.Records, e.record)
+		}
+	}
+}
+
+func (s *shard) split(now time.Time, recent, older []Record) (newRecent, newOlder []Record) {
+	for _, e := range s.records {
+		if now.Sub(e.changed) < recentFor {
+			recent = append(recent, e.record)
+		} else {
+			older = append(older, e.record)
+		}
+	}
+	return recent, older
+}
+
+func choose(recent, older []Record) []Record {
+	odds := oddsBesideRecent
+	if len(recent) == 0 {
+		odds = oddsAlone
+	}
+	if rand.IntN(odds) == 0 {
+		recent = append(recent, older...)
+	}
+	rand.Shuffle(len(recent), func(i, j int) { recent[i], recent[j] = recent[j], recent[i] })
+	return recent[:min(len(recent), maxDiff)]
+}
+
+func (r Record) hash() uint64 {
+	var buffer [256]byte
+	b := appendAddress(buffer[:0], r.Address)
+	b = appendAddress(b, r.Front)
+	for _, text := range [...]string{r.Service, r.Zone, r.Region} {
+		b = binary.LittleEndian.AppendUint32(b, uint32(len(text)))
+		b = append(b, text...)
+	}
+	b = binary.LittleEndian.AppendUint64(b, uint64(r.Incarnation))
+	b = binary.LittleEndian.AppendUint64(b, r.Version)
+	b = append(b, byte(r.State))
+	return xxhash.Sum64(b)
+}
+
+func appendAddress(b []byte, address netip.AddrPort) []byte {
+	var raw [16]byte
+	if address.IsValid() {
+		raw = address.Addr().As16()
+	}
+	b = append(b, raw[:]...)
+	return binary.LittleEndian.AppendUint16(b, address.Port())
+}
--- /dev/null
+++ b/internal/fleet/member/read.go
@@ -0,0 +1,108 @@
+package member
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// Get returns the record of a member.
+func (t *Table) Get(address netip.AddrPort) (Record, bool) {
+	s := t.shard(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.records[address]
+	if e == nil {
+		return Record{}, false
+	}
+	return e.record, true
+}
+
+// Members returns the members of a service that are not gone, by address. The slice is shared and must not be changed.
+func (t *Table) Members(service string) []Record {
+	g := t.groups.find(service)
+	if g == nil {
+		return nil
+	}
+	return g.snapshot()
+}
+
+// All returns every record, gone ones too, by address.
+func (t *Table) All() []Record {
+	var all []Record
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, e := range s.records {
+			all = append(all, e.record)
+		}
+		s.mu.Unlock()
+	}
+	slices.SortFunc(all, compareAddress)
+	return all
+}
+
+// Live returns the number of members that are not gone, with this daemon.
+func (t *Table) Live() int {
+	t.index.mu.Lock()
+	defer t.index.mu.Unlock()
+	return len(t.index.live.list) + 1
+}
+
+// Generation rises with every change of the table.
+func (t *Table) Generation() uint64 {
+	return t.generation.Load()
+}
+
+// Pick returns at most n distinct other members that are not gone, at random.
+func (t *Table) Pick(n int, except netip.AddrPort) []Record {
+	t.index.mu.Lock()
+	defer t.index.mu.Unlock()
+	return t.index.live.sample(n, except)
+}
+
+// PickGone returns a gone member at random.
+func (t *Table) PickGone() (Record, bool) {
+	t.index.mu.Lock()
+	defer t.index.mu.Unlock()
+	picked := t.index.dead.sample(1, netip.AddrPort{})
+	if len(picked) == 0 {
+		return Record{}, false
+	}
+	return picked[0], true
+}
+
+// Dump is the state of a Table.
+type Dump struct {
+	Self       Record
+	Generation uint64
+	Live       int            // with this daemon
+	States     map[string]int // members by state
+	Members    []Record       // by address, gone ones too
+}
+
+// Dump returns the state for the state dump.
+func (t *Table) Dump() any {
+	dump := Dump{
+		Self:       t.Self(),
+		Generation: t.Generation(),
+		Live:       t.Live(),
+		States:     make(map[string]int),
+		Members:    t.All(),
+	}
+	for _, r := range dump.Members {
+		dump.States[r.State.String()]++
+	}
+	return dump
+}
+
+// Each calls visit for every record, gone ones too, in no order. visit must not call the table.
+func (t *Table) Each(visit func(Record)) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, e := range s.records {
+			visit(e.record)
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/fleet/member/table.go
@@ -0,0 +1,307 @@
+package member
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+)
+
+// Buckets is the number of digest buckets. Each bucket is a shard with its own lock.
+const Buckets = 64
+
+// Defaults of the table's periods.
+const (
+	// DefaultSuspectFor is how long a suspected member may take to refute.
+	DefaultSuspectFor = 10 * time.Second
+	// DefaultRetain is how long a gone record is kept. It exceeds the 20 min after which an announcement is ignored and
+	// CutOff, after which a daemon that heard nobody discards its own records, so no source that a daemon trusts still
+	// holds a live record of the member when its gone record is removed.
+	DefaultRetain = 30 * time.Minute
+	// CutOff is how long a daemon may be paused or unreachable and still trust its records about others.
+	CutOff = 10 * time.Minute
+)
+
+// maxName bounds the service, zone and region of an accepted record in bytes.
+const maxName = 128
+
+// Table holds the newest known record of every member. Its zero value is ready for use.
+type Table struct {
+	SuspectFor time.Duration // DefaultSuspectFor when 0
+	Retain     time.Duration // DefaultRetain when 0
+
+	shards     [Buckets]shard
+	index      index
+	groups     groups
+	generation atomic.Uint64 // raised by every change
+
+	selfMu     sync.Mutex // taken before a shard's lock
+	self       Record
+	superseded atomic.Uint64 // higher incarnation seen at our own address, or 0
+
+	subscribersMu sync.Mutex
+	subscribers   atomic.Pointer[[]func(Record)]
+}
+
+type shard struct {
+	mu      sync.Mutex // taken before the locks of index and groups
+	records map[netip.AddrPort]*entry
+	digest  uint64 // XOR of the hashes of the records that are not gone
+}
+
+// entry is never changed after it is stored.
+type entry struct {
+	record  Record
+	hash    uint64
+	changed time.Time // when this daemon stored the record
+}
+
+// SetSelf stores the record of this daemon. It is called before records of others are applied.
+func (t *Table) SetSelf(r Record) {
+	t.selfMu.Lock()
+	defer t.selfMu.Unlock()
+	t.self = r
+	t.storeSelf()
+}
+
+// SetState changes the state of this daemon's own record and raises its version.
+func (t *Table) SetState(state State) Record {
+	t.selfMu.Lock()
+	defer t.selfMu.Unlock()
+	if t.self.State == state {
+		return t.self
+	}
+	t.self.State = state
+	t.self.Version++
+	t.storeSelf()
+	return t.self
+}
+
+// Self returns the record of this daemon.
+func (t *Table) Self() Record {
+	t.selfMu.Lock()
+	defer t.selfMu.Unlock()
+	return t.self
+}
+
+// Superseded returns the higher incarnation that was seen at this daemon's own address, or 0.
+func (t *Table) Superseded() ident.Incarnation {
+	return ident.Incarnation(t.superseded.Load())
+}
+
+func (t *Table) storeSelf() {
+	s := t.shard(t.self.Address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.store(s, t.self, true)
+}
+
+// Apply merges a received record and reports whether the table changed. A record about this daemon that is newer than
+// its own is refuted with a higher version. A gone record about a member that is not suspected here starts the
+// suspicion instead, so that the member can refute it: after a partition both sides hold each other for gone. A gone
+// record about an unknown member is not stored; otherwise daemons would hand it back to each other for ever.
+func (t *Table) Apply(r Record) bool {
+	if !r.valid() {
+		return false
+	}
+	t.selfMu.Lock()
+	if r.Address == t.self.Address {
+		defer t.selfMu.Unlock()
+		return t.refute(r)
+	}
+	t.selfMu.Unlock()
+	s := t.shard(r.Address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.records[r.Address]
+	if r.State == Gone {
+		if held == nil {
+			return false
+		}
+		if held.record.State != Gone {
+			r.State = Suspect
+		}
+	}
+	if held != nil && !r.Newer(held.record) {
+		return false
+	}
+	t.store(s, r, false)
+	return true
+}
+
+func (t *Table) refute(r Record) bool {
+	if r.Incarnation > t.self.Incarnation {
+		t.superseded.Store(uint64(r.Incarnation))
+		return false
+	}
+	if !r.Newer(t.self) {
+		return false
+	}
+	t.self.Version = r.Version + 1
+	t.storeSelf()
+	return true
+}
+
+// Suspect marks the member as suspect if its record is still the given one.
+func (t *Table) Suspect(r Record) bool {
+	if r.State == Suspect || r.State == Gone {
+		return false
+	}
+	s := t.shard(r.Address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.records[r.Address]
+	if held == nil || held.record != r {
+		return false
+	}
+	r.State = Suspect
+	t.store(s, r, false)
+	return true
+}
+
+// Expire turns suspects whose time is over into gone ones, and removes gone records that were kept long enough.
+func (t *Table) Expire() {
+	now := time.Now()
+	for _, e := range t.index.due(now, orDefault(t.SuspectFor, DefaultSuspectFor), orDefault(t.Retain, DefaultRetain)) {
+		t.expire(e)
+	}
+}
+
+func (t *Table) expire(e *entry) {
+	s := t.shard(e.record.Address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.records[e.record.Address] != e {
+		return
+	}
+	if e.record.State == Gone {
+		t.remove(s, e)
+		return
+	}
+	r := e.record
+	r.State = Gone
+	t.store(s, r, false)
+}
+
+// Resume restarts every suspicion. A daemon that was paused calls it, because the suspects could not refute to it.
+func (t *Table) Resume() {
+	now := time.Now()
+	for _, e := range t.index.allSuspects() {
+		s := t.shard(e.record.Address)
+		s.mu.Lock()
+		if s.records[e.record.Address] == e {
+			renewed := *e
+			renewed.changed = now
+			s.records[e.record.Address] = &renewed
+			t.index.put(&renewed, false)
+			t.groups.put(&renewed, "")
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Forget removes every record but this daemon's own, and returns their addresses. A daemon that was cut off for longer
+// than CutOff calls it before it exchanges records again.
+func (t *Table) Forget() []netip.AddrPort {
+	self := t.Self().Address
+	var forgotten []netip.AddrPort
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for address, e := range s.records {
+			if address == self {
+				continue
+			}
+			forgotten = append(forgotten, address)
+			t.remove(s, e)
+		}
+		s.mu.Unlock()
+	}
+	return forgotten
+}
+
+// store replaces the record in its shard and in the indexes. The caller holds the shard's lock.
+func (t *Table) store(s *shard, r Record, self bool) {
+	if s.records == nil {
+		s.records = make(map[netip.AddrPort]*entry)
+	}
+	e := &entry{record: r, hash: r.hash(), changed: time.Now()}
+	oldService := ""
+	if old := s.records[r.Address]; old != nil {
+		s.digest ^= old.share()
+		oldService = old.record.Service
+	}
+	s.digest ^= e.share()
+	s.records[r.Address] = e
+	t.index.put(e, self)
+	t.groups.put(e, oldService)
+	t.changed(r)
+}
+
+func (t *Table) remove(s *shard, e *entry) {
+	s.digest ^= e.share()
+	delete(s.records, e.record.Address)
+	t.index.remove(e.record.Address)
+	t.groups.remove(e)
+	t.generation.Add(1)
+}
+
+func (t *Table) changed(r Record) {
+	t.generation.Add(1)
+	subscribers := t.subscribers.Load()
+	if subscribers == nil {
+		return
+	}
+	for _, notify := range *subscribers {
+		notify(r)
+	}
+}
+
+// Subscribe calls notify for every record that is stored from now on, in order for each member. notify must not block
+// and must not call the table.
+func (t *Table) Subscribe(notify func(Record)) {
+	t.subscribersMu.Lock()
+	defer t.subscribersMu.Unlock()
+	var next []func(Record)
+	if old := t.subscribers.Load(); old != nil {
+		next = append(next, *old...)
+	}
+	next = append(next, notify)
+	t.subscribers.Store(&next)
+}
+
+func (t *Table) shard(address netip.AddrPort) *shard {
+	return &t.shards[bucket(address)]
+}
+
+// share is what the record adds to the digest of its bucket. Gone records add nothing, so that daemons that remove them
+// at different times still agree.
+func (e *entry) share() uint64 {
+	if e.record.State == Gone {
+		return 0
+	}
+	return e.hash
+}
+
+func (r Record) valid() bool {
+	if !r.Address.IsValid() || r.State < Joining || r.State > Gone {
+		return false
+	}
+	return len(r.Service) <= maxName && len(r.Zone) <= maxName && len(r.Region) <= maxName
+}
+
+func bucket(address netip.AddrPort) int {
+	var buffer [18]byte
+	return int(xxhash.Sum64(appendAddress(buffer[:0], address)) % Buckets)
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/internal/fleet/watch/announce.go
@@ -0,0 +1,63 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+)
+
+// announceLoop writes this daemon's row at the start and refreshes it. An outage is retried with backoff.
+func (w *Watch) announceLoop(ctx context.Context) error {
+	if !sleep(ctx, uniform(w.StartSpread)) {
+		return nil
+	}
+	var retry backoff
+	for {
+		err := w.announce(ctx)
+		w.announcedOnce.Do(func() { close(w.announced) })
+		if err != nil {
+			if !retry.sleep(ctx) {
+				return nil
+			}
+			continue
+		}
+		retry = backoff{}
+		if !sleep(ctx, gossip.Jitter(w.Refresh, jitterShare)) {
+			return nil
+		}
+	}
+}
+
+func (w *Watch) announce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	w.counters.announcements.Add(1)
+	self := w.Table.Self()
+	value := announcement{Record: self, At: time.Now()}.encode()
+	err := w.Store.Commit(ctx, table.Txn{Puts: []table.Put{{Key: rowKey(self.Address), Value: value}}})
+	w.note(err)
+	return err
+}
+
+// Withdraw deletes this daemon's row at a planned stop, unless a later daemon has taken the address over.
+func (w *Watch) Withdraw(ctx context.Context) error {
+	self := w.Table.Self()
+	row, err := w.Store.Get(ctx, rowKey(self.Address))
+	if err != nil {
+		if code.Of(err).Code == code.NotFound {
+			return nil
+		}
+		return err
+	}
+	held, err := decodeAnnouncement(row.Value)
+	if err == nil && held.Record.Incarnation != self.Incarnation {
+		return nil
+	}
+	return w.Store.Commit(ctx, table.Txn{
+		Conditions: []table.Condition{{Key: row.Key, Version: row.Version}},
+		Deletes:    []string{row.Key},
+	})
+}
--- /dev/null
+++ b/internal/fleet/watch/dump.go
@@ -0,0 +1,45 @@
+package watch
+
+import "time"
+
+// Dump is the state of a Watch.
+type Dump struct {
+	Ready         bool // the members have been learned
+	Poller        bool
+	Sweeper       bool
+	Pollers       int // in the whole fleet, as this daemon sees it
+	PlatformDown  bool
+	PlatformSince time.Time // of the current state
+	PlatformCause string    // last failure
+	Announcements uint64
+	Pages         uint64
+	HeadReads     uint64
+	Fetches       uint64
+	Swept         uint64
+}
+
+// Dump returns the state for the state dump.
+func (w *Watch) Dump() any {
+	role := w.role()
+	dump := Dump{
+		Poller:        role.poller,
+		Sweeper:       role.sweeper,
+		Pollers:       role.pollers,
+		Announcements: w.counters.announcements.Load(),
+		Pages:         w.counters.pages.Load(),
+		HeadReads:     w.counters.heads.Load(),
+		Fetches:       w.counters.fetches.Load(),
+		Swept:         w.counters.swept.Load(),
+	}
+	select {
+	case <-w.ready:
+		dump.Ready = true
+	default:
+	}
+	w.platform.mu.Lock()
+	defer w.platform.mu.Unlock()
+	dump.PlatformDown = w.platform.down
+	dump.PlatformSince = w.platform.since
+	dump.PlatformCause = w.platform.cause
+	return dump
+}
--- /dev/null
+++ b/internal/fleet/watch/fleet_test.go
@@ -0,0 +1,440 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// daemon is the membership of one simulated process.
+type daemon struct {
+	table  *member.Table
+	holder *config.Holder
+	node   *gossip.Node
+	watch  *Watch
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	paused chan struct{} // not nil while paused; closed when it runs again
+}
+
+// fleet is a set of daemons on an in-memory network with a platform.
+type fleet struct {
+	platform *fakePlatform
+	zones    int
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	daemons map[netip.AddrPort]*daemon
+	side    map[netip.AddrPort]int // of a partition
+	loss    float64
+	bytes   int64                // both directions, estimated
+	applied map[uint64]time.Time // when the last daemon put the revision in force
+	lowered int                  // times that a daemon went to a lower revision
+}
+
+func newFleet(zones int) *fleet {
+	return &fleet{
+		platform: &fakePlatform{rows: make(map[string]table.Row)},
+		zones:    zones,
+		random:   rand.New(rand.NewPCG(1, 2)),
+		daemons:  make(map[netip.AddrPort]*daemon),
+		side:     make(map[netip.AddrPort]int),
+		applied:  make(map[uint64]time.Time),
+	}
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+}
+
+// start runs daemon i with the first three addresses as seeds. The incarnation rises with virtual time.
+func (f *fleet) start(i int) *daemon {
+	self := member.Record{
+		Address: address(i), Front: netip.AddrPortFrom(address(i).Addr(), 80),
+		Service: fmt.Sprintf("service-%d", i%20), Zone: fmt.Sprintf("zone-%d", i%f.zones), Region: "region-1",
+		Incarnation: ident.Incarnation(time.Now().UnixNano()), State: member.Serving, Version: 1,
+	}
+	d := &daemon{table: &member.Table{}, holder: &config.Holder{}}
+	d.node = &gossip.Node{
+		Self: self, Table: d.table, Holder: d.holder, Client: port{fleet: f, self: self.Address},
+		Merge: merge, Seeds: []netip.AddrPort{address(0), address(1), address(2)}, Log: logr.Discard(),
+	}
+	d.watch = &Watch{
+		Node: d.node, Table: d.table, Holder: d.holder, Store: f.platform, Reader: f.platform, Log: logr.Discard(),
+	}
+	last := uint64(0)
+	d.holder.Subscribe(func(c *config.Config) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.applied[c.Revision] = time.Now()
+		if c.Revision <= last {
+			f.lowered++
+		}
+		last = c.Revision
+	})
+	var ctx context.Context
+	ctx, d.cancel = context.WithCancel(context.Background())
+	f.mu.Lock()
+	f.daemons[self.Address] = d
+	f.mu.Unlock()
+	d.done.Go(func() { _ = d.node.Run(ctx) })
+	d.done.Go(func() { _ = d.watch.Run(ctx) })
+	return d
+}
+
+func (f *fleet) startAll(t *testing.T, n int) {
+	for i := range n {
+		f.start(i)
+	}
+	t.Cleanup(f.stopAll)
+}
+
+// stopAll ends every daemon; a bubble does not end before its goroutines.
+func (f *fleet) stopAll() {
+	f.mu.Lock()
+	all := make([]*daemon, 0, len(f.daemons))
+	for _, d := range f.daemons {
+		all = append(all, d)
+	}
+	f.mu.Unlock()
+	for _, d := range all {
+		d.cancel()
+	}
+	for _, d := range all {
+		d.done.Wait()
+	}
+}
+
+func (f *fleet) kill(i int) {
+	f.mu.Lock()
+	d := f.daemons[address(i)]
+	delete(f.daemons, address(i))
+	f.mu.Unlock()
+	d.cancel()
+	d.done.Wait()
+}
+
+func (f *fleet) get(i int) *daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.daemons[address(i)]
+}
+
+// pause cuts the daemon from everybody until resume; its calls and those to it stay open.
+func (f *fleet) pause(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.daemons[address(i)].paused = make(chan struct{})
+}
+
+func (f *fleet) resume(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.daemons[address(i)]
+	close(d.paused)
+	d.paused = nil
+}
+
+// split puts the daemons for which in is true on the other side of a partition; nil heals it.
+func (f *fleet) split(in func(i int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.side)
+	for i := 0; in != nil && i < 1<<16; i++ {
+		if f.daemons[address(i)] != nil && in(i) {
+			f.side[address(i)] = 1
+		}
+	}
+}
+
+// count returns how many daemons satisfy the condition.
+func (f *fleet) count(holds func(d *daemon) bool) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, d := range f.daemons {
+		if holds(d) {
+			n++
+		}
+	}
+	return n
+}
+
+// until polls the condition in virtual time and returns how long it took, or the bound if it never held.
+func until(bound time.Duration, holds func() bool) time.Duration {
+	start := time.Now()
+	for !holds() && time.Since(start) < bound {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (f *fleet) knows(n int) func() bool {
+	return func() bool {
+		return f.count(func(d *daemon) bool { return d.table.Live() == n }) == n
+	}
+}
+
+func (f *fleet) inForce(revision uint64) func() bool {
+	return func() bool {
+		return f.count(func(d *daemon) bool { return d.holder.Revision() < revision }) == 0
+	}
+}
+
+// state returns a condition: every daemon but i itself holds i in one of the states.
+func (f *fleet) state(i int, states ...member.State) func() bool {
+	return func() bool {
+		return f.count(func(d *daemon) bool {
+			r, known := d.table.Get(address(i))
+			return d.node.Self.Address != address(i) && (!known || !slices.Contains(states, r.State))
+		}) == 0
+	}
+}
+
+func merge(set files.Set) (*config.Config, error) {
+	return &config.Config{Revision: set.Revision, Budgets: config.DefaultBudgets()}, nil
+}
+
+// port is the network as one daemon sees it. A lost message and a daemon that is gone look alike: no reply.
+type port struct {
+	fleet *fleet
+	self  netip.AddrPort
+}
+
+func (p port) Exchange(ctx context.Context, to netip.AddrPort, ask *proto.Exchange) (*proto.Exchange, error) {
+	target, err := p.travel(ctx, p.self, to, exchangeSize(ask))
+	if err != nil {
+		return nil, err
+	}
+	peer := &proto.Peer{Hello: proto.Hello{Address: p.self}}
+	reply, err := target.node.Exchange(ctx, peer, ask)
+	if err != nil {
+		return nil, err
+	}
+	_, err = p.travel(ctx, to, p.self, exchangeSize(reply))
+	return reply, err
+}
+
+func (p port) Status(ctx context.Context, to netip.AddrPort, ask *proto.Status) (*proto.Status, error) {
+	target, err := p.travel(ctx, p.self, to, headerSize)
+	if err != nil {
+		return nil, err
+	}
+	return target.node.Status(ctx, nil, ask)
+}
+
+// travel takes one message from an address to another and waits while either is paused.
+func (p port) travel(ctx context.Context, from, to netip.AddrPort, size int) (*daemon, error) {
+	f := p.fleet
+	f.mu.Lock()
+	sender, target := f.daemons[from], f.daemons[to]
+	lost := sender == nil || target == nil || f.side[from] != f.side[to] || f.random.Float64() < f.loss
+	latency := 500*time.Microsecond + time.Duration(f.random.Int64N(int64(2*time.Millisecond)))
+	f.bytes += int64(size)
+	var waits []chan struct{}
+	if !lost {
+		waits = []chan struct{}{sender.paused, target.paused}
+	}
+	f.mu.Unlock()
+	time.Sleep(latency)
+	if lost {
+		<-ctx.Done()
+	}
+	for _, paused := range waits {
+		if paused == nil {
+			continue
+		}
+		select {
+		case <-paused:
+		case <-ctx.Done():
+		}
+	}
+	if ctx.Err() != nil {
+		return nil, code.Unknownf(code.PeerUnreachable, "no reply from %s", to)
+	}
+	return target, nil
+}
+
+// headerSize estimates the frame, TCP and IP headers of a message and its acknowledgment.
+const headerSize = 120
+
+// exchangeSize estimates the encoded size, until the codec of wire/proto can count it.
+func exchangeSize(m *proto.Exchange) int {
+	size := headerSize + recordSize(m.From) + 24 + 9*len(m.Digests)
+	for _, r := range m.Members {
+		size += recordSize(r)
+	}
+	for _, c := range m.Changes {
+		for _, file := range c.Put {
+			size += 64 + len(file.Name) + len(file.Content)
+		}
+	}
+	if m.Snapshot != nil {
+		for _, file := range m.Snapshot.Files {
+			size += 8 + len(file.Name) + len(file.Content)
+		}
+	}
+	return size
+}
+
+func recordSize(r member.Record) int {
+	return 2*10 + 6 + len(r.Service) + len(r.Zone) + len(r.Region) + 11 + 2 + 4 + 2
+}
+
+// fakePlatform is the table and the configuration of the platform.
+type fakePlatform struct {
+	mu      sync.Mutex
+	rows    map[string]table.Row
+	writes  int
+	changes []files.Change
+	lower   uint64 // subtracted from the head, as after a restore of an old state
+	down    bool
+	heads   []time.Time          // reads of the head
+	seen    map[uint64]time.Time // first read of each revision
+	ranges  int
+	commits int
+	outside int // fetches of changes and snapshots
+}
+
+func (p *fakePlatform) check() error {
+	if p.down {
+		return code.NotRunf(code.PlatformUnavailable, "down")
+	}
+	return nil
+}
+
+func (p *fakePlatform) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+// change accepts a change of about the size of a service's file.
+func (p *fakePlatform) change() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	revision := uint64(len(p.changes) + 1)
+	p.changes = append(p.changes, files.Change{
+		Revision: revision, ID: fmt.Sprint(revision),
+		Put: []files.File{{Name: fmt.Sprintf("file-%d.ini", revision%40), Content: strings.Repeat("x", 500)}},
+	})
+	return revision
+}
+
+func (p *fakePlatform) Get(_ context.Context, key string) (table.Row, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row, found := p.rows[key]
+	if !found {
+		return row, code.NotRunf(code.NotFound, "no row %s", key)
+	}
+	return row, p.check()
+}
+
+func (p *fakePlatform) Range(_ context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ranges++
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	var rows []table.Row
+	for key, row := range p.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (p *fakePlatform) Commit(_ context.Context, txn table.Txn) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.commits++
+	if err := p.check(); err != nil {
+		return err
+	}
+	for _, condition := range txn.Conditions {
+		if p.rows[condition.Key].Version != condition.Version {
+			return code.NotRunf(code.ChangeConflict, "row %s was written", condition.Key)
+		}
+	}
+	for _, put := range txn.Puts {
+		p.writes++
+		p.rows[put.Key] = table.Row{Key: put.Key, Value: put.Value, Version: fmt.Sprint(p.writes)}
+	}
+	for _, key := range txn.Deletes {
+		delete(p.rows, key)
+	}
+	return nil
+}
+
+func (p *fakePlatform) ReadHead(context.Context) (uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heads = append(p.heads, time.Now())
+	if err := p.check(); err != nil {
+		return 0, err
+	}
+	revision := uint64(len(p.changes))
+	if p.seen == nil {
+		p.seen = make(map[uint64]time.Time)
+	}
+	if _, found := p.seen[revision]; !found {
+		p.seen[revision] = time.Now()
+	}
+	return revision - p.lower, nil
+}
+
+func (p *fakePlatform) Changes(_ context.Context, since uint64) ([]files.Change, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outside++
+	return p.changes[min(since, uint64(len(p.changes))):], p.check()
+}
+
+func (p *fakePlatform) Snapshot(context.Context) (files.Set, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outside++
+	set := files.Set{Revision: uint64(len(p.changes))}
+	for i := max(0, len(p.changes)-40); i < len(p.changes); i++ {
+		set.Files = append(set.Files, p.changes[i].Put...)
+	}
+	slices.SortFunc(set.Files, func(a, b files.File) int { return strings.Compare(a.Name, b.Name) })
+	return set, p.check()
+}
+
+// mostHeads returns the highest number of head reads in any window of the length since a time.
+func (p *fakePlatform) mostHeads(since time.Time, window time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range p.heads {
+		for at.Sub(p.heads[first]) >= window {
+			first++
+		}
+		if at.Sub(since) >= window {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/internal/fleet/watch/role.go
@@ -0,0 +1,86 @@
+package watch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+)
+
+const (
+	pollersPerZone = 2
+	// roleInterval bounds how often the roles are computed while the members change; each run visits all of them.
+	roleInterval = time.Second
+)
+
+// roles is the cached result of the rendezvous hashing.
+type roles struct {
+	mu         sync.Mutex
+	generation uint64
+	at         time.Time // zero before the first run
+	current    role
+}
+
+// role is what this daemon does for the fleet, as far as its own table tells.
+type role struct {
+	poller  bool
+	sweeper bool
+	pollers int // in the whole fleet
+	live    int // members that are not gone
+}
+
+// role returns this daemon's role, computed again when the members have changed.
+func (w *Watch) role() role {
+	w.roles.mu.Lock()
+	defer w.roles.mu.Unlock()
+	generation := w.Table.Generation()
+	fresh := time.Since(w.roles.at) < roleInterval || generation == w.roles.generation
+	if !w.roles.at.IsZero() && fresh {
+		return w.roles.current
+	}
+	w.roles.generation = generation
+	w.roles.at = time.Now()
+	w.roles.current = computeRole(w.Table)
+	return w.roles.current
+}
+
+// computeRole chooses the serving members with the highest hashes: two pollers of each zone, two sweepers of all. This
+// daemon has a role when fewer others than that have a higher hash, so each daemon needs only its own rank.
+func computeRole(t *member.Table) role {
+	self := t.Self()
+	ownPoll := score("head", self)
+	ownSweep := score("sweep", self)
+	aboveInZone, aboveInFleet := 0, 0
+	zones := make(map[string]int)
+	computed := role{}
+	t.Each(func(r member.Record) {
+		if r.State != member.Gone {
+			computed.live++
+		}
+		if r.State != member.Serving {
+			return
+		}
+		zones[r.Zone] = min(zones[r.Zone]+1, pollersPerZone)
+		if r.Zone == self.Zone && score("head", r) > ownPoll {
+			aboveInZone++
+		}
+		if score("sweep", r) > ownSweep {
+			aboveInFleet++
+		}
+	})
+	for _, pollers := range zones {
+		computed.pollers += pollers
+	}
+	computed.poller = self.State == member.Serving && aboveInZone < pollersPerZone
+	computed.sweeper = self.State == member.Serving && aboveInFleet < sweepers
+	return computed
+}
+
+func score(purpose string, r member.Record) uint64 {
+	var buffer [64]byte
+	b := append(buffer[:0], purpose...)
+	b = r.Address.AppendTo(b)
+	return xxhash.Sum64(b)
+}
--- /dev/null
+++ b/internal/fleet/watch/row.go
@@ -0,0 +1,140 @@
+package watch
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+)
+
+// rowPrefix precedes the address in the key of an announcement.
+const rowPrefix = "member/"
+
+// Field numbers of an announcement.
+const (
+	fieldAddress protowire.Number = iota + 1
+	fieldFront
+	fieldService
+	fieldZone
+	fieldRegion
+	fieldIncarnation
+	fieldState
+	fieldVersion
+	fieldAt
+)
+
+// announcement is the value of a daemon's row in the table.
+type announcement struct {
+	Record member.Record
+	At     time.Time // wall clock of the daemon that wrote it, in milliseconds
+}
+
+func rowKey(address netip.AddrPort) string {
+	return rowPrefix + address.String()
+}
+
+func (a announcement) encode() []byte {
+	r := a.Record
+	var b []byte
+	b = appendText(b, fieldAddress, r.Address.String())
+	if r.Front.IsValid() {
+		b = appendText(b, fieldFront, r.Front.String())
+	}
+	b = appendText(b, fieldService, r.Service)
+	b = appendText(b, fieldZone, r.Zone)
+	b = appendText(b, fieldRegion, r.Region)
+	b = appendNumber(b, fieldIncarnation, uint64(r.Incarnation))
+	b = appendNumber(b, fieldState, uint64(r.State))
+	b = appendNumber(b, fieldVersion, r.Version)
+	return appendNumber(b, fieldAt, uint64(a.At.UnixMilli()))
+}
+
+func appendText(b []byte, field protowire.Number, text string) []byte {
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	return protowire.AppendString(b, text)
+}
+
+func appendNumber(b []byte, field protowire.Number, number uint64) []byte {
+	b = protowire.AppendTag(b, field, protowire.VarintType)
+	return protowire.AppendVarint(b, number)
+}
+
+// decodeAnnouncement skips unknown fields, so that older daemons read the rows of newer ones.
+func decodeAnnouncement(b []byte) (announcement, error) {
+	var a announcement
+	for len(b) > 0 {
+		field, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return a, errors.Wrap(protowire.ParseError(n), "announcement")
+		}
+		b = b[n:]
+		n, err := a.field(field, kind, b)
+		if err != nil {
+			return a, errors.Wrapf(err, "announcement field %d", field)
+		}
+		b = b[n:]
+	}
+	if !a.Record.Address.IsValid() {
+		return a, errors.New("announcement without an address")
+	}
+	return a, nil
+}
+
+// field reads the value of one field and returns its length.
+func (a *announcement) field(field protowire.Number, kind protowire.Type, b []byte) (int, error) {
+	switch {
+	case kind == protowire.BytesType && field <= fieldRegion:
+		text, n := protowire.ConsumeString(b)
+		if n < 0 {
+			return 0, protowire.ParseError(n)
+		}
+		return n, a.text(field, text)
+	case kind == protowire.VarintType && field >= fieldIncarnation && field <= fieldAt:
+		number, n := protowire.ConsumeVarint(b)
+		if n < 0 {
+			return 0, protowire.ParseError(n)
+		}
+		a.number(field, number)
+		return n, nil
+	default:
+		n := protowire.ConsumeFieldValue(field, kind, b)
+		if n < 0 {
+			return 0, protowire.ParseError(n)
+		}
+		return n, nil
+	}
+}
+
+func (a *announcement) text(field protowire.Number, text string) error {
+	var err error
+	switch field {
+	case fieldAddress:
+		a.Record.Address, err = netip.ParseAddrPort(text)
+	case fieldFront:
+		a.Record.Front, err = netip.ParseAddrPort(text)
+	case fieldService:
+		a.Record.Service = text
+	case fieldZone:
+		a.Record.Zone = text
+	case fieldRegion:
+		a.Record.Region = text
+	}
+	return err
+}
+
+func (a *announcement) number(field protowire.Number, number uint64) {
+	switch field {
+	case fieldIncarnation:
+		a.Record.Incarnation = ident.Incarnation(number)
+	case fieldState:
+		a.Record.State = member.State(number)
+	case fieldVersion:
+		a.Record.Version = number
+	case fieldAt:
+		a.At = time.UnixMilli(int64(number))
+	}
+}
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -182,6 +182,8 @@
 	Since    uint64         // ask: changes after this revision
 	Want     bool           // Since is set
 	More     bool           // more records are due than the message may carry
+	Try      netip.AddrPort // ask: the receiver makes an exchange with this member; not valid when unused
+	Reached  bool           // reply to Try: the member answered
 }
 
 // Status asks a daemon for its revision; the reply has the same type.
