Test the member table and the exchanges

Records without unbounded size, digests that follow the records, refutation, expiry, bounded differences, gaps in the changes, the second attempt through a peer and the eager budget.

The time without peers after which a daemon discards its records is a field of the table, so that tests need minutes instead of half an hour of virtual time.

--- a/internal/fleet/gossip/heard.go
+++ b/internal/fleet/gossip/heard.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -36,17 +35,22 @@
 	n.heard.platform = time.Now()
 }
 
-// hearPeer is called before records of a peer are merged. A daemon that heard no peer for longer than member.CutOff
+// hearPeer is called before records of a peer are merged. A daemon that heard no peer for longer than the table's CutOff
 // discards its own records first, because they may bring back members whose gone records have been removed elsewhere.
 func (n *Node) hearPeer() {
 	n.heard.mu.Lock()
 	defer n.heard.mu.Unlock()
 	now := time.Now()
-	if !n.heard.peer.IsZero() && now.Sub(n.heard.peer) > member.CutOff {
-		n.Log.Info("members-discarded", "silence", now.Sub(n.heard.peer))
-		n.contacts.set(n.Table.Forget())
-	}
+	silence := now.Sub(n.heard.peer)
+	first := n.heard.peer.IsZero()
 	n.heard.peer = now
+	if first {
+		return
+	}
+	if forgotten := n.Table.Forget(silence); len(forgotten) > 0 {
+		n.Log.Info("members-discarded", "silence", silence, "members", len(forgotten))
+		n.contacts.set(forgotten)
+	}
 }
 
 func (n *Node) heardPeerWithin(d time.Duration) bool {
--- /dev/null
+++ b/internal/fleet/gossip/node_test.go
@@ -0,0 +1,199 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// direct connects nodes without latency; an unknown address gives no reply.
+type direct map[netip.AddrPort]*Node
+
+func (d direct) Exchange(ctx context.Context, to netip.AddrPort, ask *proto.Exchange) (*proto.Exchange, error) {
+	if d[to] == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return d[to].Exchange(ctx, nil, ask)
+}
+
+func (d direct) Status(ctx context.Context, to netip.AddrPort, ask *proto.Status) (*proto.Status, error) {
+	return d[to].Status(ctx, nil, ask)
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+}
+
+// add builds node i, which knows members 1 to known.
+func (d direct) add(i, known int) *Node {
+	node := &Node{
+		Self:  member.Record{Address: address(i), State: member.Serving, Incarnation: 1, Version: 1},
+		Table: &member.Table{}, Holder: &config.Holder{}, Client: d, Log: logr.Discard(),
+		Merge: func(set files.Set) (*config.Config, error) {
+			if len(set.Files) > 0 && set.Files[0].Content == "broken" {
+				return nil, fmt.Errorf("broken file")
+			}
+			return &config.Config{Revision: set.Revision, Budgets: config.DefaultBudgets()}, nil
+		},
+	}
+	node.Table.SetSelf(node.Self)
+	for other := 1; other <= known; other++ {
+		node.Table.Apply(member.Record{Address: address(other), State: member.Serving, Incarnation: 1, Version: 1})
+	}
+	d[address(i)] = node
+	return node
+}
+
+// run runs the nodes until the test ends.
+func run(t *testing.T, nodes ...*Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	for _, node := range nodes {
+		done.Go(func() { _ = node.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+	})
+	synctest.Wait()
+}
+
+func change(revision uint64, size int) files.Change {
+	file := files.File{Name: "a.ini", Content: strings.Repeat("x", size)}
+	return files.Change{Revision: revision, Put: []files.File{file}}
+}
+
+// Guards against a gap in the changes that is skipped, a lower revision that is accepted, and a folder that cannot be
+// merged and blocks the revision that corrects it.
+func TestRevisionsFollowEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		node := direct{}.add(1, 0)
+		run(t, node)
+		g.Expect(node.Accept([]files.Change{change(1, 1), change(2, 1), change(4, 1)})).To(MatchError(ErrGap))
+		g.Expect(node.Holder.Revision()).To(Equal(uint64(2)))
+		g.Expect(node.AcceptSet(files.Set{Revision: 2})).NotTo(Succeed())
+		g.Expect(node.Accept([]files.Change{change(1, 9)})).To(Succeed())
+		g.Expect(node.Set().Files[0].Content).To(Equal("x"))
+		g.Expect(node.AcceptSet(files.Set{Revision: 7, Files: []files.File{{Name: "a.ini", Content: "broken"}}})).NotTo(Succeed())
+		g.Expect([]uint64{node.Held(), node.Holder.Revision()}).To(Equal([]uint64{7, 2}))
+		g.Expect(node.Accept([]files.Change{{Revision: 8, Remove: []string{"a.ini", "b.ini"}}})).To(Succeed())
+		g.Expect(node.Holder.Revision()).To(Equal(uint64(8)))
+		g.Expect(node.Set().Files).To(BeEmpty())
+	})
+}
+
+// Guards against a peer that is too far behind for the changes that are still held, and against messages above a frame.
+func TestBehindPeerGetsChangesOrFolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		node := direct{}.add(1, 0)
+		run(t, node)
+		for revision := uint64(1); revision <= 20; revision++ {
+			g.Expect(node.Accept([]files.Change{change(revision, 50<<10)})).To(Succeed())
+		}
+		var recent, distant proto.Exchange
+		node.revisions.fill(&recent, 14)
+		g.Expect(recent.Changes[0].Revision).To(Equal(uint64(15)))
+		g.Expect(len(recent.Changes) * (50 << 10)).To(BeNumerically("<=", maxChangeBytes))
+		node.revisions.fill(&distant, 2)
+		g.Expect(distant.Changes).To(BeEmpty())
+		g.Expect(distant.Snapshot.Revision).To(Equal(uint64(20)))
+		g.Expect(node.Accept([]files.Change{change(21, maxSnapshotSize)})).To(Succeed())
+		var large proto.Exchange
+		node.revisions.fill(&large, 2)
+		g.Expect(large.Snapshot).To(BeNil())
+	})
+}
+
+// Guards against a peer's malformed message that is merged, and a peer that speaks for another member.
+func TestMalformedExchangeIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		node := &Node{Log: logr.Discard()}
+		_, err := node.Exchange(context.Background(), nil, &proto.Exchange{})
+		g.Expect(code.Of(err).Code).To(Equal(code.Stopping))
+		node = direct{}.add(1, 0)
+		run(t, node)
+		peer := &proto.Peer{Hello: proto.Hello{Address: address(2)}}
+		for _, ask := range []*proto.Exchange{
+			{From: member.Record{Address: address(2)}, Digests: make([]uint64, 3)},
+			{From: member.Record{Address: address(2)}, Members: make([]member.Record, maxMembers+1)},
+			{From: member.Record{Address: address(3)}},
+		} {
+			_, err := node.Exchange(context.Background(), peer, ask)
+			g.Expect(code.Of(err).Code).To(Equal(code.BadRequest))
+		}
+		g.Expect(node.Table.Live()).To(Equal(1))
+	})
+}
+
+// Guards against a daemon that lost only its own path to a member and reports that member as failed, and against a
+// helper that connects to an address which is no member.
+func TestSecondAttemptThroughPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		network := direct{}
+		first, second, third := network.add(1, 3), network.add(2, 3), network.add(3, 3)
+		first.Client = direct{address(2): second}
+		run(t, first, second, third)
+		time.Sleep(time.Minute)
+		r, _ := first.Table.Get(address(3))
+		g.Expect(r.State).To(Equal(member.Serving))
+		g.Expect(first.counters.failed.Load()).To(BeNumerically(">", 5))
+		g.Expect(second.try(context.Background(), address(9))).To(BeFalse())
+		g.Expect(third.counters.refuted.Load()).To(BeZero())
+	})
+}
+
+// Guards against eager exchanges above the budget during a burst of news.
+func TestEagerExchangesStayWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		network := direct{}
+		node := network.add(1, 4)
+		run(t, node, network.add(2, 4), network.add(3, 4), network.add(4, 4))
+		time.Sleep(5 * time.Second)
+		before := node.counters.eager.Load()
+		for i := range 200 {
+			node.apply([]member.Record{{Address: address(100 + i%100), State: member.Serving, Version: uint64(i + 1)}})
+			time.Sleep(50 * time.Millisecond)
+		}
+		g.Expect(node.counters.eager.Load() - before).To(BeNumerically("<=", 11*config.DefaultExchanges))
+	})
+}
+
+// Guards against two daemons on one folder that ask several peers for the same revision at once.
+func TestRevisionIsAskedForOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var held revisions
+		asked := 0
+		for range 10 {
+			if _, ask := held.want(5); ask {
+				asked++
+			}
+		}
+		g.Expect(asked).To(Equal(1))
+		_, ask := held.want(6)
+		g.Expect(ask).To(BeTrue())
+		time.Sleep(wantAgain)
+		_, ask = held.want(5)
+		g.Expect(ask).To(BeTrue())
+	})
+}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -19,11 +19,11 @@
 	// DefaultSuspectFor is how long a suspected member may take to refute.
 	DefaultSuspectFor = 10 * time.Second
 	// DefaultRetain is how long a gone record is kept. It exceeds the 20 min after which an announcement is ignored and
-	// CutOff, after which a daemon that heard nobody discards its own records, so no source that a daemon trusts still
-	// holds a live record of the member when its gone record is removed.
+	// DefaultCutOff, so no source that a daemon trusts still holds a live record of the member when its gone record is
+	// removed.
 	DefaultRetain = 30 * time.Minute
-	// CutOff is how long a daemon may be paused or unreachable and still trust its records about others.
-	CutOff = 10 * time.Minute
+	// DefaultCutOff is how long a daemon may be paused or unreachable and still trust its records about others.
+	DefaultCutOff = 10 * time.Minute
 )
 
 // maxName bounds the service, zone and region of an accepted record in bytes.
@@ -33,6 +33,7 @@
 type Table struct {
 	SuspectFor time.Duration // DefaultSuspectFor when 0
 	Retain     time.Duration // DefaultRetain when 0
+	CutOff     time.Duration // DefaultCutOff when 0; well below Retain
 
 	shards     [Buckets]shard
 	index      index
@@ -204,9 +205,12 @@
 	}
 }
 
-// Forget removes every record but this daemon's own, and returns their addresses. A daemon that was cut off for longer
-// than CutOff calls it before it exchanges records again.
-func (t *Table) Forget() []netip.AddrPort {
+// Forget removes every record but this daemon's own when it heard nobody for longer than CutOff, and returns their
+// addresses. It is called before records are exchanged again.
+func (t *Table) Forget(silence time.Duration) []netip.AddrPort {
+	if silence <= orDefault(t.CutOff, DefaultCutOff) {
+		return nil
+	}
 	self := t.Self().Address
 	var forgotten []netip.AddrPort
 	for i := range t.shards {
