--- a/internal/fleet/watch/fault_test.go
+++ b/internal/fleet/watch/fault_test.go
@@ -149,6 +149,22 @@
 	})
 }
 
+// Guards against a daemon without seeds that reads every page of the table although the first one names live peers.
+func TestPeersAreAskedBeforeFurtherPages(t *testing.T) {
+	run(t, 5, func(g *WithT, f *fleet) {
+		for i := 1 << 16; i < 1<<16+3*pageRows; i++ {
+			value := announcement{Record: f.record(i), At: time.Now().Add(-staleAfter - time.Minute)}.encode()
+			put := []table.Put{{Key: rowKey(address(i)), Value: value}}
+			g.Expect(f.platform.Commit(context.Background(), table.Txn{Puts: put})).To(Succeed())
+		}
+		f.seeds = nil
+		before := f.platform.counts().ranges
+		f.start(5)
+		g.Expect(until(time.Minute, f.knows(6))).To(BeNumerically("<=", 10*time.Second))
+		g.Expect(f.platform.counts().ranges - before).To(Equal(1))
+	})
+}
+
 // Guards against a restarted daemon that is taken for its dead predecessor, before and after that one is gone.
 func TestRestartWithHigherIncarnation(t *testing.T) {
 	t.Parallel()
