--- a/internal/fleet/watch/spread_test.go
+++ b/internal/fleet/watch/spread_test.go
@@ -45,7 +45,6 @@
 	g.Expect(met).To(BeNumerically("<", 30*time.Second))
 	g.Expect(until(time.Minute, f.inForce(1))).To(BeNumerically("<", 20*time.Second))
 	time.Sleep(time.Second)
-
 	start := f.traffic()
 	time.Sleep(2 * time.Second)
 	rest := float64(f.traffic()-start) / 2 / float64(n)
@@ -56,7 +55,6 @@
 	time.Sleep(500 * time.Millisecond)
 	change := float64(f.traffic()-start)/float64(n) - rest*time.Since(begin).Seconds()
 	g.Expect(f.spread(revision)).To(BeNumerically("<=", spreadBound))
-
 	f.platform.setDown(true)
 	time.Sleep(3500 * time.Millisecond)
 	g.Expect(f.platform.mostHeads(begun, time.Second)).To(BeNumerically("<=", config.DefaultHeadReads))
