--- /dev/null
+++ b/internal/fleet/watch/fleet_test.go
@@ -0,0 +1,329 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// daemon is the membership of one simulated process.
+type daemon struct {
+	table  *member.Table
+	holder *config.Holder
+	node   *gossip.Node
+	watch  *Watch
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	ended  chan error    // result of the node's Run
+	paused chan struct{} // not nil while paused; closed when it runs again
+}
+
+// fleet is a set of daemons on an in-memory network with a platform.
+type fleet struct {
+	platform *fakePlatform
+	zones    int
+	seeds    []netip.AddrPort
+	retain   time.Duration
+	cutOff   time.Duration
+	initial  member.State // of the daemons that are started
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	daemons map[netip.AddrPort]*daemon
+	side    map[netip.AddrPort]int // of a partition
+	loss    float64
+	bytes   int64                // both directions, estimated
+	applied map[uint64]time.Time // when the last daemon put the revision in force
+	lowered int                  // times that a daemon went to a lower revision
+}
+
+func newFleet(zones int) *fleet {
+	f := &fleet{
+		zones:   zones,
+		initial: member.Serving,
+		seeds:   []netip.AddrPort{address(0), address(1), address(2)},
+		random:  rand.New(rand.NewPCG(1, 2)),
+		daemons: make(map[netip.AddrPort]*daemon),
+		side:    make(map[netip.AddrPort]int),
+		applied: make(map[uint64]time.Time),
+	}
+	f.platform = &fakePlatform{fleet: f, rows: make(map[string]table.Row)}
+	return f
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+}
+
+func (f *fleet) record(i int) member.Record {
+	return member.Record{
+		Address: address(i), Front: netip.AddrPortFrom(address(i).Addr(), 80),
+		Service: fmt.Sprintf("service-%d", i%20), Zone: fmt.Sprintf("zone-%d", i%f.zones), Region: "region-1",
+		Incarnation: ident.Incarnation(time.Now().UnixNano()), State: f.initial, Version: 1,
+	}
+}
+
+// start runs daemon i, which knows the given members and has the fleet's seeds. The incarnation rises
+// with virtual time.
+func (f *fleet) start(i int, known ...member.Record) *daemon {
+	self := f.record(i)
+	d := &daemon{table: &member.Table{Retain: f.retain, CutOff: f.cutOff}, holder: &config.Holder{}, ended: make(chan error, 1)}
+	d.node = &gossip.Node{
+		Self: self, Table: d.table, Holder: d.holder, Client: port{fleet: f, self: self.Address},
+		Merge: merge, Seeds: f.seeds, Log: logr.Discard(),
+	}
+	d.watch = &Watch{
+		Node: d.node, Table: d.table, Holder: d.holder, Store: f.platform, Reader: f.platform, Log: logr.Discard(),
+	}
+	last := uint64(0)
+	d.holder.Subscribe(func(c *config.Config) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.applied[c.Revision] = time.Now()
+		if c.Revision <= last {
+			f.lowered++
+		}
+		last = c.Revision
+	})
+	var ctx context.Context
+	ctx, d.cancel = context.WithCancel(context.WithValue(context.Background(), callerKey{}, self.Address))
+	f.mu.Lock()
+	f.daemons[self.Address] = d
+	f.mu.Unlock()
+	d.done.Go(func() {
+		d.table.SetSelf(self)
+		for _, r := range known {
+			d.table.Apply(r)
+		}
+		d.done.Go(func() { _ = d.watch.Run(ctx) })
+		d.ended <- d.node.Run(ctx)
+	})
+	return d
+}
+
+// startAll starts n daemons at once that know nobody, or everybody when warm.
+func (f *fleet) startAll(t *testing.T, n int, warm bool) {
+	var known []member.Record
+	for i := 0; warm && i < n; i++ {
+		known = append(known, f.record(i))
+	}
+	for i := range n {
+		f.start(i, known...)
+	}
+	t.Cleanup(f.stopAll)
+}
+
+// stopAll ends every daemon; a bubble does not end before its goroutines.
+func (f *fleet) stopAll() {
+	f.mu.Lock()
+	all := slices.Collect(maps.Values(f.daemons))
+	f.mu.Unlock()
+	for _, d := range all {
+		d.cancel()
+	}
+	for _, d := range all {
+		d.done.Wait()
+	}
+}
+
+func (f *fleet) kill(i int) {
+	f.mu.Lock()
+	d := f.daemons[address(i)]
+	delete(f.daemons, address(i))
+	f.mu.Unlock()
+	d.cancel()
+	d.done.Wait()
+}
+
+func (f *fleet) get(i int) *daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.daemons[address(i)]
+}
+
+// pause cuts the daemon from everybody until resume; its calls and those to it stay open.
+func (f *fleet) pause(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.daemons[address(i)].paused = make(chan struct{})
+}
+
+func (f *fleet) resume(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.daemons[address(i)]
+	close(d.paused)
+	d.paused = nil
+}
+
+// split puts the daemons for which in is true on the other side of a partition; nil heals it.
+func (f *fleet) split(in func(i int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.side)
+	for i := 0; in != nil && i < 1<<16; i++ {
+		if f.daemons[address(i)] != nil && in(i) {
+			f.side[address(i)] = 1
+		}
+	}
+}
+
+// count returns how many daemons satisfy the condition.
+func (f *fleet) count(holds func(d *daemon) bool) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, d := range f.daemons {
+		if holds(d) {
+			n++
+		}
+	}
+	return n
+}
+
+// until polls the condition in virtual time and returns how long it took, or the bound if it never held.
+func until(bound time.Duration, holds func() bool) time.Duration {
+	start := time.Now()
+	for !holds() && time.Since(start) < bound {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (f *fleet) knows(n int) func() bool {
+	return func() bool {
+		return f.count(func(d *daemon) bool { return d.table.Live() == n }) == n
+	}
+}
+
+func (f *fleet) inForce(revision uint64) func() bool {
+	return func() bool {
+		return f.count(func(d *daemon) bool { return d.holder.Revision() < revision }) == 0
+	}
+}
+
+// state returns a condition: every daemon but i itself holds i in one of the states.
+func (f *fleet) state(i int, states ...member.State) func() bool {
+	return func() bool {
+		return f.count(func(d *daemon) bool {
+			r, known := d.table.Get(address(i))
+			return d.node.Self.Address != address(i) && (!known || !slices.Contains(states, r.State))
+		}) == 0
+	}
+}
+
+func merge(set files.Set) (*config.Config, error) {
+	return &config.Config{Revision: set.Revision, Budgets: config.DefaultBudgets()}, nil
+}
+
+// port is the network as one daemon sees it. A lost message and a daemon that is gone look alike: no reply.
+type port struct {
+	fleet *fleet
+	self  netip.AddrPort
+}
+
+func (p port) Exchange(ctx context.Context, to netip.AddrPort, ask *proto.Exchange) (*proto.Exchange, error) {
+	target, err := p.travel(ctx, p.self, to, exchangeSize(ask))
+	if err != nil {
+		return nil, err
+	}
+	peer := &proto.Peer{Hello: proto.Hello{Address: p.self}}
+	reply, err := target.node.Exchange(ctx, peer, ask)
+	if err != nil {
+		return nil, err
+	}
+	_, err = p.travel(ctx, to, p.self, exchangeSize(reply))
+	return reply, err
+}
+
+func (p port) Status(ctx context.Context, to netip.AddrPort, ask *proto.Status) (*proto.Status, error) {
+	target, err := p.travel(ctx, p.self, to, headerSize)
+	if err != nil {
+		return nil, err
+	}
+	return target.node.Status(ctx, nil, ask)
+}
+
+// travel takes one message from an address to another. It waits while the other side is paused, and returns to a paused
+// caller only when that one runs again, however late that is for ctx.
+func (p port) travel(ctx context.Context, from, to netip.AddrPort, size int) (*daemon, error) {
+	f := p.fleet
+	f.mu.Lock()
+	sender, target := f.daemons[from], f.daemons[to]
+	lost := sender == nil || target == nil || f.side[from] != f.side[to] || f.random.Float64() < f.loss
+	// Arrivals at whole milliseconds let the daemons of a bubble run in parallel.
+	latency := time.Until(time.Now().Truncate(time.Millisecond).Add(time.Duration(1+f.random.IntN(3)) * time.Millisecond))
+	f.bytes += int64(size)
+	f.mu.Unlock()
+	time.Sleep(latency)
+	if lost {
+		<-ctx.Done()
+	}
+	for _, address := range []netip.AddrPort{from, to} {
+		if paused := f.pausedOf(address); paused != nil && address != p.self {
+			select {
+			case <-paused:
+			case <-ctx.Done():
+			}
+		}
+	}
+	if paused := f.pausedOf(p.self); paused != nil {
+		<-paused
+	}
+	if ctx.Err() != nil {
+		return nil, code.Unknownf(code.PeerUnreachable, "no reply from %s", to)
+	}
+	return target, nil
+}
+
+func (f *fleet) pausedOf(address netip.AddrPort) chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d := f.daemons[address]; d != nil {
+		return d.paused
+	}
+	return nil
+}
+
+// headerSize estimates the frame, TCP and IP headers of a message and its acknowledgment.
+const headerSize = 120
+
+// exchangeSize estimates the encoded size, until the codec of wire/proto can count it.
+func exchangeSize(m *proto.Exchange) int {
+	size := headerSize + recordSize(m.From) + 24 + 9*len(m.Digests)
+	for _, r := range m.Members {
+		size += recordSize(r)
+	}
+	for _, c := range m.Changes {
+		for _, file := range c.Put {
+			size += 64 + len(file.Name) + len(file.Content)
+		}
+	}
+	if m.Snapshot != nil {
+		for _, file := range m.Snapshot.Files {
+			size += 8 + len(file.Name) + len(file.Content)
+		}
+	}
+	return size
+}
+
+func recordSize(r member.Record) int {
+	return 2*10 + 6 + len(r.Service) + len(r.Zone) + len(r.Region) + 11 + 2 + 4 + 2
+}
