Return the connection of a finished call to the pool

Cause: the router ended a finished stream by draining it until an error and cancelling its context. The pool counts a connection as in use until its stream is closed, so each lookup kept one; after 64 the daemon refused all work towards that server with peer-unreachable.

The fake stream of the call tests now tells a close after the last frame from a cancellation, and each script checks that every stream was closed: with the old code it reports '1 streams were not closed'.

Also checks quiet streams after a quarter of the remaining time, at most 1 s, so that a request with a short deadline has time for another attempt, and takes the front end's bounds from fields.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -16,9 +16,6 @@
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
-// drainBound is how long a finished stream may take to close, so that its connection can be used again.
-const drainBound = time.Second
-
 // attempt is one attempt of a request.
 type attempt struct {
 	r      *request
@@ -323,26 +320,13 @@
 	}
 }
 
-// finished ends an attempt that the other side has finished too. The stream gets time to close in order, since a
-// cancellation would close its connection. CloseSend tells admission that the response has arrived.
+// finished ends an attempt that the other side has finished too. A stream that is complete in both directions returns its
+// connection to the pool; one whose body is still being sent is cancelled.
 func (a *attempt) finished() {
 	if !a.close() {
 		return
 	}
 	a.detach()
-	stream := a.stream
-	if a.pumping.Load() || stream.CloseSend() != nil {
-		a.cancel()
-		return
-	}
-	go func() {
-		timer := time.AfterFunc(drainBound, a.cancel)
-		for {
-			if _, err := stream.Recv(); err != nil {
-				break
-			}
-		}
-		timer.Stop()
-		a.cancel()
-	}()
+	_ = a.stream.Close() // there is nothing left to lose
+	a.cancel()
 }
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -102,6 +102,9 @@
 	for _, line := range f.log {
 		fmt.Fprintln(&out, line)
 	}
+	if leaked := f.leaked(); leaked > 0 {
+		fmt.Fprintf(&out, "%d streams were not closed\n", leaked)
+	}
 	for i, s := range f.streams {
 		if size > 0 {
 			fmt.Fprintf(&out, "body of attempt %d: %d bytes\n", i+1, len(s.body))
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -42,15 +42,16 @@
 }
 
 type fakeStream struct {
-	ctx    context.Context
-	f      *fake
-	number int
-	steps  []string
-	deaf   bool // to its own closing
-	gone   chan struct{}
-	once   sync.Once
-	mu     sync.Mutex
-	body   []byte
+	ctx      context.Context
+	f        *fake
+	number   int
+	steps    []string
+	deaf     bool // to its own closing
+	complete bool // the last frame of this direction was received
+	gone     chan struct{}
+	once     sync.Once
+	mu       sync.Mutex
+	body     []byte
 }
 
 func (f *fake) Call(ctx context.Context, _ netip.AddrPort, head *proto.Head) (proto.ClientStream, error) {
@@ -66,8 +67,10 @@
 	}
 	switch s.steps[0] {
 	case "refused-connection":
+		close(s.gone)
 		return nil, code.NotRunf(code.PeerUnreachable, "connection refused")
 	case "broken-connection":
+		close(s.gone)
 		return nil, code.Unknownf(code.PeerUnreachable, "broken while sending")
 	}
 	return s, nil
@@ -115,7 +118,23 @@
 
 var errBroken = errors.New("connection reset")
 
+// Recv notes the last frame of the direction, after which a close returns the connection instead of cancelling the call.
 func (s *fakeStream) Recv() (proto.Frame, error) {
+	frame, err := s.next()
+	switch f := frame.(type) {
+	case *proto.Ack:
+		s.complete = f.Verdict == proto.Refused
+	case *proto.Answer:
+		s.complete = f.End
+	case *proto.Piece:
+		s.complete = f.End
+	case *proto.Failure:
+		s.complete = true
+	}
+	return frame, err
+}
+
+func (s *fakeStream) next() (proto.Frame, error) {
 	for {
 		gone := s.gone
 		if s.deaf {
@@ -188,12 +207,27 @@
 
 func (s *fakeStream) Close() error {
 	s.once.Do(func() {
-		s.f.note("closed %d", s.number)
+		if !s.complete {
+			s.f.note("closed %d", s.number)
+		}
 		close(s.gone)
 	})
 	return nil
 }
 
+// leaked returns the number of streams that were not closed, each of which would keep a connection of the pool.
+func (f *fake) leaked() int {
+	count := 0
+	for _, s := range f.streams {
+		select {
+		case <-s.gone:
+		default:
+			count++
+		}
+	}
+	return count
+}
+
 func (s *fakeStream) Silent() {
 	s.once.Do(func() {
 		s.f.note("silent %d", s.number)
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -10,6 +10,9 @@
 
 const (
 	resolveEvery = time.Second // while the server runs the request; each resolve opens a connection
+	// A request with a short deadline is checked sooner, so that time is left for another attempt.
+	quietShare = 4
+	minQuiet   = 100 * time.Millisecond
 	resolveBound = 500 * time.Millisecond
 	resolveRetry = 100 * time.Millisecond
 	// resolveTries is the number of failures in a row after which the daemon is taken to be gone or paused.
@@ -99,37 +102,43 @@
 	})
 }
 
+// quietBound is how long a stream may stay quiet before it is checked.
+func (a *attempt) quietBound() time.Duration {
+	return min(resolveEvery, max(minQuiet, a.r.deadline.Sub(a.began)/quietShare))
+}
+
 // watch starts the checks of a stream that stays quiet after the ack.
 func (a *attempt) watch() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.over {
-		a.stall = time.AfterFunc(resolveEvery, func() { a.check(0) })
+		a.stall = time.AfterFunc(a.quietBound(), func() { a.check(0) })
 	}
 }
 
 // check resolves a quiet attempt, on the connection's own number only when the stream has failed: naming a connection
 // closes it at the other side.
 func (a *attempt) check(failures int) {
+	bound := a.quietBound()
 	last := a.last.Load()
-	if quiet := time.Since(a.began) - time.Duration(last); quiet < resolveEvery {
-		a.checkAgain(resolveEvery-quiet, 0)
+	if quiet := time.Since(a.began) - time.Duration(last); quiet < bound {
+		a.checkAgain(bound-quiet, 0)
 		return
 	}
 	found, err := a.askResolve(noConn)
 	if err == nil && found.State == proto.StateRunning {
-		a.checkAgain(resolveEvery, 0)
+		a.checkAgain(bound, 0)
 		return
 	}
 	if err != nil && failures+1 < resolveTries {
-		a.checkAgain(resolveEvery, failures+1)
+		a.checkAgain(bound, failures+1)
 		return
 	}
 	if !sleep(a.ctx, settleWait) {
 		return
 	}
 	if a.last.Load() != last {
-		a.checkAgain(resolveEvery, 0)
+		a.checkAgain(bound, 0)
 		return
 	}
 	if err != nil {
--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -2,6 +2,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -23,13 +24,15 @@
 // DaemonsPath lists the daemons that callers may use.
 const DaemonsPath = "/.well-known/marigoldwinch/daemons"
 
+// Defaults of the bounds on callers.
 const (
-	maxHeader   = 32 << 10         // bytes of one request's headers
-	headerBound = 5 * time.Second  // for the headers of a request; a slower caller only holds a connection
-	idleBound   = 90 * time.Second // callers keep connections for their next request
-	maxTimeout  = time.Hour        // a longer Request-Timeout is a mistake
+	DefaultMaxHeader   = 32 << 10        // bytes of one request's headers
+	DefaultHeaderBound = 5 * time.Second // for the headers of a request; a slower caller only holds a connection
+	DefaultMaxTimeout  = time.Hour       // a longer Request-Timeout is a mistake
 )
 
+const idleBound = 90 * time.Second // callers keep connections for their next request
+
 // Headers of requests and of own responses.
 const (
 	headerTimeout = "Request-Timeout"
@@ -61,6 +64,10 @@
 	Stop     time.Duration                   // bound on waiting for requests in flight; none when 0
 	Log      logr.Logger
 
+	MaxHeader   int           // bytes; DefaultMaxHeader when 0
+	HeaderBound time.Duration // DefaultHeaderBound when 0
+	MaxTimeout  time.Duration // DefaultMaxTimeout when 0
+
 	stopping  atomic.Bool
 	inFlight  atomic.Int64
 	requests  atomic.Uint64
@@ -71,7 +78,8 @@
 // Run serves until ctx ends and then stops without interrupting requests in flight.
 func (f *Front) Run(ctx context.Context) error {
 	server := &http.Server{
-		Handler: f, ReadHeaderTimeout: headerBound, IdleTimeout: idleBound, MaxHeaderBytes: maxHeader,
+		Handler: f, IdleTimeout: idleBound,
+		ReadHeaderTimeout: cmp.Or(f.HeaderBound, DefaultHeaderBound), MaxHeaderBytes: cmp.Or(f.MaxHeader, DefaultMaxHeader),
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(f.Listener) }()
@@ -139,8 +147,9 @@
 	}
 	if text := r.Header.Get(headerTimeout); text != "" {
 		timeout, err := time.ParseDuration(text)
-		if err != nil || timeout <= 0 || timeout > maxTimeout {
-			return nil, code.NotRunf(code.BadRequest, "%s %q: want a duration above 0 and up to %v", headerTimeout, text, maxTimeout)
+		longest := cmp.Or(f.MaxTimeout, DefaultMaxTimeout)
+		if err != nil || timeout <= 0 || timeout > longest {
+			return nil, code.NotRunf(code.BadRequest, "%s %q: want a duration above 0 and up to %v", headerTimeout, text, longest)
 		}
 		ask.Timeout = timeout
 	}
--- a/internal/route/front/front_test.go
+++ b/internal/route/front/front_test.go
@@ -189,7 +189,7 @@
 	g.Expect(body).To(gomega.Equal("part"))
 	g.Expect(err).To(gomega.HaveOccurred(), "a truncated response looks complete")
 
-	r, _, err = get("/stock/x", "X-Large: "+strings.Repeat("x", 3*maxHeader)+"\n")
+	r, _, err = get("/stock/x", "X-Large: "+strings.Repeat("x", 3*DefaultMaxHeader)+"\n")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(r.StatusCode).To(gomega.Equal(http.StatusRequestHeaderFieldsTooLarge))
 
