--- /dev/null
+++ b/internal/admin/rest/rest.go
@@ -0,0 +1,151 @@
+// Package rest is the administration API of a daemon.
+package rest
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+	"github.com/go-logr/logr"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/stats"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	stopTimeout       = 5 * time.Second
+	maxBody           = 4 << 20 // bytes of a request body
+)
+
+// Part is a part of the daemon that can describe its state.
+type Part struct {
+	Name string // kebab case, unique
+	Dump func() any
+}
+
+// API serves the administration API. Set the exported fields before Run.
+type API struct {
+	Listener net.Listener
+	Token    string // bearer token of every request; empty only on loopback
+	Parts    []Part
+	Metrics  *stats.Set
+	Ready    func() error      // nil while the daemon takes work
+	Leave    func(text string) // makes this daemon leave, whatever the configuration says
+	Return   func()            // ends what Leave began
+	Config   *ConfigAPI        // nil without a platform
+	Log      logr.Logger
+}
+
+// Run serves until ctx ends.
+func (a *API) Run(ctx context.Context) error {
+	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(a.Listener) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve administration API")
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	return errors.Wrap(server.Shutdown(stop), "stop administration API")
+}
+
+// Handler returns the API as an HTTP handler.
+func (a *API) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Use(gin.Recovery(), a.authorize, limitBody)
+	engine.GET("/health", a.health)
+	engine.GET("/metrics", a.metrics)
+	engine.GET("/dump", a.dump)
+	engine.GET("/dump/:part", a.dumpPart)
+	engine.POST("/leave", a.leave)
+	engine.POST("/return", a.comeBack)
+	if a.Config != nil {
+		a.Config.register(engine.Group("/config"))
+	}
+	return engine
+}
+
+func (a *API) authorize(c *gin.Context) {
+	if a.Token == "" {
+		return
+	}
+	given := strings.TrimPrefix(c.GetHeader("Authorization"), "Bearer ")
+	if subtle.ConstantTimeCompare([]byte(given), []byte(a.Token)) == 1 {
+		return
+	}
+	a.Log.Info("admin-unauthorized", "peer", c.Request.RemoteAddr, "path", c.Request.URL.Path)
+	fail(c, code.NotRunf(code.Unauthorized, "missing or wrong token"))
+}
+
+func limitBody(c *gin.Context) {
+	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxBody)
+}
+
+func (a *API) health(c *gin.Context) {
+	if err := a.Ready(); err != nil {
+		fail(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, gin.H{"status": "ok"})
+}
+
+func (a *API) metrics(c *gin.Context) {
+	c.Header("Content-Type", "text/plain; charset=utf-8")
+	a.Metrics.Write(c.Writer)
+}
+
+func (a *API) dump(c *gin.Context) {
+	state := gin.H{}
+	for _, part := range a.Parts {
+		state[part.Name] = View(part.Dump())
+	}
+	c.JSON(http.StatusOK, state)
+}
+
+func (a *API) dumpPart(c *gin.Context) {
+	for _, part := range a.Parts {
+		if part.Name == c.Param("part") {
+			c.JSON(http.StatusOK, View(part.Dump()))
+			return
+		}
+	}
+	names := make([]string, 0, len(a.Parts))
+	for _, part := range a.Parts {
+		names = append(names, part.Name)
+	}
+	sort.Strings(names)
+	fail(c, code.NotRunf(code.NotFound, "no part %q; parts: %s", c.Param("part"), strings.Join(names, ", ")))
+}
+
+func (a *API) leave(c *gin.Context) {
+	a.Leave("asked through the administration API")
+	c.Status(http.StatusNoContent)
+}
+
+func (a *API) comeBack(c *gin.Context) {
+	a.Return()
+	c.Status(http.StatusNoContent)
+}
+
+// fail ends the request with the code of err.
+func fail(c *gin.Context, err error) {
+	coded := code.Of(err)
+	c.Header("Marigoldwinch-Code", strconv.Itoa(int(coded.Code)))
+	c.Abort()
+	c.Header("Content-Type", "application/problem+json")
+	c.JSON(coded.Code.HTTPStatus(), gin.H{
+		"type": "about:blank", "title": coded.Code.String(), "status": coded.Code.HTTPStatus(),
+		"detail": coded.Error(), "code": int(coded.Code), "outcome": coded.Outcome.String(),
+	})
+}
