Assemble the daemon and run whole systems, in trials and in virtual time

Cause: the parts were only tested one by one. The daemon is assembled with fx and opens all its connections through one replaceable network, so whole daemons run in virtual time over a network in memory that can lose the state of connections, block paths and add latency.

The planned stop announces the departure, waits the grace, drains the admission role and only then stops the front end and the peer server.

--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -70,10 +70,6 @@
 			func(s *Settings, v string) error {
 				return setDuration(&s.ServerIdle, v, 10*time.Millisecond, time.Minute)
 			}),
-		optional("server", "response-timeout", "1m", "100ms to 1h", "time for the response header without an earlier deadline",
-			func(s *Settings, v string) error {
-				return setDuration(&s.ServerResponse, v, 100*time.Millisecond, time.Hour)
-			}),
 		optional("server", "poll-interval", "1s", "100ms to 1m", "between polls of the health endpoint and of the load endpoint",
 			func(s *Settings, v string) error {
 				return setDuration(&s.ServerPollInterval, v, 100*time.Millisecond, time.Minute)
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -24,7 +24,6 @@
 	ServerConnections  int           // at most this many connections to the server
 	ServerPace         time.Duration // between new connections to the server
 	ServerIdle         time.Duration // non-idempotent requests avoid connections idle for longer
-	ServerResponse     time.Duration // at most this long for the response header when the request has no earlier deadline
 	ServerPollInterval time.Duration // of the health endpoint and of the load endpoint
 
 	Table           netip.AddrPort // of the platform
--- a/internal/bench/load/plan.go
+++ b/internal/bench/load/plan.go
@@ -110,6 +110,9 @@
 
 func (p *planner) addresses(section *ini.Section, key string) []netip.AddrPort {
 	var addresses []netip.AddrPort
+	if !section.HasKey(key) { // Key would create it
+		return nil
+	}
 	for _, text := range section.Key(key).Strings(",") {
 		address, err := netip.ParseAddrPort(text)
 		if err != nil {
@@ -139,7 +142,7 @@
 }
 
 func (p *planner) size(section *ini.Section, key string) float64 {
-	if section.Key(key).String() == "0" {
+	if section.HasKey(key) && section.Key(key).String() == "0" {
 		return 0
 	}
 	return p.number(section, key, 0, maxBodySize)
--- /dev/null
+++ b/internal/bench/local/explain.go
@@ -0,0 +1,63 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// explain prints the addresses and commands to try. Failures of the output are of no interest here.
+func (s *System) explain() {
+	fmt.Fprintf(s.Out, "platform %s\n\n", s.platform)
+	list := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(list, "service\tzone\tcallers\tdaemons\tadmin\tserver")
+	for _, one := range s.nodes {
+		settings := one.settings
+		fmt.Fprintf(list, "%s\t%s\t%s\t%s\t%s\t%s\n",
+			one.service, one.zone, settings.Callers, settings.Daemons, settings.Admin, settings.Server)
+	}
+	_ = list.Flush()
+	first := s.nodes[0].settings
+	fmt.Fprintf(s.Out, `
+Commands to try:
+
+  curl -i http://%[1]s/stock-display/jars/7
+  curl -i -X POST -H 'Idempotency-Key: fair-1' -d licorice http://%[1]s/order-taking/orders
+  curl -i http://%[1]s/stock-display/chain/order-taking/orders
+  curl http://%[1]s/.well-known/marigoldwinch/daemons
+  ./bin/marigoldwinch dump %[2]s admission
+  ./bin/marigoldwinch zone out zone-a --operator me --platform-table %[3]s
+  ./bin/marigoldwinch config wait %[2]s
+  ./bin/marigoldwinch zone in zone-a --operator me --platform-table %[3]s
+
+Ctrl-C stops the system.
+`, first.Callers, first.Admin, s.platform)
+}
+
+func listen(ctx context.Context) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	return listener, errors.Wrap(err, "listen on loopback")
+}
+
+func address(listener net.Listener) netip.AddrPort {
+	bound, _ := netip.ParseAddrPort(listener.Addr().String()) // a TCP listener's address always parses
+	return bound
+}
+
+// freePorts returns loopback addresses that were free a moment ago.
+func freePorts(ctx context.Context, count int) ([]netip.AddrPort, error) {
+	ports := make([]netip.AddrPort, 0, count)
+	for range count {
+		listener, err := listen(ctx)
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() // all at once, so that no port is given twice
+		ports = append(ports, address(listener))
+	}
+	return ports, nil
+}
--- /dev/null
+++ b/internal/bench/local/local.go
@@ -0,0 +1,222 @@
+// Package local runs a small whole system in one process: a stand-in platform, stand-in servers in three availability zones
+// and a daemon beside each.
+package local
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/opts"
+	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
+	"marigoldwinch.example/marigoldwinch/internal/cli/daemon"
+	"marigoldwinch.example/marigoldwinch/internal/conf/change"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/plat/fake"
+	"marigoldwinch.example/marigoldwinch/internal/plat/object"
+	"marigoldwinch.example/marigoldwinch/internal/plat/rest"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+)
+
+const (
+	readyTimeout      = 20 * time.Second
+	readyInterval     = 100 * time.Millisecond
+	readHeaderTimeout = 5 * time.Second
+	platformStop      = 2 * time.Second
+	coldStart         = time.Second // short, so that a trial need not wait
+)
+
+// System is a local system. Set the exported fields before Run.
+type System struct {
+	Out io.Writer // where addresses and commands to try are printed
+	Log logr.Logger
+
+	platform netip.AddrPort
+	nodes    []*node
+}
+
+// node is a daemon with the server beside it.
+type node struct {
+	service  string
+	zone     string
+	settings *opts.Settings
+	listener net.Listener // of the server
+}
+
+type size struct {
+	service string
+	servers int
+}
+
+// Small enough to read its dump, large enough that every zone has a server of each service but the last.
+var sizes = []size{{"stock-display", 3}, {"order-taking", 3}, {"catalogue-labels", 2}}
+
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+const folder = `[service stock-display]
+owner = counters
+slots = 12
+checks = GET /price/**, GET /allergens/**
+
+[service order-taking]
+owner = counters
+class = write
+slots = 12
+claim = true
+
+[service catalogue-labels]
+owner = catalogue
+slots = 12
+uploads = POST /photos/**, PUT /photos/**
+`
+
+// Run starts the system, prints how to use it, and stops it when ctx ends.
+func (s *System) Run(ctx context.Context) error {
+	group, running := errgroup.WithContext(ctx)
+	platformCtx, stopPlatform := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopPlatform()
+	if err := s.startPlatform(platformCtx, group); err != nil {
+		return err
+	}
+	if err := s.writeFolder(ctx); err != nil {
+		return err
+	}
+	if err := s.plan(ctx); err != nil {
+		return err
+	}
+	s.startNodes(running, group, stopPlatform)
+	if err := s.waitReady(running); err != nil && ctx.Err() == nil {
+		return errors.CombineErrors(err, group.Wait())
+	}
+	s.explain()
+	return group.Wait()
+}
+
+func (s *System) startPlatform(ctx context.Context, group *errgroup.Group) error {
+	listener, err := listen(ctx)
+	if err != nil {
+		return err
+	}
+	s.platform = address(listener)
+	handler := (&fake.Server{Platform: fake.NewPlatform(1)}).Handler()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "stand-in platform")
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), platformStop)
+		defer cancel()
+		if err := server.Shutdown(stop); err != nil {
+			return errors.Wrap(server.Close(), "stop stand-in platform") // nobody waits for what is still open
+		}
+		return nil
+	})
+	return nil
+}
+
+func (s *System) writeFolder(ctx context.Context) error {
+	writer := &change.Writer{
+		Store:    &table.HTTP{Client: rest.Client{Address: s.platform}},
+		Objects:  &object.HTTP{Client: rest.Client{Address: s.platform}},
+		Operator: "local",
+		Log:      s.Log,
+	}
+	_, err := writer.Add(ctx, []files.File{{Name: "10-services.ini", Content: folder}}, change.Options{})
+	return errors.Wrap(err, "write the first configuration")
+}
+
+func (s *System) plan(ctx context.Context) error {
+	for _, one := range sizes {
+		for i := range one.servers {
+			added, err := s.newNode(ctx, one.service, zones[i%len(zones)])
+			if err != nil {
+				return err
+			}
+			s.nodes = append(s.nodes, added)
+		}
+	}
+	return nil
+}
+
+func (s *System) newNode(ctx context.Context, service, zone string) (*node, error) {
+	listener, err := listen(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ports, err := freePorts(ctx, 3)
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf("[daemon]\nservice = %s\nzone = %s\n[listen]\ncallers = %s\ndaemons = %s\nadmin = %s\n"+
+		"[server]\naddress = %s\n[platform]\ntable = %s\nobjects = %s\n[stop]\ngrace = 500ms\ntimeout = 10s\n",
+		service, zone, ports[0], ports[1], ports[2], address(listener), s.platform, s.platform)
+	settings, err := opts.Parse("local", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	if len(s.nodes) > 0 {
+		settings.Seeds = []netip.AddrPort{s.nodes[0].settings.Daemons}
+	}
+	return &node{service: service, zone: zone, settings: settings, listener: listener}, nil
+}
+
+// startNodes runs the nodes until ctx ends. The servers and the platform stop after the daemons, which need them to finish.
+func (s *System) startNodes(ctx context.Context, group *errgroup.Group, stopPlatform context.CancelFunc) {
+	daemons, _ := errgroup.WithContext(ctx)
+	serversCtx, stopServers := context.WithCancel(context.WithoutCancel(ctx))
+	for i, one := range s.nodes {
+		server := &sample.Server{
+			Name: fmt.Sprintf("%s-%d", one.service, i), Listener: one.listener, Daemon: "http://" + one.settings.Callers.String(),
+			Slots: sample.DefaultSlots, Service: sample.DefaultService, Cold: coldStart, Log: s.Log,
+		}
+		group.Go(func() error { return server.Run(serversCtx) })
+		daemons.Go(func() error { return (&daemon.Daemon{Settings: one.settings, Log: s.Log}).Run(ctx) })
+	}
+	group.Go(func() error {
+		err := daemons.Wait()
+		stopServers()
+		stopPlatform()
+		return err
+	})
+}
+
+// waitReady returns when every daemon takes work.
+func (s *System) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, one := range s.nodes {
+		for !ready(ctx, one.settings.Admin) {
+			select {
+			case <-ctx.Done():
+				return errors.Wrapf(ctx.Err(), "daemon at %s is not ready", one.settings.Daemons)
+			case <-time.After(readyInterval):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, admin netip.AddrPort) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin.String()+"/health", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- a/internal/bench/sample/sample.go
+++ b/internal/bench/sample/sample.go
@@ -123,6 +123,13 @@
 	return counts
 }
 
+// Runs returns how often the request with this Sample-Request header ran.
+func (s *Server) Runs(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
 func (s *Server) cold() bool {
 	return time.Now().UnixNano() < s.coldTill.Load()
 }
--- /dev/null
+++ b/internal/cli/cmds/wait.go
@@ -0,0 +1,101 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+)
+
+const (
+	waitTimeout  = 30 * time.Second
+	waitInterval = 200 * time.Millisecond
+)
+
+func newConfigWait() *cobra.Command {
+	flags := &admin{}
+	var revision uint64
+	var limit time.Duration
+	cmd := &cobra.Command{
+		Use:   "wait ADDRESS",
+		Short: "Wait until every known daemon has a revision in force",
+		Long: `Asks every daemon that the daemon with the administration API at ADDRESS knows, until all have the revision in force.
+Without --revision it is the latest one that the platform has accepted. Lists the daemons that have not, and exits with status 1, when
+the time is over.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := flags.check(); err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), limit)
+			defer cancel()
+			if revision == 0 {
+				latest, err := flags.latest(ctx, args[0])
+				if err != nil {
+					return err
+				}
+				revision = latest
+			}
+			form, text, err := flags.wait(ctx, args[0], revision)
+			if form == nil {
+				return err
+			}
+			return errors.CombineErrors(err, flags.write(cmd.OutOrStdout(), form, text))
+		},
+	}
+	flags.add(cmd)
+	cmd.Flags().Uint64Var(&revision, "revision", 0, "revision to wait for; 0: the latest accepted one")
+	cmd.Flags().DurationVar(&limit, "limit", waitTimeout, "how long to wait")
+	return cmd
+}
+
+func (a *admin) latest(ctx context.Context, address string) (uint64, error) {
+	form, err := a.get(ctx, address, "/config/latest")
+	if err != nil {
+		return 0, err
+	}
+	fields, _ := form.(map[string]any)
+	number, _ := fields["revision"].(float64)
+	return uint64(number), nil
+}
+
+// wait polls the daemon until nobody is behind. At the end of ctx it returns the last list with an error.
+func (a *admin) wait(ctx context.Context, address string, revision uint64) (form any, text string, err error) {
+	for {
+		next, err := a.get(ctx, address, "/config/behind?revision="+strconv.FormatUint(revision, 10))
+		if err != nil && form == nil {
+			return nil, "", err
+		}
+		if err == nil {
+			form = next
+		}
+		behind := listBehind(form)
+		if err == nil && len(behind) == 0 {
+			return form, fmt.Sprintf("revision %d is in force at every known daemon\n", revision), nil
+		}
+		select {
+		case <-ctx.Done():
+			return form, strings.Join(behind, ""), errors.Newf("%d daemons do not have revision %d in force", len(behind), revision)
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func listBehind(form any) []string {
+	fields, _ := form.(map[string]any)
+	list, _ := fields["behind"].([]any)
+	lines := make([]string, 0, len(list))
+	for _, one := range list {
+		entry, _ := one.(map[string]any)
+		line := fmt.Sprintf("%v zone %v in force %v", entry["address"], entry["zone"], scalar(entry["in-force"]))
+		if failure, found := entry["error"]; found {
+			line += fmt.Sprintf(" error %v", failure)
+		}
+		lines = append(lines, line+"\n")
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/cli/daemon/fleet.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/base/opts"
+	"marigoldwinch.example/marigoldwinch/internal/base/stats"
+	"marigoldwinch.example/marigoldwinch/internal/conf/change"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
+	"marigoldwinch.example/marigoldwinch/internal/plat/object"
+	"marigoldwinch.example/marigoldwinch/internal/plat/rest"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+	"marigoldwinch.example/marigoldwinch/internal/wire/link"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+var shared = fx.Provide(
+	stats.NewSet,
+	newTraffic,
+	newHolder,
+	newStore,
+	newObjects,
+	newPool,
+)
+
+var fleet = fx.Provide(
+	newMembers,
+	newNode,
+	newReader,
+	newWatch,
+)
+
+func newHolder() *config.Holder {
+	return &config.Holder{}
+}
+
+func newStore(settings *opts.Settings, network Network) table.Store {
+	return &table.HTTP{Client: platformClient(settings, network, settings.Table)}
+}
+
+func newObjects(settings *opts.Settings, network Network) object.Store {
+	return &object.HTTP{Client: platformClient(settings, network, settings.Objects)}
+}
+
+func platformClient(settings *opts.Settings, network Network, address netip.AddrPort) rest.Client {
+	return rest.Client{Address: address, HTTP: network.client(address), Timeout: settings.PlatformTimeout}
+}
+
+func newPool(settings *opts.Settings, incarnation ident.Incarnation, counted *traffic, log logr.Logger) *link.Pool {
+	return &link.Pool{
+		Dial:    counted.dial,
+		Self:    proto.Hello{Incarnation: incarnation, Address: settings.Daemons},
+		PerPeer: settings.PeerConnections,
+		Log:     log,
+	}
+}
+
+func newMembers(settings *opts.Settings) *member.Table {
+	return &member.Table{SuspectFor: settings.GoneAfter}
+}
+
+type nodeParts struct {
+	fx.In
+	Settings    *opts.Settings
+	Incarnation ident.Incarnation
+	Members     *member.Table
+	Holder      *config.Holder
+	Pool        *link.Pool
+	Log         logr.Logger
+}
+
+func newNode(parts nodeParts) *gossip.Node {
+	settings := parts.Settings
+	return &gossip.Node{
+		Self: member.Record{
+			Address:     settings.Daemons,
+			Front:       settings.Callers,
+			Service:     settings.Service,
+			Zone:        settings.Zone,
+			Region:      settings.Region,
+			Incarnation: parts.Incarnation,
+			State:       member.Joining,
+		},
+		Table:         parts.Members,
+		Holder:        parts.Holder,
+		Client:        parts.Pool,
+		Merge:         mergeFolder,
+		Seeds:         settings.Seeds,
+		Interval:      settings.ExchangeInterval,
+		IsolatedAfter: settings.IsolatedAfter,
+		Log:           parts.Log,
+	}
+}
+
+func mergeFolder(set files.Set) (*config.Config, error) {
+	merged, err := files.Merge(set)
+	if err != nil {
+		return nil, err
+	}
+	return merged.Config, nil
+}
+
+// headReader adapts the reader of changes to what the watch needs.
+type headReader struct {
+	*change.Reader
+}
+
+// ReadHead implements watch.Reader.
+func (r headReader) ReadHead(ctx context.Context) (uint64, error) {
+	head, err := r.Reader.ReadHead(ctx)
+	return head.Revision, err
+}
+
+func newReader(store table.Store, objects object.Store, log logr.Logger) *change.Reader {
+	return &change.Reader{Store: store, Objects: objects, Log: log}
+}
+
+type watchParts struct {
+	fx.In
+	Node    *gossip.Node
+	Members *member.Table
+	Holder  *config.Holder
+	Store   table.Store
+	Reader  *change.Reader
+	Log     logr.Logger
+}
+
+func newWatch(parts watchParts) *watch.Watch {
+	return &watch.Watch{
+		Node:   parts.Node,
+		Table:  parts.Members,
+		Holder: parts.Holder,
+		Store:  parts.Store,
+		Reader: headReader{parts.Reader},
+		Log:    parts.Log,
+	}
+}
--- /dev/null
+++ b/internal/cli/daemon/network.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+const (
+	dialTimeout   = time.Second
+	platformConns = 4 // a daemon makes few requests to the platform
+)
+
+// Network opens the connections of a daemon. Tests replace it to run whole daemons in virtual time.
+type Network struct {
+	Listen func(address netip.AddrPort) (net.Listener, error)
+	Dial   func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+}
+
+func (n Network) orTCP() Network {
+	if n.Listen == nil {
+		n.Listen = listenTCP
+	}
+	if n.Dial == nil {
+		n.Dial = dialTCP
+	}
+	return n
+}
+
+func listenTCP(address netip.AddrPort) (net.Listener, error) {
+	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+}
+
+func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", to.String())
+}
+
+// client returns an HTTP client for the platform's service at an address.
+func (n Network) client(address netip.AddrPort) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return n.Dial(ctx, address)
+		},
+		MaxConnsPerHost:     platformConns,
+		MaxIdleConnsPerHost: platformConns,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
--- /dev/null
+++ b/internal/cli/daemon/promise_test.go
@@ -0,0 +1,118 @@
+package daemon_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/bench/load"
+	"marigoldwinch.example/marigoldwinch/internal/conf/change"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+)
+
+func answered(result *load.Result, kind string) float64 {
+	for i := range result.Rows {
+		if row := &result.Rows[i]; row.Kind == kind {
+			return float64(row.Outcomes[load.OK]) / float64(row.Total())
+		}
+	}
+	return 0
+}
+
+// Guards against new work in a zone that operators took out, cut requests, and lookups that fail meanwhile.
+func TestZoneOutAndIn(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3, "stock", "orders")
+		time.Sleep(10 * time.Second)
+		done := s.load(s.plan(200, 20*time.Second))
+		time.Sleep(5 * time.Second)
+		_, err := s.writer("anna").Zone(t.Context(), "zone-a", config.ZoneOut, change.Options{})
+		s.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(3 * time.Second)
+		before := s.zoneRuns("zone-a")
+		time.Sleep(5 * time.Second)
+		s.Expect(s.zoneRuns("zone-a")).To(Equal(before), "new work after 3 s")
+		_, err = s.writer("anna").Zone(t.Context(), "zone-a", config.ZoneIn, change.Options{})
+		s.Expect(err).NotTo(HaveOccurred())
+		result := <-done
+		s.expectTruth(result)
+		s.Expect(s.zoneRuns("zone-a")).To(BeNumerically(">", before), "no work after the return")
+		s.Expect(answered(result, "lookup")).To(BeNumerically(">=", 0.999))
+	})
+}
+
+func (s *system) zoneRuns(zone string) int {
+	total := 0
+	for _, n := range s.nodes {
+		if n.zone == zone {
+			total += n.server.Counts().Total
+		}
+	}
+	return total
+}
+
+// Guards against a response that is lost, or a request that runs twice, when all open connections between daemons go silent
+// at once while new ones work. The retry budget does not cover so many revoked requests: some end as not run.
+func TestAllConnectionsSilent(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3, "stock", "orders")
+		time.Sleep(10 * time.Second)
+		done := s.load(s.plan(200, 10*time.Second))
+		for range 4 {
+			time.Sleep(2 * time.Second)
+			s.fabric.each(betweenDaemons, (*path).silence)
+		}
+		result := <-done
+		s.expectTruth(result)
+		for i := range result.Rows {
+			row := &result.Rows[i]
+			s.Expect(row.Outcomes[load.OK]+row.Outcomes[load.NotRun]).To(Equal(row.Total()), "%v", row.Outcomes)
+		}
+	})
+}
+
+// Guards against requests that fail when the connections of one daemon at a time go silent.
+func TestConnectionsOfOneDaemonSilent(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3, "stock", "orders")
+		time.Sleep(10 * time.Second)
+		done := s.load(s.plan(200, 20*time.Second))
+		for i := range s.nodes {
+			time.Sleep(3 * time.Second)
+			host := s.nodes[i].host
+			s.fabric.each(func(from, to string) bool { return betweenDaemons(from, to) && to == host }, (*path).silence)
+		}
+		result := <-done
+		s.expectTruth(result)
+		s.Expect(answered(result, "lookup")).To(BeNumerically(">=", 0.999))
+		s.Expect(answered(result, "order")).To(BeNumerically(">=", 0.999))
+	})
+}
+
+// betweenDaemons matches connections between the hosts of two nodes.
+func betweenDaemons(from, to string) bool {
+	return from != "callers" && from != platformHost && to != platformHost && from != to
+}
+
+// Guards against a request in flight that a planned stop cuts.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3, "stock", "orders")
+		time.Sleep(10 * time.Second)
+		leaving := s.nodes[2]
+		done := s.load(s.plan(200, 10*time.Second, leaving))
+		time.Sleep(3 * time.Second)
+		leaving.stop()
+		s.Expect(<-leaving.stopped).To(Succeed())
+		result := <-done
+		s.expectTruth(result)
+		s.Expect(answered(result, "lookup")).To(Equal(1.0))
+		s.Expect(answered(result, "order")).To(Equal(1.0))
+	})
+}
--- /dev/null
+++ b/internal/cli/daemon/router.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"marigoldwinch.example/marigoldwinch/internal/admit/ledger"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/base/opts"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+	"marigoldwinch.example/marigoldwinch/internal/route/budget"
+	"marigoldwinch.example/marigoldwinch/internal/route/call"
+	"marigoldwinch.example/marigoldwinch/internal/route/choice"
+	"marigoldwinch.example/marigoldwinch/internal/route/claim"
+	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+	"marigoldwinch.example/marigoldwinch/internal/wire/link"
+)
+
+var router = fx.Provide(
+	newReports,
+	newChooser,
+	newBudgets,
+	newClaims,
+	newCaller,
+)
+
+func newReports(client *link.Pool, log logr.Logger) *pool.Pool {
+	return &pool.Pool{Client: client, Log: log}
+}
+
+type chooserParts struct {
+	fx.In
+	Settings *opts.Settings
+	Holder   *config.Holder
+	Members  *member.Table
+	Reports  *pool.Pool
+	Log      logr.Logger
+}
+
+// services adapts the member table to the chooser.
+type services struct {
+	table *member.Table
+}
+
+// Service implements choice.Members.
+func (s services) Service(name string) []member.Record {
+	return s.table.Members(name)
+}
+
+func newChooser(parts chooserParts) *choice.Chooser {
+	chooser := &choice.Chooser{
+		Policy:  choice.Probing{},
+		Pool:    parts.Reports,
+		Members: services{parts.Members},
+		Config:  parts.Holder,
+		Zone:    parts.Settings.Zone,
+		Log:     parts.Log,
+	}
+	parts.Reports.Servers = func(service string) []netip.AddrPort { return chooser.Servers(service) }
+	parts.Members.Subscribe(func(record member.Record) { chooser.Changed(record.Service) })
+	return chooser
+}
+
+func newBudgets() *budget.Budgets {
+	return &budget.Budgets{}
+}
+
+func newClaims(store table.Store, members *member.Table, log logr.Logger) *claim.Claims {
+	return &claim.Claims{Store: store, Daemons: members.Live, Log: log}
+}
+
+type callerParts struct {
+	fx.In
+	Settings    *opts.Settings
+	Incarnation ident.Incarnation
+	Client      *link.Pool
+	Holder      *config.Holder
+	Chooser     *choice.Chooser
+	Reports     *pool.Pool
+	Budgets     *budget.Budgets
+	Claims      *claim.Claims
+	Ledger      *ledger.Ledger
+	Log         logr.Logger
+}
+
+func newCaller(parts callerParts) *call.Caller {
+	return &call.Caller{
+		Client:      parts.Client,
+		Config:      parts.Holder,
+		Choice:      parts.Chooser,
+		Pool:        parts.Reports,
+		Budgets:     parts.Budgets,
+		Claims:      parts.Claims,
+		Incarnation: parts.Incarnation,
+		Start:       time.Now(),
+		Nested: func(id ident.RequestID) (call.Running, bool) {
+			running, found := parts.Ledger.Lookup(id)
+			return call.Running(running), found
+		},
+		AckBound: parts.Settings.AckTimeout,
+		Log:      parts.Log,
+	}
+}
--- /dev/null
+++ b/internal/cli/daemon/start.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"go.uber.org/fx"
+
+	"marigoldwinch.example/marigoldwinch/internal/admin/rest"
+	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
+	"marigoldwinch.example/marigoldwinch/internal/admit/ledger"
+	"marigoldwinch.example/marigoldwinch/internal/admit/limit"
+	"marigoldwinch.example/marigoldwinch/internal/base/opts"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
+	"marigoldwinch.example/marigoldwinch/internal/route/claim"
+	"marigoldwinch.example/marigoldwinch/internal/route/front"
+	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+	"marigoldwinch.example/marigoldwinch/internal/wire/link"
+)
+
+// leaveTimeout bounds the announcement of a planned stop; the daemons that miss it learn of it by later exchanges.
+const leaveTimeout = 2 * time.Second
+
+type startParts struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Failures  chan error
+	Settings  *opts.Settings
+	API       *rest.API
+	Pool      *link.Pool
+	Link      *link.Server
+	Node      *gossip.Node
+	Watch     *watch.Watch
+	State     *stateKeeper
+	Backend   *backend
+	Limiter   *limit.Limiter
+	Ledger    *ledger.Ledger
+	Gate      *gate.Gate
+	Reports   *pool.Pool
+	Claims    *claim.Claims
+	Front     *front.Front
+	Log       logr.Logger
+}
+
+// start runs the parts. They stop in reverse order: the planned stop comes first, so that everything that a request in
+// flight needs still runs while it finishes; the administration API stops last.
+func start(parts startParts) {
+	tasks := []task{
+		{"administration-api", parts.API.Run},
+		{"peer-pool", parts.Pool.Run},
+		{"membership", parts.Node.Run},
+		{"platform-watch", parts.Watch.Run},
+		{"server-polls", parts.Backend.Run},
+		{"limiter", parts.Limiter.Run},
+		{"ledger", parts.Ledger.Run},
+		{"admission", parts.Gate.Run},
+		{"peer-server", parts.Link.Run},
+		{"reports", parts.Reports.Run},
+		{"claims", parts.Claims.Run},
+		{"front", parts.Front.Run},
+		{"member-state", parts.State.Run},
+	}
+	for _, one := range tasks {
+		background(parts.Lifecycle, parts.Failures, one)
+	}
+	parts.Lifecycle.Append(fx.StopHook(func(ctx context.Context) error { return plannedStop(ctx, parts) }))
+}
+
+// plannedStop announces the departure, leaves routers the grace to learn of it, and waits for the requests at the own
+// server. The front end and the peer server then finish their own requests when they stop.
+func plannedStop(ctx context.Context, parts startParts) error {
+	parts.State.stop()
+	announcing, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := parts.Node.Leave(announcing); err != nil {
+		parts.Log.Info("leave-not-announced", "cause", err.Error())
+	}
+	if err := parts.Watch.Withdraw(announcing); err != nil {
+		parts.Log.Info("announcement-not-withdrawn", "cause", err.Error())
+	}
+	select {
+	case <-time.After(parts.Settings.StopGrace):
+	case <-ctx.Done():
+	}
+	draining, cancelDrain := context.WithTimeout(ctx, parts.Settings.StopTimeout)
+	defer cancelDrain()
+	return errors.Wrap(parts.Gate.Drain(draining), "drain")
+}
--- /dev/null
+++ b/internal/cli/daemon/task.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+)
+
+// task is a part that runs until its context ends.
+type task struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// background starts a task with the application and ends it in reverse order. A task that fails stops the daemon.
+func background(lifecycle fx.Lifecycle, failures chan error, part task) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				err := part.run(ctx)
+				if err != nil && ctx.Err() == nil {
+					report(failures, errors.Wrap(err, part.name))
+				}
+				done <- err
+			}()
+			return nil
+		},
+		OnStop: func(stopping context.Context) error {
+			cancel()
+			select {
+			case err := <-done:
+				if errors.Is(err, context.Canceled) {
+					return nil
+				}
+				return errors.Wrap(err, part.name)
+			case <-stopping.Done():
+				return errors.Newf("%s: not stopped in time", part.name)
+			}
+		},
+	})
+}
+
+func report(failures chan error, err error) {
+	select {
+	case failures <- err:
+	default: // an earlier failure already stops the daemon
+	}
+}
