Publish the state of admission, calls and membership as metrics

Cause: only the bytes between daemons had a metric, so a graph could not show a limit that fell, refused work or the age of the configuration.

Gauges read the parts on every scrape; the call path pays nothing.

--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -160,6 +160,11 @@
 	return report
 }
 
+// Failures returns how many calls were refused or failed with a code since the start.
+func (g *Gate) Failures(c code.Code) uint64 {
+	return g.failures[c].Load()
+}
+
 func (g *Gate) count(c code.Code) {
 	if int(c) < failureCodes {
 		g.failures[c].Add(1)
--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -46,7 +46,7 @@
 		fx.Provide(func() logr.Logger { return d.Log }),
 		fx.Provide(newIncarnation, openListeners),
 		shared, fleet, admission, router, administration,
-		fx.Invoke(start),
+		fx.Invoke(registerMetrics, start),
 	)
 	if err := app.Err(); err != nil {
 		return errors.Wrap(err, "assemble daemon")
--- /dev/null
+++ b/internal/cli/daemon/metrics.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"go.uber.org/fx"
+
+	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/stats"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/route/call"
+)
+
+type metricParts struct {
+	fx.In
+	Set     *stats.Set
+	Gate    *gate.Gate
+	Caller  *call.Caller
+	Node    *gossip.Node
+	Members *member.Table
+	Holder  *config.Holder
+}
+
+// registerMetrics registers gauges that read the parts on every scrape, so that they cost nothing on the call path.
+func registerMetrics(parts metricParts) {
+	registerAdmission(parts.Set, parts.Gate)
+	registerCalls(parts.Set, parts.Caller)
+	registerFleet(parts)
+}
+
+func registerAdmission(set *stats.Set, admission *gate.Gate) {
+	set.Gauge("admission_in_flight", func() float64 { return float64(admission.Report().InFlight) })
+	set.Gauge("admission_queued", func() float64 { return float64(admission.Report().Queued) })
+	set.Gauge("admission_limit", func() float64 { return float64(admission.Report().Limit) })
+	set.Gauge("admission_warming", func() float64 { return number(admission.Report().Warming) })
+	set.Gauge("admission_refusing_code", func() float64 { return float64(admission.Report().Refusing) })
+	set.Gauge("server_latency_seconds", func() float64 { return admission.Report().Latency.Seconds() })
+	for c := code.None + 1; c <= code.StaleTransit; c++ {
+		set.Gauge("admission_failures_total", func() float64 { return float64(admission.Failures(c)) }, "code", c.String())
+	}
+}
+
+func registerCalls(set *stats.Set, caller *call.Caller) {
+	counts := map[string]func(call.Dump) uint64{
+		"calls_requests_total":   func(d call.Dump) uint64 { return d.Requests },
+		"calls_attempts_total":   func(d call.Dump) uint64 { return d.Attempts },
+		"calls_retries_total":    func(d call.Dump) uint64 { return d.Retries },
+		"calls_hedges_total":     func(d call.Dump) uint64 { return d.Hedges },
+		"calls_hedges_won_total": func(d call.Dump) uint64 { return d.HedgesWon },
+		"calls_silent_total":     func(d call.Dump) uint64 { return d.Silent },
+		"calls_resolves_total":   func(d call.Dump) uint64 { return d.Resolves },
+		"calls_revoked_total":    func(d call.Dump) uint64 { return d.Revoked },
+		"calls_truncated_total":  func(d call.Dump) uint64 { return d.Truncated },
+		"calls_uncertain_total":  func(d call.Dump) uint64 { return d.Uncertain },
+	}
+	for name, read := range counts {
+		set.Gauge(name, func() float64 { return float64(read(caller.Counts())) })
+	}
+}
+
+func registerFleet(parts metricParts) {
+	parts.Set.Gauge("members", func() float64 { return float64(parts.Members.Live()) })
+	parts.Set.Gauge("isolated", func() float64 { return number(parts.Node.Isolated()) })
+	parts.Set.Gauge("configuration_revision", func() float64 { return float64(parts.Holder.Revision()) })
+	parts.Set.Gauge("configuration_head_revision", func() float64 {
+		revision, _ := parts.Node.Seen()
+		return float64(revision)
+	})
+	parts.Set.Gauge("configuration_head_age_seconds", func() float64 {
+		_, age := parts.Node.Seen()
+		return age.Seconds()
+	})
+}
+
+func number(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -94,6 +94,11 @@
 
 // Dump returns the state for the state dump.
 func (c *Caller) Dump() any {
+	return c.Counts()
+}
+
+// Counts returns what became of requests and attempts since the start.
+func (c *Caller) Counts() Dump {
 	n := &c.counters
 	return Dump{
 		Requests: n.requests.Load(), Attempts: n.attempts.Load(), Retries: n.retries.Load(), Hedges: n.hedges.Load(),
