Parse only the files that changed when a revision takes effect

Cause: each change parsed the whole folder anew at every daemon. The merger that keeps parsed files was not used by the daemon.

--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
@@ -93,7 +94,7 @@
 		Table:         parts.Members,
 		Holder:        parts.Holder,
 		Client:        parts.Pool,
-		Merge:         mergeFolder,
+		Merge:         new(folderMerger).merge,
 		Seeds:         settings.Seeds,
 		Interval:      settings.ExchangeInterval,
 		IsolatedAfter: settings.IsolatedAfter,
@@ -101,8 +102,16 @@
 	}
 }
 
-func mergeFolder(set files.Set) (*config.Config, error) {
-	merged, err := files.Merge(set)
+// folderMerger merges one revision after another and keeps what did not change.
+type folderMerger struct {
+	mu     sync.Mutex // revisions can arrive from the platform and from a peer at once
+	merger files.Merger
+}
+
+func (m *folderMerger) merge(set files.Set) (*config.Config, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	merged, err := m.merger.Merge(set)
 	if err != nil {
 		return nil, err
 	}
