Probe the latency floor at a lower limit instead of learning it from a saturated server

Cause: the floor is a low quantile of the means of the last minute. A server saturated below its slots gave only high means for a minute; the floor rose to them, and the limit climbed to the slots again.

When a class has had no new floor for 10 s although it is answered, the limit is halved until 64 answers have come (1 s with fewer, 3 s at most), as in BBR's min-RTT probe; only requests that begin after one service time count. A probe near the floor confirms it. Three in a row above it mean a server that has become slower, and replace the floor. The rest between two probes is at least 20 times their length. A healthy server is not probed (TestRandomServiceTimesKeepTheSlots).

Ruled out: a longer memory of the floor alone (the limit climbs later, and a server that has become slower stays limited for as long), a probe at a fixed interval (costs capacity of healthy servers).

--- a/internal/admit/limit/judge.go
+++ b/internal/admit/limit/judge.go
@@ -27,7 +27,7 @@
 	}
 	copy(l.recent[1:], l.recent[:])
 	l.recent[0] = tally{}
-	if known {
+	if !l.probeFloor(now) && known {
 		l.adapt(ratio, now)
 	}
 	if l.warm > 0 {
--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -32,6 +32,7 @@
 	LatencyHigh                   // latency-above-floor
 	LatencyNormal                 // latency-near-floor
 	SlotsChanged                  // slots-changed
+	ProbeOfFloor                  // latency-floor-probe
 )
 
 // Result is what an answer says about the server.
@@ -87,27 +88,29 @@
 	latency atomic.Int64                // median service time in nanoseconds
 	typical [ident.Classes]atomic.Int64 // the same for each class
 
-	mu       sync.Mutex
-	started  bool
-	slots    int
-	share    float64 // adaptive limit as a share of the slots; in [minShare, 1]
-	warm     int     // warm-up limit; 0 when the server is warm
-	cause    Cause
-	changed  time.Time
-	warmAt   time.Time                // last change of warm
-	warmOK   int                      // normal answers since warmAt to requests that began since warmAt
-	warmBad  int                      // failed answers since warmAt
-	step     uint64                   // rises with warmAt
-	regime   uint64                   // rises when the warm-up begins
-	waiting  [ident.Classes]int       // requests that the server has whole and has not answered
-	progress [ident.Classes]time.Time // last answer, or the start of the first one waiting after an idle time
-	slowFrom time.Time                // since when all answers are as slow as a cold server's; zero when they are not
-	slowLast time.Time                // when that was last seen
-	window   window
-	recent   [failureTicks]tally
-	floors   [ident.Classes]floor
-	medians  [ident.Classes]median
-	overall  median
+	mu        sync.Mutex
+	started   bool
+	slots     int
+	share     float64 // adaptive limit as a share of the slots; in [minShare, 1]
+	warm      int     // warm-up limit; 0 when the server is warm
+	cause     Cause
+	changed   time.Time
+	warmAt    time.Time                // last change of warm
+	warmOK    int                      // normal answers since warmAt to requests that began since warmAt
+	warmBad   int                      // failed answers since warmAt
+	step      uint64                   // rises with warmAt
+	regime    uint64                   // rises when the warm-up begins
+	waiting   [ident.Classes]int       // requests that the server has whole and has not answered
+	progress  [ident.Classes]time.Time // last answer, or the start of the first one waiting after an idle time
+	slowFrom  time.Time                // since when all answers are as slow as a cold server's; zero when they are not
+	slowLast  time.Time                // when that was last seen
+	window    window
+	recent    [failureTicks]tally
+	floors    [ident.Classes]floor
+	probe     floorProbe
+	probeNext time.Time // no probe of the floor begins before
+	medians   [ident.Classes]median
+	overall   median
 }
 
 // Dump is the state of a limiter.
@@ -221,6 +224,7 @@
 	l.recent = [failureTicks]tally{}
 	l.floors = [ident.Classes]floor{}
 	l.window = window{}
+	l.probe = floorProbe{}
 	l.markWarm(now)
 	l.publish(cause, now)
 }
@@ -238,6 +242,9 @@
 	if l.warm > 0 {
 		limit = min(limit, l.warm)
 	}
+	if l.probe.running() {
+		limit = max(1, int(probeShare*float64(limit)))
+	}
 	l.warming.Store(l.warm > 0)
 	before := int(l.current.Swap(int64(limit)))
 	if before == limit {
--- a/internal/admit/limit/limit_test.go
+++ b/internal/admit/limit/limit_test.go
@@ -242,6 +242,7 @@
 		}
 		r.load(10*time.Second, nil)
 		g.Expect(r.meanLimit(30*time.Second)).To(BeNumerically(">=", 0.95*slots), "mean limit")
+		g.Expect(r.probeNext).To(BeZero(), "no probe of the floor")
 	})
 }
 
--- a/internal/admit/limit/names.go
+++ b/internal/admit/limit/names.go
@@ -20,11 +20,12 @@
 	_ = x[LatencyHigh-9]
 	_ = x[LatencyNormal-10]
 	_ = x[SlotsChanged-11]
+	_ = x[ProbeOfFloor-12]
 }
 
-const _Cause_name = "configured-slotsdaemon-startedserver-failingserver-slowserver-stalledserver-unreachablereturned-to-servicenormal-answersabnormal-answerslatency-above-floorlatency-near-floorslots-changed"
+const _Cause_name = "configured-slotsdaemon-startedserver-failingserver-slowserver-stalledserver-unreachablereturned-to-servicenormal-answersabnormal-answerslatency-above-floorlatency-near-floorslots-changedlatency-floor-probe"
 
-var _Cause_index = [...]uint8{0, 16, 30, 44, 55, 69, 87, 106, 120, 136, 155, 173, 186}
+var _Cause_index = [...]uint8{0, 16, 30, 44, 55, 69, 87, 106, 120, 136, 155, 173, 186, 205}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/internal/admit/limit/ticket.go
+++ b/internal/admit/limit/ticket.go
@@ -69,13 +69,23 @@
 		if t.step == l.step {
 			l.warmOK++
 		}
-		if l.sample(t, now) {
-			l.floors[t.class].add(now.Sub(t.since), now)
-		}
+		l.learn(t, now)
 	}
 	l.progress[t.class] = now
 }
 
+// learn takes the latency of a normal answer as evidence for the floor.
+func (l *Limiter) learn(t *Ticket, now time.Time) {
+	latency := now.Sub(t.since)
+	switch {
+	case !l.sample(t, now):
+	case l.probe.running():
+		l.probe.add(t, latency)
+	default:
+		l.floors[t.class].add(latency, now)
+	}
+}
+
 // Broken notes that the response of a request that has ended broke off.
 func (l *Limiter) Broken() {
 	l.mu.Lock()
