--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/admit/ledger"
@@ -28,10 +29,14 @@
 	stream   proto.Stream
 	deadline time.Time
 	granted  time.Time // when the call got its slot
-	entry    *ledger.Entry
+	entry    ledger.Entry
+	target   *url.URL // of head; set by check
 	body     body
 	attempt  server.Attempt
 	ticket   limit.Ticket
+	waiter   waiter
+	ack      proto.Ack
+	values   [3]string // of the headers that the gate adds
 }
 
 // Call implements proto.CallHandler.
@@ -58,7 +63,8 @@
 		verdict = proto.Queued
 	}
 	// A failed ack is not the end of the call: the router resolves it.
-	_ = stream.Send(&proto.Ack{Verdict: verdict, Report: g.Report()})
+	c.ack = proto.Ack{Verdict: verdict, Report: g.Report()}
+	_ = stream.Send(&c.ack)
 	if w != nil {
 		if refused := c.wait(w); refused != nil {
 			return c.fail(refused)
@@ -117,13 +123,14 @@
 func (c *call) wait(w *waiter) *code.Error {
 	timer := time.NewTimer(time.Until(c.deadline))
 	defer timer.Stop()
-	ended := code.NotRunf(code.Cancelled, "the call ended in the queue")
+	var ended *code.Error
 	select {
 	case <-w.ready:
 		return w.refused
 	case <-timer.C:
 		ended = code.NotRunf(code.DeadlineExceeded, "the deadline passed in the queue")
 	case <-c.stream.Context().Done():
+		ended = code.NotRunf(code.Cancelled, "the call ended in the queue")
 	}
 	if !c.gate.abandon(w) && w.refused == nil {
 		c.gate.unused(c.head.Class)
@@ -133,11 +140,9 @@
 
 // run gives the request to the server and the response to the router.
 func (c *call) run(service *config.Service) error {
-	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
-	defer cancel()
 	c.body.begin(c.stream, c.head)
-	stop := context.AfterFunc(c.stream.Context(), func() { c.lost(ctx, cancel) })
-	defer stop()
+	ctx, cancel := c.context()
+	defer cancel()
 	c.attempt.Request = c.request(ctx)
 	c.attempt.Idempotent = c.head.Idempotent
 	c.attempt.Sheds = service.ShedsBeforeRun
@@ -157,14 +162,27 @@
 	return c.reply(ctx, response)
 }
 
+// context returns the context of the run. That of an idempotent request ends with its stream.
+func (c *call) context() (context.Context, context.CancelFunc) {
+	if c.head.Idempotent {
+		return context.WithDeadline(c.stream.Context(), c.deadline)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
+	stop := context.AfterFunc(c.stream.Context(), func() { c.lost(ctx, cancel) })
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 func (c *call) written() {
 	c.gate.Limit.Written(&c.ticket)
 }
 
-// lost runs in its own goroutine when the stream ends before the response is complete: by a cancellation or with its
-// connection. The two look the same, so a non-idempotent request goes on until a resolve has had time to come.
+// lost runs in its own goroutine when the stream of a non-idempotent request ends before the response is complete: by a
+// cancellation or with its connection. The two look the same, so the request goes on until a resolve has had time to come.
 func (c *call) lost(ctx context.Context, cancel context.CancelFunc) {
-	if c.head.Idempotent || !c.body.complete.Load() {
+	if !c.body.complete.Load() {
 		cancel()
 		return
 	}
--- a/internal/admit/gate/call_test.go
+++ b/internal/admit/gate/call_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -158,6 +159,7 @@
 			"X-Two": {"2"}, "User-Agent": {""}, timeoutHeader: {"1s"},
 			ident.ContextHeader: {ident.CallContext{Request: head.ID.Request, Depth: 3, Class: ident.Check}.String()},
 		}))
+		r.Expect(r.backend.last[ident.ContextHeader]).To(Equal([]string{fmt.Sprintf("1-%x;3;check", head.ID.Request.Seq)}))
 		ack, last := s.frames()
 		r.Expect(ack.Verdict).To(Equal(proto.Admitted))
 		answer, _ := last.(*proto.Answer)
--- a/internal/admit/gate/check.go
+++ b/internal/admit/gate/check.go
@@ -12,7 +12,6 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
-	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
 // refusing returns the service's configuration, or why all new work is refused.
@@ -43,7 +42,7 @@
 
 // check applies the checks of a new head that precede the one for capacity.
 func (g *Gate) check(c *call, excess time.Duration) (*config.Service, *code.Error) {
-	if refused := validate(c.head); refused != nil {
+	if refused := c.validate(); refused != nil {
 		return nil, refused
 	}
 	if c.head.Service != g.Service {
@@ -78,8 +77,10 @@
 	return nil
 }
 
-// validate refuses a head that the transport could not send, so that a bad request does not count against the server.
-func validate(head *proto.Head) *code.Error {
+// validate refuses a head that the transport could not send, so that a bad request does not count against the server. It
+// keeps the parsed target.
+func (c *call) validate() *code.Error {
+	head := c.head
 	switch {
 	case head.Class < ident.Check || head.Class > ident.Upload:
 		return code.NotRunf(code.BadRequest, "class %d is unknown", head.Class)
@@ -92,9 +93,11 @@
 	case !httpguts.ValidHostHeader(head.Host):
 		return code.NotRunf(code.BadRequest, "host %q is not valid", head.Host)
 	}
-	if _, err := url.ParseRequestURI(head.Target); err != nil {
+	target, err := url.ParseRequestURI(head.Target)
+	if err != nil {
 		return code.NotRunf(code.BadRequest, "target %q is not valid", head.Target).WithCause(err)
 	}
+	c.target = target
 	for name, values := range head.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return code.NotRunf(code.BadRequest, "header name %q is not valid", name)
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -47,9 +47,12 @@
 	Isolated    func() bool // neither platform nor any peer heard from; nil means never
 	Log         logr.Logger
 
+	hostOnce sync.Once
+	host     string // Target as text
 	stopping atomic.Bool
 	running  atomic.Int64                // slots held; changes under mu
 	queued   atomic.Int64                // length of queue; changes under mu
+	calls    atomic.Int64                // admitted or queued calls that have not ended; rises under mu
 	failures [failureCodes]atomic.Uint64 // refused and failed calls by code
 
 	// mu guards the slots and the queue, which change together. It is held for a few steps and never across I/O.
@@ -57,7 +60,6 @@
 	byClass   [ident.Classes]int // slots held by class
 	queue     order
 	lastCheck time.Time     // when a check last asked for a slot
-	calls     int           // admitted or queued calls that have not ended
 	idle      chan struct{} // closed when calls reaches 0; nil unless Drain waits
 	standing  code.Code     // why all new work was refused when last observed
 }
@@ -108,14 +110,14 @@
 	g.stopping.Store(true)
 	g.observe()
 	g.mu.Lock()
-	if g.calls == 0 {
+	if g.calls.Load() == 0 {
 		g.mu.Unlock()
 		return nil
 	}
 	if g.idle == nil {
 		g.idle = make(chan struct{})
 	}
-	idle, left := g.idle, g.calls
+	idle, left := g.idle, g.calls.Load()
 	g.mu.Unlock()
 	g.Log.Info("drain-waiting", "calls", left)
 	select {
--- a/internal/admit/gate/header.go
+++ b/internal/admit/gate/header.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/textproto"
-	"net/url"
 	"strings"
 	"time"
 
@@ -30,54 +29,68 @@
 	"Upgrade":             true,
 }
 
-// endToEnd copies a header without the names that concern one connection only.
-func endToEnd(header http.Header) http.Header {
-	var named map[string]bool
+// perConnection reports whether a header, by its canonical name, concerns one connection only.
+func perConnection(header http.Header, canonical string) bool {
+	if hopByHop[canonical] {
+		return true
+	}
 	for _, list := range header["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			if named == nil {
-				named = make(map[string]bool)
+			if textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)) == canonical {
+				return true
 			}
-			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
-	kept := make(http.Header, len(header)+3)
+	return false
+}
+
+// endToEnd copies a header without the names that concern one connection only, with room for those that the gate adds.
+func endToEnd(header http.Header) http.Header {
+	kept := make(http.Header, len(header)+len(call{}.values))
 	for name, values := range header {
 		canonical := textproto.CanonicalMIMEHeaderKey(name)
-		if !hopByHop[canonical] && !named[canonical] {
+		if !perConnection(header, canonical) {
 			kept[canonical] = values
 		}
 	}
 	return kept
 }
 
+// strip removes from a response header, whose names the transport has made canonical, what endToEnd leaves out.
+func strip(header http.Header) http.Header {
+	for name := range header {
+		if name != "Connection" && perConnection(header, name) {
+			delete(header, name)
+		}
+	}
+	delete(header, "Connection")
+	return header
+}
+
 // request builds the request to the server from a valid head.
 func (c *call) request(ctx context.Context) *http.Request {
-	target, err := url.ParseRequestURI(c.head.Target)
-	if err != nil {
-		target = &url.URL{Path: c.head.Target} // validate has parsed it before
-	}
-	target.Scheme = "http"
-	target.Host = c.gate.Target.String()
+	c.gate.hostOnce.Do(func() { c.gate.host = c.gate.Target.String() })
+	c.target.Scheme = "http"
+	c.target.Host = c.gate.host
 	header := endToEnd(c.head.Header)
 	callContext := ident.CallContext{Request: c.head.ID.Request, Depth: c.head.Depth, Class: c.head.Class}
-	header[ident.ContextHeader] = []string{callContext.String()}
-	header[timeoutHeader] = []string{time.Until(c.deadline).String()}
+	c.values = [...]string{callContext.String(), time.Until(c.deadline).String(), ""}
+	header[ident.ContextHeader] = c.values[0:1:1]
+	header[timeoutHeader] = c.values[1:2:2]
 	if _, present := header[userAgent]; !present {
-		header[userAgent] = []string{""} // the transport would add its own
-	}
-	request := &http.Request{
-		Method:     c.head.Method,
-		URL:        target,
-		Host:       c.head.Host,
-		Header:     header,
-		Proto:      "HTTP/1.1",
-		ProtoMajor: 1,
-		ProtoMinor: 1,
+		header[userAgent] = c.values[2:3:3] // the transport would add its own
 	}
+	request := emptyRequest.WithContext(ctx)
+	request.Method = c.head.Method
+	request.URL = c.target
+	request.Host = c.head.Host
+	request.Header = header
+	request.Proto, request.ProtoMajor, request.ProtoMinor = "HTTP/1.1", 1, 1
 	if len(c.head.Body) > 0 || !c.head.End {
 		request.Body = &c.body
 		request.ContentLength = c.head.ContentLength
 	}
-	return request.WithContext(ctx)
+	return request
 }
+
+var emptyRequest = &http.Request{}
--- a/internal/admit/gate/queue.go
+++ b/internal/admit/gate/queue.go
@@ -33,7 +33,7 @@
 	g.grant(service, now)
 	if g.fits(class, service, now) {
 		g.take(class)
-		g.calls++
+		g.calls.Add(1)
 		c.granted = now
 		return nil, nil
 	}
@@ -43,10 +43,11 @@
 	if refused := g.makeRoom(class, service); refused != nil {
 		return nil, refused
 	}
-	w := &waiter{id: c.head.ID, class: class, arrived: now, deadline: c.deadline, ready: make(chan struct{})}
+	w := &c.waiter
+	*w = waiter{id: c.head.ID, class: class, arrived: now, deadline: c.deadline, ready: make(chan struct{})}
 	g.queue.push(w)
 	g.queued.Store(int64(g.queue.length))
-	g.calls++
+	g.calls.Add(1)
 	return w, nil
 }
 
@@ -218,10 +219,12 @@
 
 // leave notes the end of an admitted or queued call.
 func (g *Gate) leave() {
+	if g.calls.Add(-1) > 0 {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.calls--
-	if g.calls == 0 && g.idle != nil {
+	if g.calls.Load() == 0 && g.idle != nil {
 		close(g.idle)
 		g.idle = nil
 	}
--- a/internal/admit/gate/reply.go
+++ b/internal/admit/gate/reply.go
@@ -24,7 +24,7 @@
 	}
 	answer := &proto.Answer{
 		Status:        response.StatusCode,
-		Header:        endToEnd(response.Header),
+		Header:        strip(response.Header),
 		ContentLength: response.ContentLength,
 		Report:        c.gate.Report(),
 	}
--- a/internal/admit/gate/rig_test.go
+++ b/internal/admit/gate/rig_test.go
@@ -208,7 +208,7 @@
 type rig struct {
 	*Gate
 	*WithT
-	t       *testing.T
+	t       testing.TB
 	backend *backend
 	service *config.Service
 	next    uint64
@@ -232,7 +232,7 @@
 	})
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	holder := &config.Holder{}
 	b := &backend{runs: make(map[string]int)}
 	r := &rig{t: t, WithT: NewWithT(t), backend: b, service: config.NewService("stock")}
--- a/internal/admit/gate/script_test.go
+++ b/internal/admit/gate/script_test.go
@@ -23,7 +23,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		inBubble(t, func(r *rig) {
 			s := &script{rig: r, started: make(map[ident.Class][]*stream)}
-			datadriven.RunTest(r.t, path, s.run)
+			datadriven.RunTest(r.t.(*testing.T), path, s.run)
 		})
 	})
 }
--- a/internal/admit/ledger/ledger.go
+++ b/internal/admit/ledger/ledger.go
@@ -70,40 +70,40 @@
 
 // Begin registers the attempt as running. It refuses an attempt whose connection or id is revoked as not run; a repeated
 // id has an unknown outcome, since the first one may run.
-func (l *Ledger) Begin(peer *proto.Peer, head *proto.Head, deadline time.Time) (*Entry, *code.Error) {
+func (l *Ledger) Begin(peer *proto.Peer, head *proto.Head, deadline time.Time) (Entry, *code.Error) {
 	s := l.shardOf(head.ID.Request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// Resolve revokes the connection before it locks the shard, so a flag that is not set here means that a later
 	// resolve finds the attempt running.
 	if peer.Revoked() {
-		return nil, code.NotRunf(code.Revoked, "connection %d is revoked", peer.Hello.Conn)
+		return Entry{}, code.NotRunf(code.Revoked, "connection %d is revoked", peer.Hello.Conn)
 	}
 	if found := s.find(head.ID); found != nil {
 		if found.state == revoked {
-			return nil, code.NotRunf(code.Revoked, "attempt %d of %s is revoked", head.ID.Attempt, head.ID.Request)
+			return Entry{}, code.NotRunf(code.Revoked, "attempt %d of %s is revoked", head.ID.Attempt, head.ID.Request)
 		}
-		return nil, code.Unknownf(code.DuplicateID, "attempt %d of %s came before", head.ID.Attempt, head.ID.Request)
+		return Entry{}, code.Unknownf(code.DuplicateID, "attempt %d of %s came before", head.ID.Attempt, head.ID.Request)
 	}
 	added := &record{id: head.ID, state: running, info: Running{Deadline: deadline, Class: head.Class, Depth: head.Depth}}
 	s.add(added)
-	return &Entry{shard: s, record: added}, nil
+	return Entry{shard: s, record: added}, nil
 }
 
 // Answered ends the attempt with the server's complete response. A nil answer, or one above the bounds, is not held: a
 // resolve then learns only that the attempt ended.
-func (e *Entry) Answered(answer *proto.Answer) {
+func (e Entry) Answered(answer *proto.Answer) {
 	e.shard.end(e.record, answer, nil, time.Now())
 }
 
 // Failed ends the attempt without a complete response.
-func (e *Entry) Failed(failure *code.Error) {
+func (e Entry) Failed(failure *code.Error) {
 	held := &proto.Failure{Code: failure.Code, Outcome: failure.Outcome, Detail: failure.Detail}
 	e.shard.end(e.record, nil, held, time.Now())
 }
 
 // Resolved reports whether a router has asked for the attempt since it began.
-func (e *Entry) Resolved() bool {
+func (e Entry) Resolved() bool {
 	e.shard.mu.Lock()
 	defer e.shard.mu.Unlock()
 	return e.record.asked
--- a/internal/admit/ledger/ledger_test.go
+++ b/internal/admit/ledger/ledger_test.go
@@ -25,7 +25,7 @@
 	return ident.AttemptID{Request: ident.RequestID{Router: 1, Seq: seq}, Attempt: number}
 }
 
-func begin(l *Ledger, peer *proto.Peer, id ident.AttemptID) (*Entry, *code.Error) {
+func begin(l *Ledger, peer *proto.Peer, id ident.AttemptID) (Entry, *code.Error) {
 	return l.Begin(peer, &proto.Head{ID: id, Class: ident.Write, Depth: 2}, time.Now().Add(time.Minute))
 }
 
--- a/internal/base/ident/ident.go
+++ b/internal/base/ident/ident.go
@@ -2,7 +2,6 @@
 package ident
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -98,7 +97,14 @@
 
 // String returns the value of ContextHeader.
 func (c CallContext) String() string {
-	return fmt.Sprintf("%s;%d;%s", c.Request, c.Depth, c.Class)
+	text := make([]byte, 0, 64) // the longest text has 43 bytes; one allocation on each call
+	text = strconv.AppendUint(text, uint64(c.Request.Router), 16)
+	text = append(text, '-')
+	text = strconv.AppendUint(text, c.Request.Seq, 16)
+	text = append(text, ';')
+	text = strconv.AppendInt(text, int64(c.Depth), 10)
+	text = append(text, ';')
+	return string(append(text, c.Class.String()...))
 }
 
 // ParseCallContext reads the value of ContextHeader.
