--- a/internal/admit/limit/judge.go
+++ b/internal/admit/limit/judge.go
@@ -82,7 +82,7 @@
 		sum.failed += t.failed
 		sum.normal += t.normal
 	}
-	return sum.failed >= coldFailures && sum.failed >= sum.normal
+	return sum.failed >= coldFailures && float64(sum.failed) >= coldShare*float64(sum.failed+sum.normal)
 }
 
 // adapt moves the adaptive limit by the latency over its floor.
--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -60,8 +60,10 @@
 	// within 1 s.
 	coldAfter = 600 * time.Millisecond
 	// coldFailures is the least number of failed answers within failureTicks that makes a server cold, when they are
-	// at least half of its answers.
+	// coldShare of its answers. A server that fails half of them shows a little less in some windows, so the share lies
+	// below a half.
 	coldFailures = 3
+	coldShare    = 0.45
 	failureTicks = 5
 	// minShare bounds the adaptive limit from below. When latency stays high at a quarter of the slots, the cause is not
 	// the concurrency, and a lower limit only loses capacity.
