--- a/internal/admit/gate/gate_test.go
+++ b/internal/admit/gate/gate_test.go
@@ -76,6 +76,7 @@
 // Guards against a new server that gets more requests at once than the warm-up allows, whatever is offered.
 func TestServerSeesWarmUpOnly(t *testing.T) {
 	inBubble(t, func(r *rig) {
+		time.Sleep(service / 2)                                 // no second of the test ends at a tick of the limiter
 		r.call(&proto.Peer{}, r.head(ident.Check, time.Second)) // the whole reserve is kept
 		for second := range 6 {
 			r.backend.set(func() { r.backend.peak = 0 })
