Leave out servers that cannot be reached, and select another without a retry

Cause: after the kill of a daemon with the server beside it, about 20 of 580 lookups ended as not run with peer-unreachable. A refused connection told the selection nothing, and each further selection spent the retry budget, which starts empty.

Its server is left out for 1 to 2 s, beside the third that may be avoided for errors.

Ruled out: the avoidance after five errors, which counts only attempts that a server may have run.

--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -46,7 +46,7 @@
 		if !r.mayRetry(ctx, failure) {
 			return nil, failure
 		}
-		if !r.backoff(ctx) {
+		if !isUnsent(failure) && !r.backoff(ctx) {
 			return nil, failure
 		}
 		r.c.counters.retries.Add(1)
@@ -69,7 +69,13 @@
 	if unsure && (!r.idempotent || r.depth > 0) {
 		return false
 	}
-	return r.body.rewind() && r.budget.Retry()
+	return r.body.rewind() && (isUnsent(failure) || r.budget.Retry())
+}
+
+// isUnsent reports whether no byte of an attempt left. It has cost no server anything, so that another selection is not a
+// retry.
+func isUnsent(failure *code.Error) bool {
+	return failure.Code == code.PeerUnreachable && failure.Outcome == code.NotRun
 }
 
 // isFinal reports whether every server would answer the same.
--- a/internal/route/choice/avoid.go
+++ b/internal/route/choice/avoid.go
@@ -12,6 +12,8 @@
 	errorsToAvoid = 5   // consecutive errors; fewer occur by chance at a healthy server
 	minAvoid      = time.Second
 	maxAvoid      = 20 * time.Second
+	// darkFor is how long a server is avoided whose daemon did not take a connection. Members learn of a dead daemon later.
+	darkFor = time.Second
 	// forgetAfter is how long a server's errors count without a new result. Without it a server with a penalty would never
 	// be tried again while others have room.
 	forgetAfter = 5 * time.Second
@@ -27,6 +29,7 @@
 	row    int     // consecutive errors
 	rounds int     // times avoided in a row
 	until  time.Time
+	dark   time.Time // unreachable until then; not bounded by a share, since nothing can be sent there
 	last   time.Time
 	reason string
 }
@@ -61,6 +64,27 @@
 	}
 }
 
+// Unreachable tells that no byte of an attempt left for a server.
+func (c *Chooser) Unreachable(service string, server netip.AddrPort) {
+	s := c.service(service)
+	now := c.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.penalties.Store(true)
+	known := s.avoid.servers[server]
+	if known == nil {
+		known = &failing{}
+		s.avoid.servers[server] = known
+	}
+	again := known.dark.After(now)
+	known.last = now
+	known.dark = now.Add(darkFor + rand.N(darkFor))
+	known.reason = "unreachable"
+	if !again {
+		c.Log.Info("server-unreachable", "service", service, "server", server.String())
+	}
+}
+
 func (a *avoidance) succeeded(server netip.AddrPort, now time.Time) {
 	f := a.servers[server]
 	if f == nil {
@@ -68,6 +92,7 @@
 	}
 	f.last = now
 	f.row = 0
+	f.dark = time.Time{}
 	f.share *= 1 - errorWeight
 	if f.share < 0.01 && !f.until.After(now) {
 		delete(a.servers, server)
@@ -113,7 +138,7 @@
 	if f == nil {
 		return 1, false
 	}
-	if f.until.After(now) {
+	if f.until.After(now) || f.dark.After(now) {
 		return 1, true
 	}
 	if now.Sub(f.last) > forgetAfter+max(f.until.Sub(f.last), 0) {
--- a/internal/route/choice/choice.go
+++ b/internal/route/choice/choice.go
@@ -214,8 +214,8 @@
 		}
 		if f := s.avoid.servers[server]; f != nil {
 			entry.Errors = f.share
-			if f.until.After(now) {
-				entry.Avoided = f.until.Sub(now)
+			if left := max(f.until.Sub(now), f.dark.Sub(now)); left > 0 {
+				entry.Avoided = left
 				entry.Reason = f.reason
 			}
 		}
--- a/internal/route/choice/choice_test.go
+++ b/internal/route/choice/choice_test.go
@@ -60,6 +60,28 @@
 	}
 }
 
+// Guards against selecting a server whose daemon is dead until the members learn of it.
+func TestUnreachableServersAreNotSelected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueueing(3, fixed(Probing{}))
+	c := q.routers[0]
+	dead := map[netip.AddrPort]bool{}
+	for _, b := range q.servers[:servers/2] {
+		dead[b.address] = true
+		c.Unreachable("stock", b.address)
+	}
+	for range 20 * servers {
+		sent, err := c.Select("stock", nil, true)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(dead).NotTo(gomega.HaveKey(sent.Server))
+	}
+	q.now += 2 * darkFor
+	g.Eventually(func() bool {
+		sent, err := c.Select("stock", nil, true)
+		return err == nil && dead[sent.Server]
+	}).Should(gomega.BeTrue(), "never tried again")
+}
+
 // Guards against avoiding so many servers that the rest is overloaded, and against avoiding one for ever.
 func TestAvoidsAtMostAThird(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/wire/link/pool.go
+++ b/internal/wire/link/pool.go
@@ -177,7 +177,7 @@
 		return c, nil
 	}
 	if found.size() >= p.PerPeer {
-		return nil, code.NotRunf(code.PeerUnreachable, "all %d connections to %v are in use", p.PerPeer, to)
+		return nil, code.NotRunf(code.Overloaded, "all %d connections to %v are in use", p.PerPeer, to)
 	}
 	found.opening++
 	return nil, nil
