--- /dev/null
+++ b/internal/bench/proc/caller.go
@@ -0,0 +1,201 @@
+package proc
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/bench/load"
+	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
+)
+
+const (
+	daemonsPath = "/.well-known/marigoldwinch/daemons"
+	listTimeout = 300 * time.Millisecond // a paused daemon is passed over soon
+	// callBound ends a call through a daemon that never answers; well above every Request-Timeout of the tests.
+	callBound = 5 * time.Second
+)
+
+// Fate is what a caller was told about one request.
+type Fate struct {
+	Method  string
+	Daemon  netip.AddrPort // that got the request
+	Outcome load.Outcome   // by status and headers
+	Detail  string         // error, or code of marigoldwinch's own response
+	At      time.Time      // of the response
+}
+
+// Callers is an http.RoundTripper that behaves as a caller should: it uses only daemons of the list that the daemons
+// serve, and sends a request again only when the connection was refused. It records every fate by Sample-Request. A
+// request outlives the end of its context, so that a run of the load generator can be ended without cutting requests.
+type Callers struct {
+	Known []netip.AddrPort // callers' addresses to ask for the list
+
+	mu     sync.Mutex // guards the fields below
+	listed []netip.AddrPort
+	fates  map[string]Fate
+}
+
+// A connection for each request: Go's transport sends a request with Idempotency-Key again when a reused connection
+// breaks, which would be a retry of the caller.
+var callerTransport = &http.Transport{DisableKeepAlives: true}
+
+// Refresh reads the list from the first known daemon that answers.
+func (c *Callers) Refresh(ctx context.Context) error {
+	var failure error
+	for _, i := range rand.Perm(len(c.Known)) {
+		listed, err := list(ctx, c.Known[i])
+		if err != nil {
+			failure = err
+			continue
+		}
+		c.mu.Lock()
+		c.listed = listed
+		c.mu.Unlock()
+		return nil
+	}
+	return errors.Wrap(failure, "no daemon serves the list of daemons")
+}
+
+// Listed returns the list of daemons that was read last.
+func (c *Callers) Listed() []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listed
+}
+
+func list(ctx context.Context, from netip.AddrPort) ([]netip.AddrPort, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	answer := struct {
+		Daemons []struct {
+			Address netip.AddrPort `json:"address"`
+		} `json:"daemons"`
+	}{}
+	if err := getJSON(ctx, "http://"+from.String()+daemonsPath, &answer); err != nil {
+		return nil, err
+	}
+	var listed []netip.AddrPort
+	for _, one := range answer.Daemons {
+		listed = append(listed, one.Address)
+	}
+	if len(listed) == 0 {
+		return nil, errors.Newf("%s lists no daemon", from)
+	}
+	return listed, nil
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *Callers) RoundTrip(request *http.Request) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(request.Context()), callBound)
+	var response *http.Response
+	var daemon netip.AddrPort
+	err := errors.New("no daemon is listed")
+	for _, daemon = range c.order(request) {
+		response, err = c.try(ctx, request, daemon)
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+	}
+	c.record(request, daemon, response, err)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	response.Body = &cancelBody{response.Body, cancel}
+	return response, nil
+}
+
+// order returns the listed daemons, the one that the request names first.
+func (c *Callers) order(request *http.Request) []netip.AddrPort {
+	named, err := netip.ParseAddrPort(request.URL.Host)
+	listed := slices.Clone(c.Listed())
+	rand.Shuffle(len(listed), func(i, j int) { listed[i], listed[j] = listed[j], listed[i] })
+	if i := slices.Index(listed, named); err == nil && i > 0 {
+		listed[0], listed[i] = listed[i], listed[0]
+	}
+	return listed
+}
+
+func (c *Callers) try(ctx context.Context, request *http.Request, daemon netip.AddrPort) (*http.Response, error) {
+	again := request.Clone(ctx)
+	again.URL.Host = daemon.String()
+	again.Host = ""
+	if request.GetBody != nil {
+		body, err := request.GetBody()
+		if err != nil {
+			return nil, err
+		}
+		again.Body = body
+	}
+	return callerTransport.RoundTrip(again)
+}
+
+func (c *Callers) record(request *http.Request, daemon netip.AddrPort, response *http.Response, err error) {
+	fate := Fate{Method: request.Method, Daemon: daemon, At: time.Now()}
+	switch {
+	case err != nil:
+		fate.Outcome, fate.Detail = load.Failed, err.Error()
+	case response.Header.Get("Marigoldwinch-Outcome") == "not-run":
+		fate.Outcome, fate.Detail = load.NotRun, response.Header.Get("Marigoldwinch-Code")
+	case response.Header.Get("Marigoldwinch-Outcome") == "unknown":
+		fate.Outcome, fate.Detail = load.UnknownOutcome, response.Header.Get("Marigoldwinch-Code")
+	case response.StatusCode >= http.StatusBadRequest:
+		fate.Outcome, fate.Detail = load.ServerError, response.Status
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fates == nil {
+		c.fates = map[string]Fate{}
+	}
+	c.fates[request.Header.Get(sample.RequestHeader)] = fate
+}
+
+// Fates returns what the callers were told, by Sample-Request.
+func (c *Callers) Fates() map[string]Fate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fates := make(map[string]Fate, len(c.fates))
+	for id, fate := range c.fates {
+		fates[id] = fate
+	}
+	return fates
+}
+
+// cancelBody ends the request's context with its body.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancelBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
+func getJSON(ctx context.Context, target string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10)) // part of the message only
+		return errors.Newf("GET %s: %s: %s", target, response.Status, text)
+	}
+	return errors.Wrapf(json.NewDecoder(response.Body).Decode(into), "GET %s", target)
+}
--- /dev/null
+++ b/internal/bench/proc/change_test.go
@@ -0,0 +1,297 @@
+package proc_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/bench/load"
+	"marigoldwinch.example/marigoldwinch/internal/bench/proc"
+)
+
+// Exit statuses of docs/configuration.md.
+const (
+	statusRefused     = 3
+	statusUnavailable = 4
+)
+
+const (
+	pollInterval  = 50 * time.Millisecond
+	quietFor      = 1500 * time.Millisecond // in which a server that is out must start nothing
+	warmUpTimeout = 15 * time.Second        // for a server that came back to get work again
+	raceRounds    = 3
+	changeRounds  = 3
+	answeredShare = 0.999 // of idempotent calls while a zone leaves and returns, from the design page
+)
+
+var _ = Describe("a decision of an operator", func() {
+	// Guards against a daemon that goes on to use a zone or server that operators have taken out, and against a departure
+	// that cuts requests.
+	It("keeps new work from a zone and from a server, and lets them return", func(ctx SpecContext) {
+		fleet := startFleet(ctx, folder, threeZones())
+		traffic := startTraffic(ctx, fleet)
+		pause(ctx, steady)
+		zone := fleet.Nodes[:2] // both servers of zone-a
+		expectOut(ctx, fleet, zone, "zone", "out", "zone-a")
+		expectBack(ctx, fleet, zone, "zone", "in", "zone-a")
+		server := fleet.Nodes[2:3]
+		expectOut(ctx, fleet, server, "server", "leave", server[0].Daemons.String())
+		expectBack(ctx, fleet, server, "server", "return", server[0].Daemons.String())
+		fates := traffic.end()
+		expectOutcomesTrue(ctx, fleet, fates)
+		expectNoneHeld(ctx, fleet.Nodes...)
+		expectNoneCut(fates)
+		failed := others(fates, http.MethodGet, zone[0].Server)
+		answered := 1 - float64(len(failed))/float64(count(fates, http.MethodGet))
+		Expect(answered).To(BeNumerically(">=", answeredShare), "lookups: %s", strings.Join(failed, "\n"))
+	}, SpecTimeout(specTimeout))
+
+	// Guards against two accepted changes that contradict each other, and against a refusal that does not name the other.
+	It("is refused when another one has decided otherwise at the same moment", func(ctx SpecContext) {
+		fleet := startFleet(ctx, folder, threeZones()[:1])
+		for round := range raceRounds {
+			expectOneWinner(ctx, fleet, round)
+		}
+	}, SpecTimeout(specTimeout))
+
+	// Guards against dissemination that misses daemons or is slower than the bound, and against a revision that reverts.
+	It("is in force at 13 daemons within its bound and never reverts", func(ctx SpecContext) {
+		fleet := startFleet(ctx, folder+"\n[service shelf-labels]\n", thirteen())
+		watch := watchRevisions(ctx, fleet)
+		for round := range changeRounds {
+			revision, accepted := change(ctx, fleet, "slots.ini", fmt.Sprintf("[service stock-display]\nslots = %d\n", 20+round))
+			watch.expectInForce(ctx, revision, accepted.Add(changeBound))
+		}
+		Expect(watch.stop()).To(BeEmpty(), "revisions that went back")
+	}, SpecTimeout(specTimeout))
+})
+
+var _ = Describe("an outage of the platform", func() {
+	// Guards against calls that depend on the platform, changes that take effect although they were reported as failed,
+	// and daemons that cannot start or that keep an old configuration after the outage.
+	It("disturbs no call, refuses changes, and ends with every daemon up to date", func(ctx SpecContext) {
+		fleet := startFleet(ctx, strings.ReplaceAll(folder, "claim = true", "claim = false"), threeZones())
+		traffic := startTraffic(ctx, fleet)
+		pause(ctx, time.Second)
+		before, err := fleet.Nodes[0].Revision(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		file, err := fleet.Write("50-outage.ini", "[service stock-display]\nslots = 13\n")
+		Expect(err).NotTo(HaveOccurred())
+
+		Expect(fleet.SetFault(ctx, `{"fault": "down"}`)).To(Succeed())
+		expectUnavailable(fleet.Change(ctx, "down", "config", "add", file))
+		Expect(fleet.SetFault(ctx, "")).To(Succeed())
+		fleet.Relay.Silence(true)
+		expectUnavailable(fleet.Change(ctx, "silent", "config", "add", file, "--platform-timeout", "500ms"))
+
+		late, err := fleet.Add(proc.Place{Service: "stock-display", Zone: "zone-b"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(late.Daemon.Start()).To(Succeed())
+		expectReady(ctx, fleet, late)
+		Expect(late.Revision(ctx)).To(Equal(before), "configuration from the seed")
+
+		fleet.Relay.Silence(false)
+		watch := watchRevisions(ctx, fleet)
+		revision, accepted := change(ctx, fleet, "60-after.ini", "[service stock-display]\nslots = 14\n")
+		Expect(revision).To(Equal(before+1), "a refused change was accepted")
+		// The polls that were under way in the outage first run into the platform timeout of 2 s.
+		watch.expectInForce(ctx, revision, accepted.Add(2*time.Second+changeBound))
+		Expect(watch.stop()).To(BeEmpty(), "revisions that went back")
+		fates := traffic.end()
+		expectOutcomesTrue(ctx, fleet, fates)
+		expectNoneHeld(ctx, fleet.Nodes...)
+		Expect(others(fates, http.MethodGet, fleet.Table)).To(BeEmpty(), "lookups")
+		Expect(others(fates, http.MethodPost, fleet.Table)).To(BeEmpty(), "orders")
+	}, SpecTimeout(specTimeout))
+})
+
+// thirteen has the sizes of the design page: 6, 4 and 3 servers over three zones.
+func thirteen() []proc.Place {
+	var places []proc.Place
+	for i := range 13 {
+		service := "stock-display"
+		if i >= 10 {
+			service = "shelf-labels"
+		} else if i >= 6 {
+			service = "order-taking"
+		}
+		places = append(places, proc.Place{Service: service, Zone: "zone-" + string(rune('a'+i%3))})
+	}
+	return places
+}
+
+// accept makes a change that must be accepted, and returns its revision and when the command had its answer.
+func accept(ctx context.Context, fleet *proc.Fleet, args ...string) (uint64, time.Time) {
+	output := fleet.Change(ctx, "operator", args...)
+	accepted := time.Now()
+	ExpectWithOffset(2, output.Status).To(BeZero(), "%v: %s", args, output.Errors)
+	form := struct {
+		Revision uint64 `json:"revision"`
+	}{}
+	ExpectWithOffset(2, json.Unmarshal([]byte(output.Text), &form)).To(Succeed())
+	return form.Revision, accepted
+}
+
+func change(ctx context.Context, fleet *proc.Fleet, name, content string) (uint64, time.Time) {
+	file, err := fleet.Write(name, content)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	return accept(ctx, fleet, "config", "add", file)
+}
+
+// expectOut takes nodes out by a command and checks that their servers start nothing after the bound.
+func expectOut(ctx context.Context, fleet *proc.Fleet, nodes []*proc.Node, args ...string) {
+	revision, accepted := accept(ctx, fleet, args...)
+	wait := fleet.Run(ctx, "config", "wait", fleet.Nodes[5].Admin.String(), "--revision", strconv.FormatUint(revision, 10))
+	ExpectWithOffset(1, wait.Status).To(BeZero(), "config wait: %s%s", wait.Text, wait.Errors)
+	pause(ctx, time.Until(accepted.Add(decisionBound)))
+	before := totals(ctx, nodes)
+	pause(ctx, quietFor)
+	ExpectWithOffset(1, totals(ctx, nodes)).To(Equal(before), "new work after %v", args)
+}
+
+// expectBack brings nodes back by a command and waits until each gets work.
+func expectBack(ctx context.Context, fleet *proc.Fleet, nodes []*proc.Node, args ...string) {
+	before := totals(ctx, nodes)
+	accept(ctx, fleet, args...)
+	waiting, cancel := context.WithTimeout(ctx, warmUpTimeout)
+	defer cancel()
+	for i := range nodes {
+		EventuallyWithOffset(1, func() int { return totals(waiting, nodes)[i] }).WithContext(waiting).WithPolling(pollInterval).
+			Should(BeNumerically(">", before[i]), "no work for %s after %v", nodes[i].Daemon.Name, args)
+	}
+}
+
+func totals(ctx context.Context, nodes []*proc.Node) []int {
+	var all []int
+	for _, node := range nodes {
+		total, err := node.Total(ctx)
+		ExpectWithOffset(2, err).NotTo(HaveOccurred())
+		all = append(all, total)
+	}
+	return all
+}
+
+// expectNoneCut checks that no request ended by anything but its server or a refusal before it ran.
+func expectNoneCut(fates map[string]proc.Fate) {
+	var cut []string
+	for id, fate := range fates {
+		if fate.Outcome != load.OK && fate.Outcome != load.NotRun {
+			cut = append(cut, fmt.Sprintf("%s: %+v", id, fate))
+		}
+	}
+	ExpectWithOffset(1, cut).To(BeEmpty(), "requests that were cut")
+}
+
+func expectUnavailable(output proc.Output) {
+	ExpectWithOffset(1, output.Status).To(Equal(statusUnavailable), "%s%s", output.Text, output.Errors)
+	ExpectWithOffset(1, output.Errors).To(ContainSubstring(`"outcome": "not-run"`))
+}
+
+// expectOneWinner lets two operators give one key two values from the same revision at the same moment.
+func expectOneWinner(ctx context.Context, fleet *proc.Fleet, round int) {
+	base, _ := change(ctx, fleet, "05-base.ini", fmt.Sprintf("[service stock-display]\nqueue = %d\n", 50+round))
+	files := []string{"20-first.ini", "30-second.ini"}
+	operators := []string{"ann", "ben"}
+	outputs := make([]proc.Output, len(files))
+	var both sync.WaitGroup
+	for i, name := range files {
+		file, err := fleet.Write(name, fmt.Sprintf("[service stock-display]\nslots = %d\n", 30+10*i+round))
+		ExpectWithOffset(1, err).NotTo(HaveOccurred())
+		both.Go(func() {
+			outputs[i] = fleet.Change(ctx, operators[i], "config", "add", file, "--base", strconv.FormatUint(base, 10))
+		})
+	}
+	both.Wait()
+	winner := 0
+	if outputs[0].Status != 0 {
+		winner = 1
+	}
+	loser := outputs[1-winner]
+	ExpectWithOffset(1, outputs[winner].Status).To(BeZero(), outputs[winner].Errors)
+	ExpectWithOffset(1, loser.Status).To(Equal(statusRefused), loser.Text+loser.Errors)
+	ExpectWithOffset(1, loser.Errors).To(And(ContainSubstring(files[winner]), ContainSubstring("slots"),
+		ContainSubstring(operators[winner]), ContainSubstring(`"outcome": "not-run"`)))
+	list := fleet.Run(ctx, "config", "list", "--platform-table", fleet.Table.String())
+	ExpectWithOffset(1, list.Text).To(ContainSubstring(files[winner]))
+	ExpectWithOffset(1, list.Text).NotTo(ContainSubstring(files[1-winner]), "the refused file is in the folder")
+	removed := fleet.Change(ctx, "operator", "config", "remove", files[winner])
+	ExpectWithOffset(1, removed.Status).To(BeZero(), removed.Errors)
+}
+
+// revisionWatch reads the revision of every daemon again and again.
+type revisionWatch struct {
+	cancel context.CancelFunc
+	ended  sync.WaitGroup
+
+	mu       sync.Mutex // guards the fields below
+	current  map[string]uint64
+	reverted []string
+}
+
+func watchRevisions(ctx context.Context, fleet *proc.Fleet) *revisionWatch {
+	watching, cancel := context.WithCancel(ctx)
+	w := &revisionWatch{cancel: cancel, current: map[string]uint64{}}
+	for _, node := range fleet.Nodes {
+		w.current[node.Daemon.Name] = 0
+		w.ended.Go(func() { w.follow(watching, node) })
+	}
+	DeferCleanup(w.stop)
+	return w
+}
+
+func (w *revisionWatch) follow(ctx context.Context, node *proc.Node) {
+	for ctx.Err() == nil {
+		if revision, err := node.Revision(ctx); err == nil {
+			w.see(node.Daemon.Name, revision)
+		}
+		pause(ctx, pollInterval)
+	}
+}
+
+func (w *revisionWatch) see(name string, revision uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if revision < w.current[name] {
+		w.reverted = append(w.reverted, fmt.Sprintf("%s from %d to %d", name, w.current[name], revision))
+		return
+	}
+	w.current[name] = revision
+}
+
+func (w *revisionWatch) behind(revision uint64) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var behind []string
+	for name, current := range w.current {
+		if current < revision {
+			behind = append(behind, fmt.Sprintf("%s at %d", name, current))
+		}
+	}
+	return behind
+}
+
+func (w *revisionWatch) expectInForce(ctx context.Context, revision uint64, until time.Time) {
+	start := time.Now()
+	waiting, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	for len(w.behind(revision)) > 0 && waiting.Err() == nil {
+		pause(waiting, pollInterval)
+	}
+	GinkgoWriter.Printf("revision %d in force everywhere after %v\n", revision, time.Since(start))
+	ExpectWithOffset(1, w.behind(revision)).To(BeEmpty(), "daemons without revision %d", revision)
+}
+
+// stop ends the reading and returns the revisions that went back.
+func (w *revisionWatch) stop() []string {
+	w.cancel()
+	w.ended.Wait()
+	return w.reverted
+}
--- /dev/null
+++ b/internal/bench/proc/fleet.go
@@ -0,0 +1,271 @@
+package proc
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Ports of a fleet's own loopback address. They are below the range that the kernel gives to outgoing connections, so
+// that no connection can take the port of a process that is about to listen.
+const (
+	platformPort = 9000
+	relayPort    = 9001
+	callersPort  = 10000 // of the first node; the others follow
+	daemonsPort  = 11000
+	adminPort    = 12000
+	serverPort   = 13000
+)
+
+const (
+	readyInterval   = 50 * time.Millisecond
+	defaultGrace    = time.Second
+	firstFolderName = "10-services.ini"
+	tailLines       = 40
+)
+
+// Place is where a node stands.
+type Place struct {
+	Service string
+	Zone    string
+}
+
+// Node is a daemon with the server beside it.
+type Node struct {
+	Place
+	Callers netip.AddrPort
+	Daemons netip.AddrPort
+	Admin   netip.AddrPort
+	Server  netip.AddrPort
+	Daemon  *Process
+	Backend *Process // nil when the fleet's servers run elsewhere
+}
+
+// Fleet is a system of processes. Set the exported fields before Start.
+type Fleet struct {
+	Binary      string
+	Dir         string // of settings, configuration files and logs
+	Folder      string // content of the first configuration file
+	Places      []Place
+	ServiceTime time.Duration // mean of the servers; 0 for servers that the caller runs
+	LogLevel    string
+
+	Nodes    []*Node
+	Platform *Process
+	Table    netip.AddrPort // of the platform itself
+	Relay    *Relay         // in front of the platform; the daemons use it
+
+	ip netip.Addr
+}
+
+var fleets atomic.Uint32
+
+// nextIP gives each fleet of each test process its own loopback address.
+func nextIP() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%250), byte(pid), byte(1 + fleets.Add(1)%250)})
+}
+
+// Start starts the platform with the first configuration, the servers and all daemons, and returns when every daemon is
+// ready and knows all others.
+func (f *Fleet) Start(ctx context.Context) error {
+	f.ip = nextIP()
+	f.Table = netip.AddrPortFrom(f.ip, platformPort)
+	f.Relay = &Relay{Listen: netip.AddrPortFrom(f.ip, relayPort), To: f.Table}
+	f.Platform = f.process("platform", "stand-in", "platform", "--listen", f.Table.String())
+	if err := f.Platform.Start(); err != nil {
+		return err
+	}
+	if err := f.Relay.Start(); err != nil {
+		return err
+	}
+	if err := f.addFirst(ctx); err != nil {
+		return err
+	}
+	for _, place := range f.Places {
+		node, err := f.Add(place)
+		if err != nil {
+			return err
+		}
+		if err := node.Daemon.Start(); err != nil {
+			return err
+		}
+	}
+	return f.Ready(ctx, f.Nodes)
+}
+
+// addFirst adds the first configuration as soon as the platform answers.
+func (f *Fleet) addFirst(ctx context.Context) error {
+	file, err := f.Write(firstFolderName, f.Folder)
+	if err != nil {
+		return err
+	}
+	return retry(ctx, func() error {
+		result := f.Change(ctx, "setup", "config", "add", file)
+		if result.Status != 0 {
+			return errors.Newf("first configuration: status %d: %s", result.Status, result.Errors)
+		}
+		return nil
+	})
+}
+
+// Add adds a node and starts its server. The caller starts its daemon.
+func (f *Fleet) Add(place Place) (*Node, error) {
+	number := uint16(len(f.Nodes))
+	node := &Node{
+		Place:   place,
+		Callers: netip.AddrPortFrom(f.ip, callersPort+number),
+		Daemons: netip.AddrPortFrom(f.ip, daemonsPort+number),
+		Admin:   netip.AddrPortFrom(f.ip, adminPort+number),
+		Server:  netip.AddrPortFrom(f.ip, serverPort+number),
+	}
+	name := fmt.Sprintf("%s-%s-%d", place.Service, place.Zone, number)
+	settings, err := f.Write(name+".settings", f.settings(node))
+	if err != nil {
+		return nil, err
+	}
+	node.Daemon = f.process(name, "daemon", "--settings", settings)
+	f.Nodes = append(f.Nodes, node)
+	if f.ServiceTime == 0 {
+		return node, nil
+	}
+	node.Backend = f.process(name+"-server", "stand-in", "server", "--listen", node.Server.String(), "--name", name,
+		"--service-time", f.ServiceTime.String(), "--daemon", "http://"+node.Callers.String())
+	return node, node.Backend.Start()
+}
+
+func (f *Fleet) settings(node *Node) string {
+	var seeds []string
+	for _, seed := range f.Nodes[:min(2, len(f.Nodes))] {
+		seeds = append(seeds, seed.Daemons.String())
+	}
+	text := fmt.Sprintf("[daemon]\nservice = %s\nzone = %s\n[listen]\ncallers = %s\ndaemons = %s\nadmin = %s\n"+
+		"[server]\naddress = %s\n[platform]\ntable = %s\nobjects = %s\n[stop]\ngrace = %s\ntimeout = 10s\n",
+		node.Service, node.Zone, node.Callers, node.Daemons, node.Admin, node.Server, f.Relay.Listen, f.Relay.Listen, defaultGrace)
+	if len(seeds) > 0 {
+		text += "[fleet]\nseeds = " + strings.Join(seeds, ", ") + "\n"
+	}
+	if f.LogLevel != "" {
+		text += "[log]\nlevel = " + f.LogLevel + "\n"
+	}
+	return text
+}
+
+// Write writes a file into the fleet's folder and returns its path.
+func (f *Fleet) Write(name, content string) (string, error) {
+	path := filepath.Join(f.Dir, name)
+	return path, errors.Wrap(os.WriteFile(path, []byte(content), 0o600), "write file")
+}
+
+func (f *Fleet) process(name string, args ...string) *Process {
+	return &Process{Name: name, Binary: f.Binary, Args: args, LogFile: filepath.Join(f.Dir, name+".log")}
+}
+
+// Ready returns when the given daemons take work and know every daemon of the fleet as serving.
+func (f *Fleet) Ready(ctx context.Context, nodes []*Node) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, node := range nodes {
+		group.Go(func() error {
+			return errors.Wrapf(retry(ctx, func() error { return f.ready(ctx, node) }), "daemon %s", node.Daemon.Name)
+		})
+	}
+	return group.Wait()
+}
+
+func (f *Fleet) ready(ctx context.Context, node *Node) error {
+	var health any
+	if err := getJSON(ctx, "http://"+node.Admin.String()+"/health", &health); err != nil {
+		return err
+	}
+	members, err := node.Members(ctx)
+	if err != nil {
+		return err
+	}
+	if serving := members.Serving(); serving < len(f.Nodes) {
+		return errors.Newf("knows %d of %d daemons as serving", serving, len(f.Nodes))
+	}
+	return nil
+}
+
+// Stop ends every process of the fleet.
+func (f *Fleet) Stop() {
+	for _, process := range f.processes() {
+		process.Kill()
+	}
+	if f.Relay != nil {
+		f.Relay.Refuse()
+	}
+}
+
+// Logs returns the ends of all logs.
+func (f *Fleet) Logs() string {
+	var text strings.Builder
+	for _, process := range f.processes() {
+		fmt.Fprintf(&text, "--- %s\n%s\n", process.Name, process.Tail(tailLines))
+	}
+	return text.String()
+}
+
+func (f *Fleet) processes() []*Process {
+	var all []*Process
+	for _, node := range f.Nodes {
+		all = append(all, node.Daemon)
+		if node.Backend != nil {
+			all = append(all, node.Backend)
+		}
+	}
+	if f.Platform != nil {
+		all = append(all, f.Platform)
+	}
+	return all
+}
+
+// Output is the result of a command.
+type Output struct {
+	Status int
+	Text   string
+	Errors string
+}
+
+// Change runs a command that reads or changes the configuration, through the relay.
+func (f *Fleet) Change(ctx context.Context, operator string, args ...string) Output {
+	args = append(args, "--operator", operator, "--platform-table", f.Relay.Listen.String())
+	return f.Run(ctx, args...)
+}
+
+// Run runs a command of the binary with --output json.
+func (f *Fleet) Run(ctx context.Context, args ...string) Output {
+	command := exec.CommandContext(ctx, f.Binary, append(args, "--output", "json")...)
+	var text, failures bytes.Buffer
+	command.Stdout = &text
+	command.Stderr = &failures
+	if err := command.Run(); err != nil && command.ProcessState == nil {
+		return Output{Status: -1, Errors: err.Error()}
+	}
+	return Output{Status: command.ProcessState.ExitCode(), Text: text.String(), Errors: failures.String()}
+}
+
+// retry repeats action until it succeeds. At the end of ctx it returns the last failure.
+func retry(ctx context.Context, action func() error) error {
+	for {
+		err := action()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(readyInterval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/proc/proc_suite_test.go
@@ -0,0 +1,80 @@
+package proc_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/bench/proc"
+)
+
+// Bounds of the design page: of a decision that keeps new work away, and of a change until it is in force everywhere.
+const (
+	decisionBound = 3 * time.Second
+	changeBound   = 3 * time.Second
+)
+
+const (
+	specTimeout  = 40 * time.Second // ends a hanging spec; a spec is meant to take less than 15 s
+	readyTimeout = 15 * time.Second
+	serviceTime  = 40 * time.Millisecond // long enough that a failure finds requests in flight
+)
+
+const folder = `[service stock-display]
+slots = 12
+
+[service order-taking]
+class = write
+slots = 12
+claim = true
+`
+
+var binary string
+
+func TestProc(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "processes")
+}
+
+var _ = BeforeSuite(func(ctx SpecContext) {
+	dir, err := os.MkdirTemp("", "marigoldwinch")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() error { return os.RemoveAll(dir) })
+	binary, err = proc.Binary(ctx, moduleRoot(), dir)
+	Expect(err).NotTo(HaveOccurred())
+})
+
+func moduleRoot() string {
+	return filepath.Join("..", "..", "..")
+}
+
+// threeZones has two services in each of three zones.
+func threeZones() []proc.Place {
+	var places []proc.Place
+	for _, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+		places = append(places, proc.Place{Service: "stock-display", Zone: zone}, proc.Place{Service: "order-taking", Zone: zone})
+	}
+	return places
+}
+
+// startFleet starts a fleet that ends with the spec, and shows its logs when the spec fails.
+func startFleet(ctx context.Context, content string, places []proc.Place) *proc.Fleet {
+	fleet := &proc.Fleet{
+		Binary: binary, Dir: GinkgoT().TempDir(), Folder: content, Places: places, ServiceTime: serviceTime,
+	}
+	DeferCleanup(func() {
+		if CurrentSpecReport().Failed() {
+			GinkgoWriter.Println(fleet.Logs())
+		}
+		fleet.Stop()
+	})
+	starting, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	Expect(fleet.Start(starting)).To(Succeed())
+	return fleet
+}
--- /dev/null
+++ b/internal/bench/proc/relay.go
@@ -0,0 +1,124 @@
+package proc
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+const relayBuffer = 32 << 10
+
+// Relay passes TCP connections on, until it is told to be silent or to refuse. Set the exported fields before Start.
+type Relay struct {
+	Listen netip.AddrPort
+	To     netip.AddrPort
+
+	silent atomic.Bool
+
+	mu       sync.Mutex // guards the fields below
+	listener net.Listener
+	open     map[net.Conn]struct{}
+}
+
+// Start listens and passes connections on. It ends a refusal.
+func (r *Relay) Start() error {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(r.Listen))
+	if err != nil {
+		return errors.Wrap(err, "relay")
+	}
+	r.mu.Lock()
+	r.listener = listener
+	r.open = map[net.Conn]struct{}{}
+	r.mu.Unlock()
+	go r.accept(listener)
+	return nil
+}
+
+// Silence makes the relay drop all data while connections stay open. Connections that were used meanwhile stay silent
+// for ever, like those that a device on the path has forgotten.
+func (r *Relay) Silence(silent bool) {
+	r.silent.Store(silent)
+}
+
+// Refuse closes every connection and refuses new ones until Start.
+func (r *Relay) Refuse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener == nil {
+		return
+	}
+	_ = r.listener.Close()
+	for conn := range r.open {
+		_ = conn.Close()
+	}
+	r.listener = nil
+}
+
+func (r *Relay) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(listener, conn)
+	}
+}
+
+func (r *Relay) pass(listener net.Listener, near net.Conn) {
+	far, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", r.To.String())
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	if !r.keep(listener, near, far) {
+		return
+	}
+	lost := &atomic.Bool{}
+	both := sync.WaitGroup{}
+	both.Go(func() { r.copy(far, near, lost) })
+	both.Go(func() { r.copy(near, far, lost) })
+	both.Wait()
+	r.mu.Lock()
+	delete(r.open, near)
+	delete(r.open, far)
+	r.mu.Unlock()
+}
+
+// keep registers a pair of connections. It closes them when the relay has refused since.
+func (r *Relay) keep(listener net.Listener, near, far net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener != listener {
+		_ = near.Close()
+		_ = far.Close()
+		return false
+	}
+	r.open[near] = struct{}{}
+	r.open[far] = struct{}{}
+	return true
+}
+
+// copy passes data on in one direction. After the first loss the pair of connections passes nothing any more.
+func (r *Relay) copy(to, from net.Conn, lost *atomic.Bool) {
+	defer to.Close()
+	buffer := make([]byte, relayBuffer)
+	for {
+		read, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if r.silent.Load() {
+			lost.Store(true)
+		}
+		if lost.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:read]); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/proc/traffic_test.go
@@ -0,0 +1,156 @@
+package proc_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/bench/load"
+	"marigoldwinch.example/marigoldwinch/internal/bench/proc"
+)
+
+const (
+	loadRate       = 150 // requests per second: a few percent of the machine, and enough to meet every moment of a failure
+	loadLimit      = 30 * time.Second
+	requestTimeout = time.Second
+	listInterval   = 100 * time.Millisecond
+	releaseBound   = 5 * time.Second // until the connections of ended calls are free again
+)
+
+var kinds = []load.Kind{
+	{Name: "lookup", Weight: 6, Method: http.MethodGet, Service: "stock-display", Path: "/jars/7"},
+	{Name: "order", Weight: 2, Method: http.MethodPost, Service: "order-taking", Path: "/orders", Body: 100, Once: true},
+	{Name: "keyed-order", Weight: 2, Method: http.MethodPost, Service: "order-taking", Path: "/orders", Body: 100, Once: true, Key: true},
+}
+
+// traffic is a run of the load generator through callers that use the list of daemons.
+type traffic struct {
+	callers *proc.Callers
+	stop    context.CancelFunc
+	done    chan struct{}
+	result  *load.Result
+}
+
+func startTraffic(ctx context.Context, fleet *proc.Fleet) *traffic {
+	t := &traffic{callers: &proc.Callers{}, done: make(chan struct{})}
+	for _, node := range fleet.Nodes {
+		t.callers.Known = append(t.callers.Known, node.Callers)
+	}
+	Expect(t.callers.Refresh(ctx)).To(Succeed())
+	running, stop := context.WithCancel(ctx)
+	t.stop = stop
+	go t.refresh(running)
+	plan := load.Plan{
+		Daemons: t.callers.Known, Rate: loadRate, Duration: loadLimit, Timeout: requestTimeout, Seed: 1, InFlight: 2000, Kinds: kinds,
+	}
+	run := &load.Run{Plan: plan, Client: &http.Client{Transport: t.callers}, Log: logr.Discard()}
+	go func() {
+		defer close(t.done)
+		t.result, _ = run.Do(running) // it asks no server, and so cannot fail
+	}()
+	DeferCleanup(func() {
+		stop()
+		<-t.done
+	})
+	return t
+}
+
+func (t *traffic) refresh(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			_ = t.callers.Refresh(ctx) // the callers keep their list meanwhile
+		}
+	}
+}
+
+// end sends nothing more and returns the fates after all responses.
+func (t *traffic) end() map[string]proc.Fate {
+	t.stop()
+	<-t.done
+	for i := range t.result.Rows {
+		row := &t.result.Rows[i]
+		GinkgoWriter.Println(row.Kind, row.Total(), row.Outcomes, row.Quantile(0.5), row.Quantile(0.99))
+		ExpectWithOffset(1, row.Outcomes[load.WrongResponse]).To(BeZero(), "%s: responses to another request", row.Kind)
+		ExpectWithOffset(1, row.Outcomes[load.Truncated]).To(BeZero(), "%s: truncated responses", row.Kind)
+		ExpectWithOffset(1, row.Outcomes[load.Dropped]).To(BeZero(), "%s: requests not sent", row.Kind)
+	}
+	return t.callers.Fates()
+}
+
+// expectOutcomesTrue checks what callers were told against what the servers ran.
+func expectOutcomesTrue(ctx context.Context, fleet *proc.Fleet, fates map[string]proc.Fate) {
+	total := map[string]int{}
+	for _, node := range fleet.Nodes {
+		runs, err := node.Runs(ctx)
+		ExpectWithOffset(1, err).NotTo(HaveOccurred())
+		for id, count := range runs {
+			total[id] += count
+		}
+	}
+	var twice, falselyNotRun, lost []string
+	for id, fate := range fates {
+		switch {
+		case strings.HasPrefix(id, "once-") && total[id] > 1:
+			twice = append(twice, fmt.Sprintf("%s ran %d times: %+v", id, total[id], fate))
+		case fate.Outcome == load.NotRun && total[id] > 0:
+			falselyNotRun = append(falselyNotRun, fmt.Sprintf("%s: %+v", id, fate))
+		case fate.Outcome == load.OK && total[id] == 0:
+			lost = append(lost, fmt.Sprintf("%s: %+v", id, fate))
+		}
+	}
+	ExpectWithOffset(1, twice).To(BeEmpty(), "non-idempotent requests ran twice")
+	ExpectWithOffset(1, falselyNotRun).To(BeEmpty(), "callers were told not-run of requests that ran")
+	ExpectWithOffset(1, lost).To(BeEmpty(), "callers were told of success of requests that did not run")
+}
+
+// expectNoneHeld checks that without calls the daemons hold no connection: a call that keeps its own makes every later
+// call fail once the pool is used up. Exchanges use a connection for a moment.
+func expectNoneHeld(ctx context.Context, nodes ...*proc.Node) {
+	for _, node := range nodes {
+		EventuallyWithOffset(1, func() (int, error) { return node.Held(ctx) }).WithTimeout(releaseBound).WithPolling(pollInterval).
+			Should(BeZero(), "connections that %s holds", node.Daemon.Name)
+	}
+}
+
+// others selects fates of a method, through any daemon but one, that are not OK.
+func others(fates map[string]proc.Fate, method string, except netip.AddrPort) []string {
+	var failed []string
+	for id, fate := range fates {
+		if fate.Method == method && fate.Daemon != except && fate.Outcome != load.OK {
+			failed = append(failed, fmt.Sprintf("%s %s: %+v", fate.At.Format(time.TimeOnly+".000"), id, fate))
+		}
+	}
+	sort.Strings(failed)
+	return failed
+}
+
+// count returns the number of fates of a method.
+func count(fates map[string]proc.Fate, method string) int {
+	sum := 0
+	for _, fate := range fates {
+		if fate.Method == method {
+			sum++
+		}
+	}
+	return sum
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
--- a/internal/bench/sample/http.go
+++ b/internal/bench/sample/http.go
@@ -22,14 +22,15 @@
 	maxSize     = 1 << 24 // bytes of a response that a caller may ask for
 )
 
-// Handler returns the HTTP interface: /health, /load, /sample/faults, /sample/counts; /chain/SERVICE/... calls on through
-// the daemon; every other path runs a request and answers with ?size=N bytes, 512 by default.
+// Handler returns the HTTP interface: /health, /load, /sample/faults, /sample/counts, /sample/runs; /chain/SERVICE/... calls
+// on through the daemon; every other path runs a request and answers with ?size=N bytes, 512 by default.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", s.health)
 	mux.HandleFunc("GET /load", s.load)
 	mux.HandleFunc("PUT /sample/faults", s.setFaults)
 	mux.HandleFunc("GET /sample/counts", s.showCounts)
+	mux.HandleFunc("GET /sample/runs", s.showRuns)
 	mux.HandleFunc("/chain/", s.chain)
 	mux.HandleFunc("/", s.work)
 	return mux
@@ -86,6 +87,10 @@
 	})
 }
 
+func (s *Server) showRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Runs())
+}
+
 func (s *Server) work(w http.ResponseWriter, r *http.Request) {
 	if s.refuse(w) {
 		return
--- a/internal/bench/sample/sample.go
+++ b/internal/bench/sample/sample.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -123,6 +124,13 @@
 	return counts
 }
 
+// Runs returns how often the server ran each request, by Sample-Request header.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
 func (s *Server) cold() bool {
 	return time.Now().UnixNano() < s.coldTill.Load()
 }
