Repeat lookups sooner when their server's daemon is paused

Three things added up. A failure that a resolve found with code cancelled was told to the caller, although only the connection was lost. Requests went on being sent to the paused daemon until its latency showed. And three resolves without a reply took longer than the deadline, also for requests that may run again.

A server without an ack is left out until a resolve has a reply, one resolve without a reply is enough for an idempotent request at depth 0, and its time is bounded by a quarter of what is left. Non-idempotent requests still ask three times; their scripts are unchanged.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -163,7 +163,8 @@
 	}
 	a.silent = true
 	a.r.c.counters.silent.Add(1)
-	a.r.c.Log.Info("connection-silent", "server", a.sent.Server.String(), "request", a.id.Request.String())
+	// No ack came from a paused daemon or on a silent connection; until a resolve tells, others are selected.
+	a.r.c.Choice.Unreachable(a.r.ask.Service, a.sent.Server)
 	if a.stream == nil {
 		a.cancel() // the connection is not open yet
 		return
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -15,8 +15,8 @@
 	minQuiet     = 100 * time.Millisecond
 	resolveBound = 500 * time.Millisecond
 	resolveRetry = 100 * time.Millisecond
-	// resolveTries is the number of failures in a row after which the daemon is taken to be gone or paused.
-	resolveTries = 3
+	// maxResolveTries is the number of failures in a row after which the daemon is taken to be gone or paused.
+	maxResolveTries = 3
 	// settleWait is the time for an answer on its way when a resolve no longer finds the request running.
 	settleWait = 100 * time.Millisecond
 	// noConn in a resolve leaves the connection of the attempt alone. Connection numbers start at 1.
@@ -51,14 +51,27 @@
 		go a.confirm()
 		return found.Answer, nil
 	case found.State == proto.StateFinished && found.Failure != nil:
-		f := found.Failure
-		return nil, &code.Error{Code: f.Code, Outcome: f.Outcome, Detail: f.Detail}
+		return nil, a.foundFailure(found.Failure)
 	default:
 		// An acked attempt that is revoked contradicts its ack, so it proves nothing.
 		return nil, code.Unknownf(code.OutcomeUnknown, "the connection failed and the server's daemon does not know the outcome")
 	}
 }
 
+// foundFailure is a failure that a resolve found. Admission sees a lost connection as a cancellation; this caller has not
+// gone, so the request may be repeated by the rules of a lost connection.
+func (a *attempt) foundFailure(found *proto.Failure) *code.Error {
+	failure := &code.Error{Code: found.Code, Outcome: found.Outcome, Detail: found.Detail}
+	if found.Code != code.Cancelled {
+		return failure
+	}
+	failure.Code = code.OutcomeUnknown
+	if found.Outcome == code.NotRun {
+		failure.Code = code.Revoked
+	}
+	return failure
+}
+
 // resolve asks until the request is no longer running.
 func (a *attempt) resolve(conn uint64) (*proto.Resolution, error) {
 	failures := 0
@@ -68,7 +81,7 @@
 		switch {
 		case err != nil:
 			failures++
-			if failures == resolveTries {
+			if failures >= a.resolveTries() {
 				return nil, code.Unknownf(code.PeerUnreachable, "the connection failed and resolve got no reply").WithCause(err)
 			}
 			wait = resolveRetry
@@ -85,11 +98,18 @@
 
 func (a *attempt) askResolve(conn uint64) (*proto.Resolution, error) {
 	a.r.c.counters.resolves.Add(1)
-	ctx, cancel := context.WithTimeout(a.ctx, resolveBound)
+	ctx, cancel := context.WithTimeout(a.ctx, min(resolveBound, max(minQuiet, time.Until(a.r.deadline)/quietShare)))
 	defer cancel()
-	return a.r.c.Client.Resolve(ctx, a.sent.Server, &proto.Resolve{
+	found, err := a.r.c.Client.Resolve(ctx, a.sent.Server, &proto.Resolve{
 		ID: a.id, Conn: conn, Incarnation: a.stream.Incarnation(), Elapsed: time.Since(a.began),
 	})
+	switch {
+	case err == nil:
+		a.r.c.Choice.Reachable(a.r.ask.Service, a.sent.Server)
+	case a.ctx.Err() == nil:
+		a.r.c.Choice.Unreachable(a.r.ask.Service, a.sent.Server)
+	}
+	return found, err
 }
 
 // confirm tells admission that a held response has arrived.
@@ -102,6 +122,14 @@
 	})
 }
 
+// resolveTries is lower for a request that may run again: another attempt helps its caller more than certainty.
+func (a *attempt) resolveTries() int {
+	if a.r.idempotent && a.r.depth == 0 {
+		return 1
+	}
+	return maxResolveTries
+}
+
 // quietBound is how long a stream may stay quiet before it is checked.
 func (a *attempt) quietBound() time.Duration {
 	return min(resolveEvery, max(minQuiet, a.r.deadline.Sub(a.began)/quietShare))
@@ -130,7 +158,7 @@
 		a.checkAgain(bound, 0)
 		return
 	}
-	if err != nil && failures+1 < resolveTries {
+	if err != nil && failures+1 < a.resolveTries() {
 		a.checkAgain(bound, failures+1)
 		return
 	}
--- a/internal/route/choice/avoid.go
+++ b/internal/route/choice/avoid.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// Reachable tells that the daemon of a server has replied on a new connection.
+func (c *Chooser) Reachable(service string, server netip.AddrPort) {
+	s := c.service(service)
+	if !s.penalties.Load() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.avoid.servers[server]; known != nil {
+		known.dark = time.Time{}
+	}
+}
+
 func (a *avoidance) succeeded(server netip.AddrPort, now time.Time) {
 	f := a.servers[server]
 	if f == nil {
