Report only complete rounds from Wait, and let callers of a paused peer return

Wait returned the round that the end of its context had cut short, in which members had no time to answer: one of 15 runs of its test listed 17 members instead of one. It now returns the last complete round.

In the fleet tests a handler ran in the goroutine of its caller, so a peer paused inside a handler stopped the caller too; one run of TestRandomFaults hung until the test timeout.

--- a/internal/fleet/gossip/wait.go
+++ b/internal/fleet/gossip/wait.go
@@ -62,16 +62,22 @@
 	return reply.InForce, nil
 }
 
-// Wait returns when every known member has the revision in force, or when ctx ends with those that have not.
+// Wait returns when every known member has the revision in force, or when ctx ends with those that had not in the last
+// complete round. A round that ctx cuts short would list members that had no time to answer.
 func (n *Node) Wait(ctx context.Context, revision uint64) ([]Behind, error) {
 	n.init()
+	var last []Behind
 	for {
 		behind := n.Behind(ctx, revision)
 		if len(behind) == 0 {
 			return nil, nil
 		}
+		if ctx.Err() != nil && last != nil {
+			return last, ctx.Err()
+		}
+		last = behind
 		if !sleep(ctx, Jitter(statusInterval, jitterShare)) {
-			return behind, ctx.Err()
+			return last, ctx.Err()
 		}
 	}
 }
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -134,6 +134,12 @@
 func (f *fleet) stopAll() {
 	f.mu.Lock()
 	all := slices.Collect(maps.Values(f.daemons))
+	for _, d := range all {
+		if d.paused != nil {
+			close(d.paused)
+			d.paused = nil
+		}
+	}
 	f.mu.Unlock()
 	for _, d := range all {
 		d.cancel()
@@ -244,12 +250,22 @@
 	if err != nil {
 		return nil, err
 	}
+	// The handler runs in the other process: when that one is paused in it, the caller still returns in time.
 	peer := &proto.Peer{Hello: proto.Hello{Address: p.self}}
-	reply, err := target.node.Exchange(ctx, peer, ask)
-	if err != nil {
-		return nil, err
+	replies := make(chan *proto.Exchange, 1)
+	go func() {
+		if reply, err := target.node.Exchange(ctx, peer, ask); err == nil {
+			replies <- reply
+		}
+	}()
+	size := headerSize
+	var reply *proto.Exchange
+	select {
+	case reply = <-replies:
+		size = exchangeSize(reply)
+	case <-ctx.Done():
 	}
-	_, err = p.travel(ctx, to, p.self, exchangeSize(reply))
+	_, err = p.travel(ctx, to, p.self, size)
 	return reply, err
 }
 
