Test the failures that a resolve finds and the idle peers of a silent connection

Cause: disabling either rule left all package tests green; only tests of the whole system noticed.

Conclusion: with the cancelled failure passed on, or the older idle connections kept, the new tests fail.

--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -105,6 +105,10 @@
 		return &proto.Resolution{State: proto.StateFinished, Answer: answer("200 "+rest, true)}, nil
 	case "unknown":
 		return &proto.Resolution{State: proto.StateUnknown}, nil
+	case "cancelled-in-queue":
+		return &proto.Resolution{State: proto.StateFinished, Failure: &proto.Failure{Code: code.Cancelled, Outcome: code.NotRun}}, nil
+	case "cancelled":
+		return &proto.Resolution{State: proto.StateFinished, Failure: &proto.Failure{Code: code.Cancelled}}, nil
 	default:
 		return nil, code.NotRunf(code.PeerUnreachable, "no reply")
 	}
--- a/internal/wire/link/link_test.go
+++ b/internal/wire/link/link_test.go
@@ -108,6 +108,31 @@
 	})
 }
 
+// Guards against further calls on connections that lost their state together with a silent one. One that was used since the
+// silent call began has worked meanwhile and stays.
+func TestASilentConnectionClosesOlderIdleOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		finish := func(stream proto.ClientStream) {
+			for range 2 {
+				_, err := stream.Recv()
+				p.Expect(err).NotTo(HaveOccurred())
+			}
+			p.Expect(stream.Close()).To(Succeed())
+		}
+		older, newer, silent := p.open("/older"), p.open("/newer"), p.open("/first")
+		finish(older)
+		finish(silent)
+		time.Sleep(time.Millisecond)
+		again := p.open("/silent")
+		time.Sleep(time.Millisecond)
+		finish(newer)
+		again.Silent()
+		p.Expect(p.peer().Open).To(Equal(1))
+		p.Expect(p.call("/next")).To(Equal(newer.Conn()))
+	})
+}
+
 // Decides for drpc's soft cancel: it keeps the connection, and nothing of the cancelled call reaches the next one.
 func TestACancelledCallLeavesItsConnectionClean(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
