Tell the detail of an administration failure once

Cause: the response's detail held the code and outcome too, so a command printed them twice.

Conclusion: the specs pass; 'dump ADMIN nosuch' prints one prefix.

--- a/internal/admin/rest/rest.go
+++ b/internal/admin/rest/rest.go
@@ -141,11 +141,15 @@
 // fail ends the request with the code of err.
 func fail(c *gin.Context, err error) {
 	coded := code.Of(err)
+	detail := coded.Detail
+	if coded.Cause != nil {
+		detail += ": " + coded.Cause.Error()
+	}
 	c.Header("Marigoldwinch-Code", strconv.Itoa(int(coded.Code)))
 	c.Abort()
 	c.Header("Content-Type", "application/problem+json")
 	c.JSON(coded.Code.HTTPStatus(), gin.H{
 		"type": "about:blank", "title": coded.Code.String(), "status": coded.Code.HTTPStatus(),
-		"detail": coded.Error(), "code": int(coded.Code), "outcome": coded.Outcome.String(),
+		"detail": detail, "code": int(coded.Code), "outcome": coded.Outcome.String(),
 	})
 }
