Measure a call through two daemons against the direct one

Cause: the cost of the whole path (front end, drpc, admission, server) had no measurement; only the transport and the front end had one each. The benchmark starts two daemons, a stand-in platform and a server with 512-byte responses in one process over TCP on loopback. Direct calls and calls through the daemons take turns, so that noise of the machine meets both. Ruled out: the network in memory of the system tests, which has no system calls. The allocations are those of the whole process without sampling, after the server's warm-up.

--- /dev/null
+++ b/internal/cli/daemon/path_bench_test.go
@@ -0,0 +1,255 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-logr/logr"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/opts"
+	"marigoldwinch.example/marigoldwinch/internal/cli/daemon"
+	"marigoldwinch.example/marigoldwinch/internal/conf/change"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/plat/fake"
+)
+
+const (
+	pathBody    = 512
+	pathCallers = 24 // below the connections to one peer, so that no call waits for one
+	pathWarmUp  = 30 * time.Second
+	pathSlowest = int64(10 * time.Second)
+)
+
+const pathFolder = "[service front]\n[service stock]\nslots = 64\nqueue = 64\n"
+
+// twoDaemons is a caller's way over TCP on loopback: the front end of one daemon, the admission of another, its server.
+type twoDaemons struct {
+	b       *testing.B
+	client  *http.Client
+	direct  string
+	through string
+	ctx     context.Context
+}
+
+func newTwoDaemons(b *testing.B) *twoDaemons {
+	ctx, stop := context.WithCancel(context.Background())
+	transport := &http.Transport{MaxIdleConnsPerHost: 4 * pathCallers, DisableCompression: true}
+	p := &twoDaemons{b: b, client: &http.Client{Transport: transport}, ctx: ctx}
+	platform := fake.NewPlatform(1)
+	table := p.serve((&fake.Server{Platform: platform}).Handler())
+	writer := &change.Writer{Store: platform.Table, Objects: platform.Objects, Operator: "bench", Log: logr.Discard()}
+	if _, err := writer.Add(ctx, []files.File{{Name: "10.ini", Content: pathFolder}}, change.Options{}); err != nil {
+		b.Fatal(err)
+	}
+	body := make([]byte, pathBody)
+	server := p.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		_, _ = w.Write(body)
+	}))
+	var running sync.WaitGroup
+	front := p.start(&running, "front", table, server, "")
+	p.start(&running, "stock", table, server, front.Daemons.String())
+	p.direct = "http://" + server.String() + "/jars/1"
+	p.through = "http://" + front.Callers.String() + "/stock/jars/1"
+	b.Cleanup(func() {
+		transport.CloseIdleConnections()
+		stop()
+		running.Wait()
+	})
+	p.warmUp()
+	return p
+}
+
+// serve runs an HTTP server on a free port.
+func (p *twoDaemons) serve(handler http.Handler) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.b.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	p.b.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (p *twoDaemons) start(running *sync.WaitGroup, service string, table, server netip.AddrPort, seeds string) *opts.Settings {
+	var ports [3]netip.AddrPort
+	for i := range ports {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			p.b.Fatal(err)
+		}
+		defer listener.Close()
+		ports[i] = listener.Addr().(*net.TCPAddr).AddrPort()
+		_ = listener.Close()
+	}
+	text := fmt.Sprintf("[daemon]\nservice = %s\nzone = zone-a\n[listen]\ncallers = %s\ndaemons = %s\nadmin = %s\n"+
+		"[server]\naddress = %s\n[platform]\ntable = %s\nobjects = %s\n[fleet]\nseeds = %s\n[stop]\ngrace = 1ms\ntimeout = 5s\n",
+		service, ports[0], ports[1], ports[2], server, table, table, seeds)
+	settings, err := opts.Parse("bench", []byte(text))
+	if err != nil {
+		p.b.Fatal(err)
+	}
+	running.Go(func() {
+		if err := (&daemon.Daemon{Settings: settings, Log: logr.Discard()}).Run(p.ctx); err != nil {
+			p.b.Error(err)
+		}
+	})
+	return settings
+}
+
+// warmUp calls until the server has passed its warm-up, so that no call waits in the queue.
+func (p *twoDaemons) warmUp() {
+	for end := time.Now().Add(pathWarmUp); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		refused := 0
+		for range 2 * pathCallers {
+			group.Go(func() {
+				if _, err := p.call(p.through); err != nil {
+					mu.Lock()
+					refused++
+					mu.Unlock()
+				}
+			})
+		}
+		group.Wait()
+		if refused == 0 && time.Until(end) < pathWarmUp-8*time.Second {
+			return
+		}
+	}
+	p.b.Fatal("the server has not passed its warm-up")
+}
+
+func (p *twoDaemons) call(url string) (time.Duration, error) {
+	start := time.Now()
+	response, err := p.client.Get(url)
+	if err != nil {
+		return 0, err
+	}
+	size, err := io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if err == nil && (size != pathBody || response.StatusCode != http.StatusOK) {
+		err = fmt.Errorf("status %d with %d bytes", response.StatusCode, size)
+	}
+	return time.Since(start), err
+}
+
+func (p *twoDaemons) mustCall(url string, times *hdrhistogram.Histogram) {
+	took, err := p.call(url)
+	if err != nil {
+		p.b.Error(err)
+		return
+	}
+	_ = times.RecordValue(int64(took))
+}
+
+func newTimes() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, pathSlowest, 3)
+}
+
+// BenchmarkPath measures the latency that two daemons add to a call, against the direct call in turn with it.
+func BenchmarkPath(b *testing.B) {
+	p := newTwoDaemons(b)
+	b.Run("added", p.added)
+	b.Run("cost", p.cost)
+	b.Run("load", p.load)
+}
+
+func (p *twoDaemons) added(b *testing.B) {
+	direct, through := newTimes(), newTimes()
+	for b.Loop() {
+		p.mustCall(p.direct, direct)
+		p.mustCall(p.through, through)
+	}
+	for _, quantile := range []float64{50, 99} {
+		d, t := direct.ValueAtQuantile(quantile), through.ValueAtQuantile(quantile)
+		b.ReportMetric(float64(d)/1e3, fmt.Sprintf("direct-p%.0f-us", quantile))
+		b.ReportMetric(float64(t)/1e3, fmt.Sprintf("path-p%.0f-us", quantile))
+		b.ReportMetric(float64(t-d)/1e3, fmt.Sprintf("added-p%.0f-us", quantile))
+	}
+}
+
+// cost counts what the process allocates per call: the caller, both daemons and the server; and what is left without the
+// cost of a direct call.
+func (p *twoDaemons) cost(b *testing.B) {
+	const calls = 2000
+	times := newTimes()
+	measure := func(url string) (allocations, bytes float64) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range calls {
+			p.mustCall(url, times)
+		}
+		runtime.ReadMemStats(&after)
+		return float64(after.Mallocs-before.Mallocs) / calls, float64(after.TotalAlloc-before.TotalAlloc) / calls
+	}
+	var allocations, bytes, added []float64
+	for b.Loop() {
+		directCount, _ := measure(p.direct)
+		count, size := measure(p.through)
+		allocations, bytes, added = append(allocations, count), append(bytes, size), append(added, count-directCount)
+	}
+	b.ReportMetric(median(allocations), "path-allocs")
+	b.ReportMetric(median(bytes), "path-bytes")
+	b.ReportMetric(median(added), "added-allocs")
+}
+
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// load measures calls per second with many callers, in rounds in turn with the direct calls. A refusal is an outcome here:
+// the limiter may take a processor that is full for a slow server.
+func (p *twoDaemons) load(b *testing.B) {
+	const calls = 100 // of each caller and round
+	times, ignored := newTimes(), newTimes()
+	refused := 0
+	round := func(url string, all *hdrhistogram.Histogram) float64 {
+		start := time.Now()
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		for range pathCallers {
+			group.Go(func() {
+				own, failed := newTimes(), 0
+				for range calls {
+					if took, err := p.call(url); err == nil {
+						_ = own.RecordValue(int64(took))
+					} else {
+						failed++
+					}
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				all.Merge(own)
+				refused += failed
+			})
+		}
+		group.Wait()
+		return pathCallers * calls / time.Since(start).Seconds()
+	}
+	done := 0
+	var rates, shares []float64
+	for b.Loop() {
+		direct := round(p.direct, ignored)
+		rate := round(p.through, times)
+		rates, shares = append(rates, rate), append(shares, rate/direct)
+		done += pathCallers * calls
+	}
+	b.ReportMetric(float64(refused)/float64(done), "refused")
+	b.ReportMetric(median(rates), "calls/s")
+	b.ReportMetric(median(shares), "of-direct")
+	b.ReportMetric(float64(times.ValueAtQuantile(50))/1e3, "p50-us")
+	b.ReportMetric(float64(times.ValueAtQuantile(99))/1e3, "p99-us")
+}
