Leave the context of a finished attempt uncancelled

Cause: the router cancelled the context of every finished attempt. drpc's stream manager often saw that before the end of the stream, which its reader still held, and started its soft cancel: a goroutine, two timers, and a cancellation for a stream that was complete. The cancellation is now made only where something waits for the context: a body still being sent, or a check of a quiet stream. Nothing else keeps the context alive, since it has no parent. Ruled out: waiting for the end of the stream, which would put another hand-over into the call.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -36,6 +36,7 @@
 	acked  bool
 	silent bool // no ack within the bound: an ack that comes later is not followed
 	over   bool
+	quiet  bool // no timer of the attempt was running when it ended
 	ack    *time.Timer
 	stall  *time.Timer
 
@@ -301,9 +302,9 @@
 		return false
 	}
 	a.over = true
-	a.ack.Stop()
+	a.quiet = a.ack.Stop() || a.acked
 	if a.stall != nil {
-		a.stall.Stop()
+		a.quiet = a.stall.Stop()
 	}
 	a.r.pool.Ended(a.sent, a.acked)
 	return true
@@ -328,5 +329,9 @@
 	}
 	a.detach()
 	_ = a.stream.Close() // there is nothing left to lose
-	a.cancel()
+	// The cancellation of a context that nothing waits for is left out. It would race with the end of the stream that is
+	// still in drpc's reader, and drpc would then send a cancellation for a stream that is complete.
+	if a.pumping.Load() || !a.quiet {
+		a.cancel()
+	}
 }
