Copy the headers of a request only where a name must be left out

Cause: the front end cloned every request's headers to take the ones of the connection out, although most requests have none. Ruled out: taking them out of the header in place, because a handler may not change its request.

--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -159,7 +159,6 @@
 			return nil, code.NotRunf(code.BadRequest, "%s is malformed", ident.ContextHeader).WithCause(err)
 		}
 		ask.Context = &parent
-		ask.Header.Del(ident.ContextHeader)
 	}
 	f.body(w, r, ask)
 	return ask, nil
@@ -187,7 +186,11 @@
 	"Transfer-Encoding", "Upgrade", "Expect",
 }
 
+// endToEnd returns the headers that concern the whole way of a request. Only a header with names to leave out is copied.
 func endToEnd(header http.Header) http.Header {
+	if !concernsConnection(header) {
+		return header
+	}
 	kept := header.Clone()
 	for _, list := range header["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
@@ -197,9 +200,20 @@
 	for _, name := range hopByHop {
 		kept.Del(name)
 	}
+	kept.Del(ident.ContextHeader) // taken over into the request before
 	return kept
 }
 
+func concernsConnection(header http.Header) bool {
+	for _, name := range hopByHop {
+		if _, present := header[name]; present {
+			return true
+		}
+	}
+	_, present := header[ident.ContextHeader]
+	return present
+}
+
 // Dump is the state of the front end.
 type Dump struct {
 	Stopping  bool
