Compare benchmarks with bounds in make bench

Ruled out: a package with a main of its own, which would be a second binary; comparing the best run, which hides a fault that shows in some runs. Seen to fail, one mutation at a time: lowest run instead of the median, relation >= read as <=, a missing figure taken as met, an unknown relation accepted, status 0 with a bound not met.

--- a/Makefile
+++ b/Makefile
@@ -23,5 +23,14 @@
 generate:
 	go generate ./...
 
+# The measurements in virtual time are tests of their own; a wall-clock figure is the median of several runs.
+BENCH_RUNS = 3
+
 bench: build
-	go test -run '^$$' -bench . -benchmem ./...
+	go test -count 1 -v -run 'TestOverload|TestProbesStayWithinBudget|TestTailLatency|TestSteadyWork' \
+		./internal/admit/gate ./internal/admit/probe ./internal/route/choice
+	go test -run '^$$' -bench Policy -benchtime 1x ./internal/route/choice > bin/bench.txt
+	go test -run '^$$' -bench Path -benchtime 2s -count $(BENCH_RUNS) ./internal/cli/daemon >> bin/bench.txt
+	go test -run '^$$' -bench . -benchmem ./internal/wire/... ./internal/route/front ./internal/fleet/... ./internal/conf/... >> bin/bench.txt
+	cat bin/bench.txt
+	./bin/marigoldwinch bounds --file bench/bounds.ini < bin/bench.txt
--- /dev/null
+++ b/internal/bench/bound/bound_test.go
@@ -0,0 +1,54 @@
+package bound
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const output = `goos: linux
+BenchmarkPath/added-10  100  5000 ns/op  250000 added-p99-ns
+BenchmarkPath/added-10  100  5000 ns/op  400000 added-p99-ns
+BenchmarkPath/added-10  100  5000 ns/op  300000 added-p99-ns
+BenchmarkRouteChoice-10  7  5000 ns/op  16 B/op  3 allocs/op  0.85 goodput
+BenchmarkBroken-10 some log
+PASS
+`
+
+func verdicts(t *testing.T, bounds string) []Verdict {
+	list, err := Load([]byte(bounds))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	figures, err := Read(strings.NewReader(output))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return Compare(list, figures)
+}
+
+// Guards against a bound that passes because its relation, unit or benchmark is read wrongly, or because one run of
+// several is lucky.
+func TestVerdicts(t *testing.T) {
+	for bounds, met := range map[string]bool{
+		"[path/added]\nadded-p99 = <= 310us":     true, // the median
+		"[path/added]\nadded-p99 = <= 299us":     false,
+		"[path/added]\ntime = <= 5us":            true,
+		"[route-choice]\ngoodput = >= 0.9":       false,
+		"[route-choice]\ngoodput = >= 0.85":      true,
+		"[route-choice]\nallocations = <= 2":     false,
+		"[route-choice]\nbytes = <= 16":          true,
+		"[route-choice]\nno-such-figure = <= 16": false, // a figure that is no longer reported
+		"[no-such-benchmark]\ntime = <= 5us":     false,
+	} {
+		g := NewWithT(t)
+		result := verdicts(t, bounds)
+		g.Expect(result).To(HaveLen(1), bounds)
+		g.Expect(result[0].Met()).To(Equal(met), bounds)
+	}
+}
+
+// Guards against a malformed bound that is left out without a word.
+func TestMalformedBounds(t *testing.T) {
+	for _, bounds := range []string{"", "[a]\nb = 3", "[a]\nb = <= much", "[a]\nb = < 3"} {
+		_, err := Load([]byte(bounds))
+		NewWithT(t).Expect(err).To(HaveOccurred(), bounds)
+	}
+}
--- /dev/null
+++ b/internal/cli/cmds/bounds.go
@@ -0,0 +1,61 @@
+package cmds
+
+import (
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"marigoldwinch.example/marigoldwinch/internal/bench/bound"
+)
+
+const columnGap = 2
+
+// newBounds is hidden: it serves the project's own `make bench`.
+func newBounds() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:    "bounds --file FILE",
+		Short:  "Compare the output of go test -bench on the standard input with bounds",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			bounds, err := bound.Load(file)
+			if err != nil {
+				return err
+			}
+			figures, err := bound.Read(cmd.InOrStdin())
+			if err != nil {
+				return err
+			}
+			return printVerdicts(cmd, bound.Compare(bounds, figures))
+		},
+	}
+	cmd.Flags().StringVar(&file, "file", "bench/bounds.ini", "file of bounds")
+	return cmd
+}
+
+// printVerdicts lists every bound, and fails when one is not met.
+func printVerdicts(cmd *cobra.Command, verdicts []bound.Verdict) error {
+	table := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, columnGap, ' ', 0)
+	short := 0
+	for _, v := range verdicts {
+		verdict, measured := "met", fmt.Sprintf("%.4g", v.Measured)
+		if v.Missing {
+			measured = "not measured"
+		}
+		if !v.Met() {
+			verdict = "SHORT"
+			short++
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", verdict, v.Benchmark, v.Figure, measured, v.Text)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "write verdicts")
+	}
+	if short > 0 {
+		return errors.Newf("%d of %d bounds are not met", short, len(verdicts))
+	}
+	return nil
+}
--- a/internal/cli/cmds/root.go
+++ b/internal/cli/cmds/root.go
@@ -28,7 +28,7 @@
 		SilenceErrors:    true,
 		PersistentPreRun: func(*cobra.Command, []string) { started = true },
 	}
-	root.AddCommand(newConfig(), newZone(), newServer(), newStandIn(), newDaemon(), newDump(), newLoad(), newLocal())
+	root.AddCommand(newConfig(), newZone(), newServer(), newStandIn(), newDaemon(), newDump(), newLoad(), newLocal(), newBounds())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
--- a/internal/cli/daemon/path_bench_test.go
+++ b/internal/cli/daemon/path_bench_test.go
@@ -175,9 +175,9 @@
 	}
 	for _, quantile := range []float64{50, 99} {
 		d, t := direct.ValueAtQuantile(quantile), through.ValueAtQuantile(quantile)
-		b.ReportMetric(float64(d)/1e3, fmt.Sprintf("direct-p%.0f-us", quantile))
-		b.ReportMetric(float64(t)/1e3, fmt.Sprintf("path-p%.0f-us", quantile))
-		b.ReportMetric(float64(t-d)/1e3, fmt.Sprintf("added-p%.0f-us", quantile))
+		b.ReportMetric(float64(d), fmt.Sprintf("direct-p%.0f-ns", quantile))
+		b.ReportMetric(float64(t), fmt.Sprintf("path-p%.0f-ns", quantile))
+		b.ReportMetric(float64(t-d), fmt.Sprintf("added-p%.0f-ns", quantile))
 	}
 }
 
@@ -201,9 +201,9 @@
 		count, size := measure(p.through)
 		allocations, bytes, added = append(allocations, count), append(bytes, size), append(added, count-directCount)
 	}
-	b.ReportMetric(median(allocations), "path-allocs")
-	b.ReportMetric(median(bytes), "path-bytes")
-	b.ReportMetric(median(added), "added-allocs")
+	b.ReportMetric(median(allocations), "allocations")
+	b.ReportMetric(median(bytes), "bytes")
+	b.ReportMetric(median(added), "added-allocations")
 }
 
 func median(values []float64) float64 {
@@ -251,6 +251,6 @@
 	b.ReportMetric(float64(refused)/float64(done), "refused")
 	b.ReportMetric(median(rates), "calls/s")
 	b.ReportMetric(median(shares), "of-direct")
-	b.ReportMetric(float64(times.ValueAtQuantile(50))/1e3, "p50-us")
-	b.ReportMetric(float64(times.ValueAtQuantile(99))/1e3, "p99-us")
+	b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-ns")
+	b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-ns")
 }
--- /dev/null
+++ b/internal/route/choice/policy_bench_test.go
@@ -0,0 +1,35 @@
+package choice
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkPolicy reports the figures of the policy in virtual time, which are the same on every machine: the worse of two
+// seeds of the p99 with slowing servers against the baselines, and the spread of the work in the steady state.
+func BenchmarkPolicy(b *testing.B) {
+	b.Run("slowing", func(b *testing.B) {
+		var robin, two, best float64
+		for b.Loop() {
+			for _, seed := range []uint64{1, 2} {
+				probing := slowing(seed, fixed(Probing{})).p99()
+				ratio := func(baseline time.Duration) float64 { return float64(probing) / float64(baseline) }
+				robin = max(robin, ratio(slowing(seed, fixed(RoundRobin{})).p99()))
+				two = max(two, ratio(slowing(seed, fixed(RandomTwo{})).p99()))
+				best = max(best, ratio(slowing(seed, perfect).p99()))
+			}
+		}
+		b.ReportMetric(robin, "ratio-to-round-robin")
+		b.ReportMetric(two, "ratio-to-random-two")
+		b.ReportMetric(best, "ratio-to-perfect")
+	})
+	b.Run("steady", func(b *testing.B) {
+		var spread float64
+		for b.Loop() {
+			q := newQueueing(1, fixed(Probing{}))
+			q.run()
+			spread = q.imbalance()
+		}
+		b.ReportMetric(spread, "max-over-average")
+	})
+}
