Read the rest of an unread request body before the handler returns

Cause: in full duplex, net/http reads an unread body only after the handler and after it has ended its background read. The end of the body then starts a background read again, and the read of the next request panics with "invalid concurrent Body.Read call". The caller loses its connection after a request that was refused, or answered with a stored result, before its body was read. Found by the test of claimed requests with repeats.

The handler takes the body over from an attempt that may still read it. It waits for that read on a channel: waiting on the mutex of net/http's body stopped virtual time in the random schedule.

Ruled out: a reader of the body that outlives the handler. The panic comes in the connection's own read of the next request, and also without any attempt.

TestConnectionServesOnAfterAnUnreadBody fails without the change in front.go with that panic, and passes with it.

--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -120,6 +121,13 @@
 		f.fail(w, err)
 		return
 	}
+	f.answer(w, r, ask)
+	if rest, ok := ask.Body.(*callerBody); ok && !rest.ended.Load() {
+		rest.discard(w)
+	}
+}
+
+func (f *Front) answer(w http.ResponseWriter, r *http.Request, ask *call.Request) {
 	response, err := f.Caller.Do(r.Context(), ask)
 	if err != nil {
 		f.fail(w, err)
@@ -129,6 +137,49 @@
 	f.pass(w, r, response)
 }
 
+// maxDiscard is what net/http itself reads of a rest; the connection does not serve another request after a longer one.
+const maxDiscard = 256 << 10
+
+// callerBody is a caller's body that the handler can take over from the attempt that reads it.
+type callerBody struct {
+	io.ReadCloser
+	turn  chan struct{} // held by a read in progress
+	taken atomic.Bool   // by the handler
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	b.turn <- struct{}{}
+	defer func() { <-b.turn }()
+	if b.taken.Load() {
+		return 0, io.ErrClosedPipe
+	}
+	return b.read(p)
+}
+
+func (b *callerBody) read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// discard reads the rest of a body that no attempt has read. In full duplex, net/http reads it only after the handler and
+// then fails to read the next request, so that the caller would lose its connection.
+func (b *callerBody) discard(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush() // the caller may wait for the response before it sends the rest
+	b.taken.Store(true)
+	b.turn <- struct{}{}
+	defer func() { <-b.turn }()
+	rest := make([]byte, maxDiscard/8)
+	for read := 0; read < maxDiscard && !b.ended.Load(); {
+		n, _ := b.read(rest)
+		read += n
+	}
+}
+
 // request checks and translates a caller's request.
 func (f *Front) request(w http.ResponseWriter, r *http.Request) (*call.Request, error) {
 	service, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
@@ -173,7 +224,7 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.EnableFullDuplex() // HTTP/2 is always full duplex
-	ask.Body = r.Body
+	ask.Body = &callerBody{ReadCloser: r.Body, turn: make(chan struct{}, 1)}
 	ask.Abort = func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }
 	ask.WaitForAck = strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	if len(r.Trailer) > 0 {
--- a/internal/route/front/front_test.go
+++ b/internal/route/front/front_test.go
@@ -300,3 +300,22 @@
 		})
 	}
 }
+
+// Guards against a caller's connection that is lost after a response to a request whose body nobody has read.
+func TestConnectionServesOnAfterAnUnreadBody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, base, _ := start(t, &server{})
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", base)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for range 3 { // a service that is not configured is refused without a look at the body
+		_, err = io.WriteString(conn, "POST /nowhere/x HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nwhole")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		response, err := http.ReadResponse(reader, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(response.StatusCode).To(gomega.Equal(http.StatusNotFound))
+	}
+}
