--- /dev/null
+++ b/internal/cli/daemon/stop_test.go
@@ -0,0 +1,135 @@
+package daemon_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/bench/load"
+	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
+	"marigoldwinch.example/marigoldwinch/internal/conf/change"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+)
+
+const leaveBound = 3 * time.Second // invariants 3 and 7
+
+// Guards against new work for a server that leaves, by each way to make it leave, and against a request that it cuts.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	ways := map[string]struct{ leave, back func(*system, *node) }{
+		"configuration": {
+			func(s *system, n *node) { s.setServer(n, config.ServerLeaving) },
+			func(s *system, n *node) { s.setServer(n, config.ServerIn) },
+		},
+		"own-drain": {
+			func(_ *system, n *node) { n.server.Set(sample.Faults{Draining: true}) },
+			func(_ *system, n *node) { n.server.Set(sample.Faults{}) },
+		},
+		"administration": {
+			func(s *system, n *node) { s.administer(n, "/leave") },
+			func(s *system, n *node) { s.administer(n, "/return") },
+		},
+	}
+	for name, way := range ways {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(t, 3, "stock", "orders")
+				time.Sleep(10 * time.Second)
+				done := s.load(s.plan(120, 15*time.Second))
+				time.Sleep(3 * time.Second)
+				lookups, orders := s.nodes[0], s.nodes[3]
+				way.leave(s, lookups)
+				way.leave(s, orders)
+				time.Sleep(leaveBound)
+				before := lookups.server.Counts().Total + orders.server.Counts().Total
+				time.Sleep(3 * time.Second)
+				s.Expect(lookups.server.Counts().Total+orders.server.Counts().Total).To(Equal(before), "new work after 3 s")
+				way.back(s, lookups)
+				way.back(s, orders)
+				result := <-done
+				s.Expect(lookups.server.Counts().Total+orders.server.Counts().Total).To(BeNumerically(">", before), "no work again")
+				s.expectUncut(result, 0.999)
+			})
+		})
+	}
+}
+
+func (s *system) setServer(n *node, state config.ServerState) {
+	_, err := s.writer("anna").Server(s.t.Context(), n.settings.Daemons, state, change.Options{})
+	s.Expect(err).NotTo(HaveOccurred())
+}
+
+func (s *system) administer(n *node, path string) {
+	response, err := s.client(n.host).Post("http://"+n.settings.Admin.String()+path, "", nil)
+	s.Expect(err).NotTo(HaveOccurred())
+	_ = response.Body.Close()
+	s.Expect(response.StatusCode).To(BeNumerically("<", 300))
+}
+
+// expectUncut checks that no request was cut. A refused one was not run and is no cut.
+func (s *system) expectUncut(result *load.Result, share float64) {
+	s.t.Helper()
+	s.expectTruth(result)
+	for i := range result.Rows {
+		row := &result.Rows[i]
+		s.Expect(row.Outcomes[load.OK]+row.Outcomes[load.NotRun]).To(Equal(row.Total()), "%s %v", row.Kind, row.Outcomes)
+		s.Expect(answered(result, row.Kind)).To(BeNumerically(">=", share), "%v", row.Outcomes)
+	}
+}
+
+// Guards against a cut request, or one that finds no server, when daemons are stopped and started again one after the
+// other under load, also of callers of the daemon that stops.
+func TestDaemonsStoppedInTurn(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		l := slowShop
+		l.folder += "[service photos]\n" // its requests are long, and would delay those of the others
+		l.services, l.own = []string{"stock", "orders", "photos"}, 50*time.Millisecond
+		l.wrap = func(_ *system, _ *node, next http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/long" {
+					time.Sleep(3 * time.Second) // longer than the grace of a stop
+				}
+				next.ServeHTTP(w, r)
+			})
+		}
+		s := l.start(t)
+		time.Sleep(10 * time.Second)
+		last := s.nodes[len(s.nodes)-1]
+		plan := s.plan(100, 25*time.Second)
+		plan.Daemons = plan.Daemons[len(plan.Daemons)-1:]
+		done := s.load(plan)
+		for _, n := range s.nodes[:5] { // of all services and two zones
+			time.Sleep(time.Second)
+			through := s.through(n, "/photos/long", 1)
+			time.Sleep(20 * time.Millisecond)
+			n.stop()
+			s.Expect(<-n.stopped).To(Succeed())
+			s.Expect(<-through).To(Equal(http.StatusOK), "a request in flight through the daemon that stops")
+			s.start(n)
+			s.Eventually(func() bool { return s.ready(n) }).WithTimeout(time.Minute).Should(BeTrue())
+		}
+		s.Expect(last.server.Counts().Total).To(BeNumerically(">", 0))
+		s.expectUncut(<-done, 0.99) // the others take the load of the cold one, within the retry budget
+	})
+}
+
+// through sends lookups through a daemon at once and returns their statuses, or 0 for a cut one.
+func (s *system) through(n *node, target string, count int) <-chan int {
+	statuses, client := make(chan int, count), s.client("callers")
+	for range count {
+		s.running.Go(func() {
+			request := s.request(http.MethodGet, target, "", http.NoBody)
+			request.Header.Set("Request-Timeout", "15s")
+			answer := s.ask(client, n, request)
+			if answer.err != nil {
+				answer.status = 0
+			}
+			statuses <- answer.status
+		})
+	}
+	return statuses
+}
