Refuse new work a second after an administrative departure is announced

The departure is announced at once and enforced after 1 s, which leaves 2 s of the bound. A server that drains by itself is still refused work at once, since it refuses too.

--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -31,26 +31,37 @@
 	newLinkServer,
 )
 
+// leaveGrace leaves most of the 3 s in which a departure must take effect.
+const leaveGrace = time.Second
+
 // backend is the own server, with the departure that the administration API asked for.
 type backend struct {
 	*server.Client
-	log  logr.Logger
-	left atomic.Bool
+	log     logr.Logger
+	leaving atomic.Pointer[time.Time] // when the departure was asked for; nil without one
 }
 
+// leave announces the departure now; new work is refused after leaveGrace, so that routers have learned of it.
 func (b *backend) leave(reason string) {
-	b.left.Store(true)
+	now := time.Now()
+	b.leaving.CompareAndSwap(nil, &now)
 	b.log.Info("server-leaving", "reason", reason)
 }
 
 func (b *backend) comeBack() {
-	b.left.Store(false)
+	b.leaving.Store(nil)
 	b.log.Info("server-returned")
 }
 
 // Draining implements gate.Backend.
 func (b *backend) Draining() bool {
-	return b.left.Load() || b.Client.Draining()
+	asked := b.leaving.Load()
+	return asked != nil && time.Since(*asked) >= leaveGrace || b.Client.Draining()
+}
+
+// departing reports whether the member state must say that the server leaves.
+func (b *backend) departing() bool {
+	return b.leaving.Load() != nil || b.Client.Draining()
 }
 
 func newServerClient(settings *opts.Settings, network Network, log logr.Logger) *server.Client {
--- a/internal/cli/daemon/state.go
+++ b/internal/cli/daemon/state.go
@@ -60,7 +60,7 @@
 
 func (k *stateKeeper) wanted() member.State {
 	switch {
-	case k.Backend.Draining():
+	case k.Backend.departing():
 		return member.Leaving
 	case k.Holder.Get() == nil:
 		return member.Joining
@@ -76,7 +76,7 @@
 		return code.NotRunf(code.NoConfiguration, "no configuration yet")
 	case k.Node.Isolated():
 		return code.NotRunf(code.Isolated, "neither the platform nor any daemon heard lately")
-	case k.Backend.Draining():
+	case k.Backend.departing():
 		return code.NotRunf(code.ServerLeaving, "the server is leaving")
 	default:
 		return nil
