--- a/internal/cli/daemon/network_test.go
+++ b/internal/bench/fabric/fabric.go
@@ -1,4 +1,6 @@
-package daemon_test
+// Package fabric is a network in memory for whole systems in virtual time: its paths have latency, can lose their state while
+// new ones work, can be blocked and cut, and its processes can be killed.
+package fabric
 
 import (
 	"context"
@@ -22,41 +24,45 @@
 	connectTimeout = time.Second
 )
 
-// fabric is a network in memory whose paths have latency, can lose their state and can be blocked.
-type fabric struct {
+// Fabric is a network in memory whose paths have latency, can lose their state and can be blocked.
+type Fabric struct {
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*listener
-	paths     map[*path]bool
+	paths     map[*Path]bool
 	blocked   func(from, to string) bool
-	latency   func(from, to string) time.Duration
+
+	Latency func(from, to string) time.Duration // one way between two hosts; set before the first connection
 }
 
-func newFabric() *fabric {
-	return &fabric{
+// New returns a network without latency on which nothing is blocked.
+func New() *Fabric {
+	return &Fabric{
 		listeners: map[netip.AddrPort]*listener{},
-		paths:     map[*path]bool{},
+		paths:     map[*Path]bool{},
 		blocked:   func(string, string) bool { return false },
-		latency:   func(string, string) time.Duration { return 0 },
+		Latency:   func(string, string) time.Duration { return 0 },
 	}
 }
 
-// process is one run of a program on a host. A killed one loses its listeners and connections at once.
-type process struct {
-	fabric *fabric
+// Process is one run of a program on a host. A killed one loses its listeners and connections at once.
+type Process struct {
+	fabric *Fabric
 	host   string
 	dead   atomic.Bool
 }
 
-func (f *fabric) process(host string) *process {
-	return &process{fabric: f, host: host}
+// Process returns a new process on a host.
+func (f *Fabric) Process(host string) *Process {
+	return &Process{fabric: f, host: host}
 }
 
-// network returns the network as the process sees it.
-func (p *process) network() daemon.Network {
-	return daemon.Network{Listen: p.listen, Dial: p.dial}
+// Network returns the network as the process sees it.
+func (p *Process) Network() daemon.Network {
+	return daemon.Network{Listen: p.Listen, Dial: p.Dial}
 }
 
-func (p *process) kill() {
+// Kill ends the process: its listeners and connections are gone at once.
+func (p *Process) Kill() {
 	p.dead.Store(true)
 	f := p.fabric
 	f.mu.Lock()
@@ -66,7 +72,7 @@
 			own = append(own, l)
 		}
 	}
-	var ends []*path
+	var ends []*Path
 	for one := range f.paths {
 		if one.dialer == p || one.server == p {
 			ends = append(ends, one)
@@ -77,11 +83,17 @@
 		_ = l.Close()
 	}
 	for _, one := range ends {
-		one.cut()
+		one.Cut()
 	}
 }
 
-func (p *process) listen(address netip.AddrPort) (net.Listener, error) {
+// Dead reports whether the process was killed.
+func (p *Process) Dead() bool {
+	return p.dead.Load()
+}
+
+// Listen opens a listener at an address of the host.
+func (p *Process) Listen(address netip.AddrPort) (net.Listener, error) {
 	f := p.fabric
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -93,10 +105,11 @@
 	return l, nil
 }
 
-func (p *process) dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+// Dial opens a connection.
+func (p *Process) Dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 	f, host := p.fabric, p.host
 	f.mu.Lock()
-	target, blocked, latency := f.listeners[to], f.blocked, f.latency
+	target, blocked, latency := f.listeners[to], f.blocked, f.Latency
 	f.mu.Unlock()
 	if target == nil || p.dead.Load() {
 		return nil, errors.Newf("connection to %s refused", to)
@@ -110,31 +123,31 @@
 	}
 	near, far := net.Pipe()
 	delay := latency(host, target.process.host)
-	one := &path{fabric: f, from: host, to: target.process.host, dialer: p, server: target.process}
+	one := &Path{fabric: f, from: host, to: target.process.host, dialer: p, server: target.process}
 	one.out = newDirection(one, near, delay)
 	one.in = newDirection(one, far, delay)
 	select {
 	case target.accepted <- &end{Conn: far, write: one.in, path: one}:
 	case <-target.closed:
-		one.cut()
+		one.Cut()
 		return nil, errors.Newf("connection to %s refused", to)
 	case <-ctx.Done():
-		one.cut()
+		one.Cut()
 		return nil, ctx.Err()
 	}
 	f.mu.Lock()
 	f.paths[one] = true
 	f.mu.Unlock()
 	if p.dead.Load() || target.process.dead.Load() {
-		one.cut()
+		one.Cut()
 	}
 	return &end{Conn: near, write: one.out, path: one}, nil
 }
 
-// each applies change to the open paths between two hosts that match.
-func (f *fabric) each(match func(from, to string) bool, change func(*path)) {
+// Each applies change to the open paths between two hosts that match.
+func (f *Fabric) Each(match func(from, to string) bool, change func(*Path)) {
 	f.mu.Lock()
-	var matching []*path
+	var matching []*Path
 	for p := range f.paths {
 		if match(p.from, p.to) {
 			matching = append(matching, p)
@@ -146,21 +159,21 @@
 	}
 }
 
-// block stops everything between hosts that match, on open paths for good.
-func (f *fabric) block(match func(from, to string) bool) {
+// Block stops everything between hosts that match, on open paths for good.
+func (f *Fabric) Block(match func(from, to string) bool) {
 	f.mu.Lock()
 	f.blocked = match
 	f.mu.Unlock()
-	f.each(match, (*path).silence)
+	f.Each(match, (*Path).Silence)
 }
 
-// close ends all paths, so that no goroutine outlives its test.
-func (f *fabric) close() {
-	f.each(func(string, string) bool { return true }, (*path).cut)
+// Close ends all paths, so that no goroutine outlives its test.
+func (f *Fabric) Close() {
+	f.Each(func(string, string) bool { return true }, (*Path).Cut)
 }
 
 type listener struct {
-	process  *process
+	process  *Process
 	address  netip.AddrPort
 	accepted chan net.Conn
 	once     sync.Once
@@ -191,31 +204,33 @@
 	return net.TCPAddrFromAddrPort(l.address)
 }
 
-// path is one connection. A silent path accepts bytes and drops them, and a close of one end does not reach the other.
-type path struct {
-	fabric   *fabric
+// Path is one connection. A silent path accepts bytes and drops them, and a close of one end does not reach the other.
+type Path struct {
+	fabric   *Fabric
 	from, to string
-	dialer   *process
-	server   *process
+	dialer   *Process
+	server   *Process
 	out, in  *direction
 
 	mu     sync.Mutex
 	silent bool
 }
 
-func (p *path) silence() {
+// Silence makes the path drop everything from now on.
+func (p *Path) Silence() {
 	p.mu.Lock()
 	p.silent = true
 	p.mu.Unlock()
 }
 
-func (p *path) isSilent() bool {
+func (p *Path) isSilent() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.silent
 }
 
-func (p *path) cut() {
+// Cut closes the path at both ends.
+func (p *Path) Cut() {
 	p.out.stop()
 	p.in.stop()
 	p.fabric.mu.Lock()
@@ -225,7 +240,7 @@
 
 // direction carries the bytes written at one end to the other, in order and after the latency.
 type direction struct {
-	path   *path
+	path   *Path
 	near   net.Conn // the writer's end
 	queue  chan packet
 	closed chan struct{}
@@ -238,7 +253,7 @@
 	due  time.Time
 }
 
-func newDirection(p *path, near net.Conn, delay time.Duration) *direction {
+func newDirection(p *Path, near net.Conn, delay time.Duration) *direction {
 	d := &direction{path: p, near: near, queue: make(chan packet, pathBuffer), closed: make(chan struct{})}
 	go d.pump(delay)
 	return d
@@ -253,11 +268,11 @@
 				continue
 			}
 			if next.last {
-				d.path.cut()
+				d.path.Cut()
 				return
 			}
 			if _, err := d.near.Write(next.data); err != nil {
-				d.path.cut()
+				d.path.Cut()
 				return
 			}
 		case <-d.closed:
@@ -275,7 +290,7 @@
 type end struct {
 	net.Conn
 	write *direction
-	path  *path
+	path  *Path
 }
 
 func (e *end) Write(data []byte) (int, error) {
@@ -301,7 +316,14 @@
 	select {
 	case e.write.queue <- packet{last: true, due: time.Now()}:
 	default:
-		e.path.cut()
+		e.path.Cut()
 	}
 	return nil
 }
+
+// Heal ends what Block began.
+func (f *Fabric) Heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.blocked = func(string, string) bool { return false }
+}
--- a/internal/cli/daemon/chain_test.go
+++ b/internal/cli/daemon/chain_test.go
@@ -20,6 +20,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/bench/fabric"
 	"marigoldwinch.example/marigoldwinch/internal/bench/load"
 	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
 	"marigoldwinch.example/marigoldwinch/internal/conf/change"
@@ -178,8 +179,8 @@
 			}
 			if i%4 == 3 {
 				time.Sleep(time.Duration(i) * time.Millisecond) // while the bodies are on the way
-				s.fabric.each(func(from, to string) bool { return betweenDaemons(from, to) && i%8 == 3 }, (*path).silence)
-				s.fabric.each(func(from, to string) bool { return betweenDaemons(from, to) && i%8 == 7 }, (*path).cut)
+				s.fabric.Each(func(from, to string) bool { return betweenDaemons(from, to) && i%8 == 3 }, (*fabric.Path).Silence)
+				s.fabric.Each(func(from, to string) bool { return betweenDaemons(from, to) && i%8 == 7 }, (*fabric.Path).Cut)
 			}
 		}
 		stored, failed := 0, 0
--- a/internal/cli/daemon/chaos_test.go
+++ b/internal/cli/daemon/chaos_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"marigoldwinch.example/marigoldwinch/internal/bench/fabric"
 	"marigoldwinch.example/marigoldwinch/internal/bench/load"
 	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
 	"marigoldwinch.example/marigoldwinch/internal/conf/change"
@@ -88,19 +89,19 @@
 	toNode := func(from, to string) bool { return betweenDaemons(from, to) && (from == n.host || to == n.host) }
 	switch random.IntN(17) {
 	case 0:
-		s.fabric.each(betweenDaemons, (*path).silence)
+		s.fabric.Each(betweenDaemons, (*fabric.Path).Silence)
 	case 1:
-		s.fabric.each(toNode, (*path).silence)
+		s.fabric.Each(toNode, (*fabric.Path).Silence)
 	case 2:
-		s.fabric.each(betweenDaemons, (*path).cut)
+		s.fabric.Each(betweenDaemons, (*fabric.Path).Cut)
 	case 3:
-		s.fabric.block(toNode)
-		s.after(s.fabric.heal)
+		s.fabric.Block(toNode)
+		s.after(s.fabric.Heal)
 	case 4:
-		s.fabric.block(func(from, to string) bool {
+		s.fabric.Block(func(from, to string) bool {
 			return from != "callers" && (zoneOf(from) == n.zone) != (zoneOf(to) == n.zone)
 		})
-		s.after(s.fabric.heal)
+		s.after(s.fabric.Heal)
 	case 5:
 		server(sample.Faults{SlowFactor: 10})
 	case 6:
@@ -123,7 +124,7 @@
 	case 14:
 		s.leave(n)
 	case 15:
-		s.fabric.each(func(from, to string) bool { return from == platformHost || to == platformHost }, (*path).silence)
+		s.fabric.Each(func(from, to string) bool { return from == platformHost || to == platformHost }, (*fabric.Path).Silence)
 	default:
 		s.operate(n)
 	}
@@ -131,7 +132,7 @@
 
 // restart kills the node's daemon, unless it is down already, and starts it again later.
 func (s *system) restart(n *node) {
-	if n.daemon.Load().dead.Load() {
+	if n.daemon.Load().Dead() {
 		return
 	}
 	s.killDaemon(n)
@@ -164,9 +165,3 @@
 		_, _ = writer.Zone(s.t.Context(), n.zone, config.ZoneIn, change.Options{}) // may be refused
 	})
 }
-
-func (f *fabric) heal() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.blocked = func(string, string) bool { return false }
-}
--- a/internal/cli/daemon/promise_test.go
+++ b/internal/cli/daemon/promise_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"marigoldwinch.example/marigoldwinch/internal/bench/fabric"
 	"marigoldwinch.example/marigoldwinch/internal/bench/load"
 	"marigoldwinch.example/marigoldwinch/internal/conf/change"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
@@ -67,7 +68,7 @@
 		done := s.load(plan)
 		for range 4 {
 			time.Sleep(2 * time.Second)
-			s.fabric.each(betweenDaemons, (*path).silence)
+			s.fabric.Each(betweenDaemons, (*fabric.Path).Silence)
 		}
 		result := <-done
 		s.expectTruth(result)
@@ -92,7 +93,7 @@
 		for i := range s.nodes {
 			time.Sleep(3 * time.Second)
 			host := s.nodes[i].host
-			s.fabric.each(func(from, to string) bool { return betweenDaemons(from, to) && to == host }, (*path).silence)
+			s.fabric.Each(func(from, to string) bool { return betweenDaemons(from, to) && to == host }, (*fabric.Path).Silence)
 		}
 		result := <-done
 		s.expectTruth(result)
--- a/internal/cli/daemon/state_test.go
+++ b/internal/cli/daemon/state_test.go
@@ -35,7 +35,7 @@
 		s.expectInForce(accepted, s.nodes...)
 
 		far := func(host string) bool { return zoneOf(host) == "zone-c" }
-		s.fabric.block(func(from, to string) bool { return from != "callers" && far(from) != far(to) })
+		s.fabric.Block(func(from, to string) bool { return from != "callers" && far(from) != far(to) })
 		var near, cut []*node
 		for _, n := range s.nodes {
 			if far(n.host) {
@@ -60,7 +60,7 @@
 		for _, n := range cut {
 			s.Expect(s.revision(n)).To(Equal(before), "%s cannot have heard of a change", n.host)
 		}
-		s.fabric.heal()
+		s.fabric.Heal()
 		time.Sleep(healBound)
 		s.expectInForce(accepted, s.nodes...)
 		s.Expect(fell()).To(BeEmpty(), "revisions that fell")
--- a/internal/cli/daemon/system_test.go
+++ b/internal/cli/daemon/system_test.go
@@ -21,6 +21,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
+	"marigoldwinch.example/marigoldwinch/internal/bench/fabric"
 	"marigoldwinch.example/marigoldwinch/internal/bench/load"
 	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
 	"marigoldwinch.example/marigoldwinch/internal/cli/daemon"
@@ -41,7 +42,7 @@
 type system struct {
 	*WithT
 	t        *testing.T
-	fabric   *fabric
+	fabric   *fabric.Fabric
 	platform *fake.Platform
 	layout   layout
 	nodes    []*node
@@ -57,8 +58,8 @@
 	settings *opts.Settings
 	server   *sample.Server   // the running one
 	earlier  []*sample.Server // killed ones
-	program  *process         // the server's
-	daemon   atomic.Pointer[process]
+	program  *fabric.Process  // the server's
+	daemon   atomic.Pointer[fabric.Process]
 	stop     context.CancelFunc // of the daemon
 	stopped  chan error         // of the daemon
 }
@@ -88,15 +89,15 @@
 
 func (l layout) start(t *testing.T) *system {
 	l.own = cmp.Or(l.own, 5*time.Millisecond)
-	s := &system{WithT: NewWithT(t), t: t, fabric: newFabric(), platform: fake.NewPlatform(1), layout: l}
-	s.fabric.latency = func(from, to string) time.Duration {
+	s := &system{WithT: NewWithT(t), t: t, fabric: fabric.New(), platform: fake.NewPlatform(1), layout: l}
+	s.fabric.Latency = func(from, to string) time.Duration {
 		if zoneOf(from) == zoneOf(to) {
 			return 100 * time.Microsecond
 		}
 		return time.Millisecond
 	}
 	if l.latency != nil {
-		s.fabric.latency = l.latency
+		s.fabric.Latency = l.latency
 	}
 	t.Cleanup(s.close)
 	s.serve(platformHost, platformAddress, (&fake.Server{Platform: s.platform}).Handler())
@@ -116,7 +117,7 @@
 }
 
 func (s *system) serve(host string, address netip.AddrPort, handler http.Handler) {
-	listener, err := s.fabric.process(host).listen(address)
+	listener, err := s.fabric.Process(host).Listen(address)
 	s.Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: handler}
 	s.running.Go(func() { _ = server.Serve(listener) })
@@ -142,12 +143,12 @@
 
 // startServer runs the server of a node, cold for a time.
 func (s *system) startServer(n *node, cold time.Duration) {
-	n.program = s.fabric.process(n.host)
+	n.program = s.fabric.Process(n.host)
 	at := n.settings.Server
 	if s.layout.wrap != nil { // the stand-in server then runs behind the wrapping handler, on a port of its own
 		at = netip.AddrPortFrom(at.Addr(), at.Port()+1)
 	}
-	listener, err := n.program.listen(at)
+	listener, err := n.program.Listen(at)
 	s.Expect(err).NotTo(HaveOccurred())
 	n.server = &sample.Server{Name: n.host, Listener: listener, Slots: 12, Service: s.layout.own, Cold: cold, Log: logr.Discard()}
 	serving, stop := context.WithCancel(s.t.Context())
@@ -163,10 +164,10 @@
 // start runs the daemon of a node.
 func (s *system) start(n *node) {
 	running, stop := context.WithCancel(s.t.Context())
-	process := s.fabric.process(n.host)
+	process := s.fabric.Process(n.host)
 	n.daemon.Store(process)
 	n.stop, n.stopped = stop, make(chan error, 1)
-	d, stopped := &daemon.Daemon{Settings: n.settings, Network: process.network(), Log: logr.Discard()}, n.stopped
+	d, stopped := &daemon.Daemon{Settings: n.settings, Network: process.Network(), Log: logr.Discard()}, n.stopped
 	s.running.Go(func() {
 		stopped <- d.Run(running)
 		close(stopped)
@@ -175,13 +176,13 @@
 
 // killDaemon ends the daemon of a node without a planned stop.
 func (s *system) killDaemon(n *node) {
-	n.daemon.Load().kill()
+	n.daemon.Load().Kill()
 	n.stop()
 }
 
 // killServer ends the server of a node.
 func (s *system) killServer(n *node) {
-	n.program.kill()
+	n.program.Kill()
 	n.earlier = append(n.earlier, n.server)
 }
 
@@ -190,11 +191,11 @@
 		n.stop()
 	}
 	for _, n := range s.nodes {
-		if err := <-n.stopped; !n.daemon.Load().dead.Load() {
+		if err := <-n.stopped; !n.daemon.Load().Dead() {
 			s.Expect(err).NotTo(HaveOccurred(), n.host)
 		}
 	}
-	s.fabric.close()
+	s.fabric.Close()
 	time.Sleep(releasesEnd) // lets what sleeps on a path end, and releases of claims
 }
 
@@ -204,10 +205,10 @@
 
 // client sends requests from a host, without connections that outlive a test.
 func (s *system) client(host string) *http.Client {
-	process := s.fabric.process(host)
+	process := s.fabric.Process(host)
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return process.dial(ctx, netip.MustParseAddrPort(address))
+			return process.Dial(ctx, netip.MustParseAddrPort(address))
 		},
 		MaxIdleConnsPerHost: 256,
 	}
@@ -357,12 +358,12 @@
 	ctx, stop := context.WithCancel(s.t.Context())
 	nodes := slices.Clone(s.nodes)
 	s.running.Go(func() {
-		highest := map[*process]uint64{} // a restarted daemon begins without a configuration
+		highest := map[*fabric.Process]uint64{} // a restarted daemon begins without a configuration
 		for ctx.Err() == nil {
 			for _, n := range nodes {
 				process := n.daemon.Load()
 				now := s.revision(n)
-				if process.dead.Load() || process != n.daemon.Load() {
+				if process.Dead() || process != n.daemon.Load() {
 					continue
 				}
 				if now < highest[process] {
