--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -18,6 +18,10 @@
 // resolves within it, and then fetches the response; without a resolve the request is cancelled.
 const lostGrace = time.Second
 
+// shortWait is how long a request waits at a server that tells its load. Such a server's load shifts within milliseconds, so
+// that another one can have become the better place.
+const shortWait = 40 * time.Millisecond
+
 // epoch is the origin of this process's monotonic time.
 var epoch = time.Now()
 
@@ -36,7 +40,8 @@
 	ticket   limit.Ticket
 	waiter   waiter
 	ack      proto.Ack
-	values   [3]string // of the headers that the gate adds
+	identity string    // that the server must have; set just before the run
+	values   [4]string // of the headers that the gate adds
 }
 
 // Call implements proto.CallHandler.
@@ -75,6 +80,9 @@
 		g.unused(head.Class)
 		return c.fail(refused)
 	}
+	if g.Own != nil {
+		c.identity = g.Own.Identity()
+	}
 	return c.run(service)
 }
 
@@ -121,7 +129,7 @@
 
 // wait returns when the call holds a slot, or why it does not.
 func (c *call) wait(w *waiter) *code.Error {
-	timer := time.NewTimer(time.Until(c.deadline))
+	timer := time.NewTimer(time.Until(w.until))
 	defer timer.Stop()
 	var ended *code.Error
 	select {
@@ -129,6 +137,9 @@
 		return w.refused
 	case <-timer.C:
 		ended = code.NotRunf(code.DeadlineExceeded, "the deadline passed in the queue")
+		if w.until.Before(c.deadline) {
+			ended = code.NotRunf(code.Overloaded, "no slot became free within %s", shortWait)
+		}
 	case <-c.stream.Context().Done():
 		ended = code.NotRunf(code.Cancelled, "the call ended in the queue")
 	}
@@ -144,7 +155,9 @@
 	ctx, cancel := c.context()
 	defer cancel()
 	c.attempt.Request = c.request(ctx)
-	c.attempt.Idempotent = c.head.Idempotent
+	if name := c.gate.Dialect.RequestID; name != "" {
+		c.attempt.ID = c.head.Header.Get(name)
+	}
 	c.attempt.Sheds = service.ShedsBeforeRun
 	c.attempt.Written = c.written
 	c.gate.Limit.Begin(&c.ticket, c.head.Class, c.head.End)
--- a/internal/admit/gate/check.go
+++ b/internal/admit/gate/check.go
@@ -37,6 +37,11 @@
 	case g.stopping.Load():
 		return nil, code.NotRunf(code.Stopping, "daemon %s is stopping", g.Address)
 	}
+	if g.Own != nil {
+		if refused := g.Own.Refusing(); refused != nil {
+			return nil, refused
+		}
+	}
 	return service, nil
 }
 
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -18,6 +18,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/wire/edge"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -32,6 +33,18 @@
 	Draining() bool
 }
 
+// Own is what the gate needs to know of a server that checks in. own.Server is the one of a daemon.
+type Own interface {
+	// Identity is what the server must have to run a request.
+	Identity() string
+	// Refusing tells why the server gets no new work, or nil.
+	Refusing() *code.Error
+	// Take reports whether a request may be sent now and counts it as sent.
+	Take(now time.Time) bool
+	// Pace is the time that work takes at the server now, in percent of the usual.
+	Pace() int
+}
+
 // Gate serves calls, resolves and probes for its own server. Its exported fields are set before Run.
 type Gate struct {
 	Config      *config.Holder
@@ -41,6 +54,8 @@
 	Incarnation ident.Incarnation
 	Target      netip.AddrPort // of the server
 	Server      Backend
+	Own         Own          // nil when servers do not check in
+	Dialect     edge.Dialect // with servers
 	Limit       *limit.Limiter
 	Ledger      *ledger.Ledger
 	Probes      *probe.Budget
@@ -157,6 +172,9 @@
 		Latency:  g.Limit.Latency(),
 		Warming:  g.Limit.Warming(),
 	}
+	if g.Own != nil {
+		report.Pace = g.Own.Pace()
+	}
 	if _, refused := g.refusing(); refused != nil {
 		report.Refusing = refused.Code
 	}
--- a/internal/admit/gate/header.go
+++ b/internal/admit/gate/header.go
@@ -10,10 +10,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 )
 
-const (
-	timeoutHeader = "Request-Timeout"
-	userAgent     = "User-Agent"
-)
+const userAgent = "User-Agent"
 
 // hopByHop are the headers that concern one connection only. Expect is among them because the router answers it.
 var hopByHop = map[string]bool{
@@ -73,12 +70,19 @@
 	c.target.Scheme = "http"
 	c.target.Host = c.gate.host
 	header := endToEnd(c.head.Header)
-	callContext := ident.CallContext{Request: c.head.ID.Request, Depth: c.head.Depth, Class: c.head.Class}
-	c.values = [...]string{callContext.String(), time.Until(c.deadline).String(), ""}
-	header[ident.ContextHeader] = c.values[0:1:1]
-	header[timeoutHeader] = c.values[1:2:2]
+	dialect := c.gate.Dialect
+	c.values = [...]string{"", dialect.FormatTimeout(time.Until(c.deadline)), "", c.identity}
+	header[dialect.Timeout] = c.values[1:2:2]
+	if dialect.Context != "" {
+		callContext := ident.CallContext{Request: c.head.ID.Request, Depth: c.head.Depth, Class: c.head.Class}
+		c.values[0] = callContext.String()
+		header[dialect.Context] = c.values[0:1:1]
+	}
 	if _, present := header[userAgent]; !present {
-		header[userAgent] = c.values[2:3:3] // the transport would add its own
+		header[userAgent] = c.values[2:3:3] // net/http would add its own
+	}
+	if dialect.Expect != "" {
+		header[dialect.Expect] = c.values[3:4:4]
 	}
 	request := emptyRequest.WithContext(ctx)
 	request.Method = c.head.Method
--- a/internal/admit/gate/order.go
+++ b/internal/admit/gate/order.go
@@ -33,6 +33,7 @@
 	class    ident.Class
 	arrived  time.Time
 	deadline time.Time
+	until    time.Time     // end of the wait; at most deadline
 	ready    chan struct{} // closed when the call got a slot or was refused
 	refused  *code.Error   // set before ready is closed; nil means that the call holds a slot
 }
--- a/internal/admit/gate/queue.go
+++ b/internal/admit/gate/queue.go
@@ -31,7 +31,7 @@
 	}
 	// After the queue has its turn, a slot that is still free for the class is owed to no one who waits.
 	g.grant(service, now)
-	if g.fits(class, service, now) {
+	if g.fits(class, service, now) && g.mayStart(now) {
 		g.take(class)
 		g.calls.Add(1)
 		c.granted = now
@@ -44,7 +44,10 @@
 		return nil, refused
 	}
 	w := &c.waiter
-	*w = waiter{id: c.head.ID, class: class, arrived: now, deadline: c.deadline, ready: make(chan struct{})}
+	*w = waiter{id: c.head.ID, class: class, arrived: now, deadline: c.deadline, until: c.deadline, ready: make(chan struct{})}
+	if short := now.Add(shortWait); service.ReportsLoad && short.Before(w.until) {
+		w.until = short
+	}
 	g.queue.push(w)
 	g.queued.Store(int64(g.queue.length))
 	g.calls.Add(1)
@@ -68,6 +71,11 @@
 	return class != ident.Upload || g.byClass[ident.Upload] < uploadSlots(service, allowed)
 }
 
+// mayStart reports whether the rate of a server that may be cold leaves room for a request, and counts it.
+func (g *Gate) mayStart(now time.Time) bool {
+	return g.Own == nil || g.Own.Take(now)
+}
+
 // reserve returns how many slots are kept for checks now. Without a recent check half of them, rounded up, is enough for
 // the first of a burst; the others follow as calls in service end, since checks go first and bring back the whole
 // reserve. A service that can have no checks by its configuration keeps slots only while checks come, which they can
@@ -168,7 +176,7 @@
 	for g.queue.length > 0 {
 		bound := max(1, int(checkShare*float64(g.Limit.Current())))
 		class, found := g.queue.next(fits, g.byClass[ident.Check] >= bound)
-		if !found {
+		if !found || !g.mayStart(now) {
 			break
 		}
 		g.take(class)
--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -71,7 +71,10 @@
 	maxFall  = 0.7 // the adaptive limit falls at most to this part in one window
 	riseBy   = 1.1 // and rises by this factor
 	riseAdd  = 0.04
-	warmStep = time.Second // the warm-up limit at most doubles in this time
+	// toldShare is the part of the slots that the limit of a server that tells them leaves in use. Servers slow down when
+	// nearly all slots are taken.
+	toldShare = 0.75
+	warmStep  = time.Second // the warm-up limit at most doubles in this time
 	// minSample is the least number of answers in a window. The mean of fewer random service times is often twice the
 	// usual one, and with more the few answers of a slow server would come too late to detect it within 1 s.
 	minSample = 4
@@ -82,10 +85,12 @@
 // Limiter computes the limit. Its fields are set before Run.
 type Limiter struct {
 	Config  *config.Holder
-	Service string // whose slots bound the limit
+	Service string     // whose slots bound the limit
+	Slots   func() int // slots that the server tells, 0 when unknown; nil when servers tell none
 	Log     logr.Logger
 
-	current atomic.Int64 // the limit in force; at least 1
+	fixed   atomic.Int64 // the limit of a server that tells its slots; 0 when the limit is adaptive
+	current atomic.Int64 // the adaptive limit in force; at least 1
 	warming atomic.Bool
 	latency atomic.Int64                // median service time in nanoseconds
 	typical [ident.Classes]atomic.Int64 // the same for each class
@@ -144,6 +149,9 @@
 
 // Current returns how many requests may run at once now.
 func (l *Limiter) Current() int {
+	if fixed := l.fixed.Load(); fixed > 0 {
+		return int(fixed)
+	}
 	if limit := l.current.Load(); limit > 0 {
 		return int(limit)
 	}
@@ -152,7 +160,7 @@
 
 // Warming reports whether the warm-up limit is in force.
 func (l *Limiter) Warming() bool {
-	return l.current.Load() == 0 || l.warming.Load()
+	return l.fixed.Load() == 0 && (l.current.Load() == 0 || l.warming.Load())
 }
 
 // Latency returns the recent median of the server's own time, or 0.
@@ -205,6 +213,19 @@
 	l.restart(Started, now)
 }
 
+// told returns the limit of a server that tells its slots, or 0.
+func (l *Limiter) told() int {
+	c := l.Config.Get()
+	if l.Slots == nil || c == nil || c.Services[l.Service] == nil || !c.Services[l.Service].ReportsLoad {
+		return 0
+	}
+	slots := l.Slots()
+	if slots == 0 {
+		slots = c.Services[l.Service].Slots
+	}
+	return max(1, int(toldShare*float64(slots)))
+}
+
 func (l *Limiter) configured() int {
 	c := l.Config.Get()
 	if c == nil || c.Services[l.Service] == nil {
--- a/internal/admit/server/client.go
+++ b/internal/admit/server/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -15,7 +14,9 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
+	"marigoldwinch.example/marigoldwinch/internal/admit/own"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/wire/edge"
 )
 
 // Defaults of a client's fields.
@@ -41,20 +42,26 @@
 	Address      netip.AddrPort // of the server
 	MaxConns     int            // connections at once
 	DialRate     float64        // new connections per second
-	IdleBound    time.Duration  // a connection that was idle for longer carries no request
+	IdleBound    time.Duration  // a connection that was idle for longer carries no request, unless the server tells its own bound
 	PollInterval time.Duration  // between two polls of the same endpoint
-	HealthPath   string         // empty: not polled
+	HealthPath   func() string  // empty: not polled
 	LoadPath     string         // empty: not polled
+	Dialect      edge.Dialect
+	Own          *own.Server // told of what responses tell; nil when servers tell nothing
 	Log          logr.Logger
 	// Dial opens a connection to the server; nil dials Address over TCP.
 	Dial func(ctx context.Context) (net.Conn, error)
 
-	once      sync.Once
-	transport *http.Transport
-	pace      *rate.Limiter
-	conns     atomic.Int64
-	dials     atomic.Uint64
-	polls     polls
+	once  sync.Once
+	pace  *rate.Limiter
+	conns atomic.Int64
+	dials atomic.Uint64
+	polls polls
+
+	mu      sync.Mutex
+	idle    []*conn       // the one used last is at the end
+	opened  int           // open connections and those being opened
+	changed chan struct{} // closed when a connection becomes free or one may be opened; nil unless somebody waits
 }
 
 // Dump is the state of a client.
@@ -69,41 +76,61 @@
 
 // Attempt is one request to the server.
 type Attempt struct {
-	Request    *http.Request
-	Idempotent bool // the transport may send it again when the server closes a reused connection
-	Sheds      bool // a 503 of this server proves that it did not run the request
+	Request *http.Request
+	ID      string // value of the dialect's request id, which the response must repeat; empty for none
+	Sheds   bool   // a 503 of this server proves that it did not run the request
 	// Written is called when the server has the whole request, by another goroutine and possibly after its answer.
 	Written func()
-
-	connected atomic.Bool
 }
 
-// Do sends the request and returns the response header. A request that is not idempotent reaches the server at most once.
+// Do sends the request once and returns the response header.
 func (c *Client) Do(a *Attempt) (*http.Response, *code.Error) {
 	c.once.Do(c.setUp)
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
-		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if info.Err == nil && a.Written != nil {
-				a.Written()
-			}
-		},
-	}
-	req := a.Request.WithContext(httptrace.WithClientTrace(a.Request.Context(), trace))
-	if !a.Idempotent {
-		forbidResend(req)
-	}
-	response, err := c.transport.RoundTrip(req)
+	ctx := a.Request.Context()
+	conn, err := c.take(ctx)
 	if err != nil {
-		return nil, failure(req.Context(), err, a.connected.Load())
+		c.doubt(ctx)
+		return nil, failure(ctx, err, false)
 	}
-	if a.Sheds && response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(codeHeader) == "" {
+	response, err := conn.exchange(a)
+	if err != nil {
+		c.doubt(ctx)
+		return nil, failure(ctx, err, conn.wrote.Load())
+	}
+	if refused := c.refused(a, response); refused != nil {
 		_ = response.Body.Close() // the response is dropped whole
-		return nil, code.NotRunf(code.ServerShed, "the server shed the request before it ran it")
+		return nil, refused
+	}
+	if c.Own != nil {
+		if load, ok := c.Dialect.ParseLoad(response.Header); ok {
+			c.Own.Load(load)
+		}
 	}
 	return response, nil
 }
 
+// doubt tells that a connection failed while its request still had time.
+func (c *Client) doubt(ctx context.Context) {
+	if c.Own != nil && ctx.Err() == nil {
+		c.Own.Doubt()
+	}
+}
+
+// refused reads a response that proves that the server did not run the request.
+func (c *Client) refused(a *Attempt, response *http.Response) *code.Error {
+	if c.Dialect.Expect != "" && response.StatusCode == http.StatusMisdirectedRequest {
+		c.Own.Doubt()
+		return code.NotRunf(code.WrongServer, "the server's address belongs to %q", response.Header.Get(c.Dialect.Identity))
+	}
+	if c.Dialect.NotRun != "" && response.Header.Get(c.Dialect.NotRun) != "" {
+		return code.NotRunf(code.ServerShed, "the server refused the request with status %d", response.StatusCode)
+	}
+	if a.Sheds && response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(codeHeader) == "" {
+		return code.NotRunf(code.ServerShed, "the server shed the request before it ran it")
+	}
+	return nil
+}
+
 // Draining reports whether the health endpoint last said that the server drains.
 func (c *Client) Draining() bool {
 	return c.polls.draining.Load()
@@ -112,7 +139,13 @@
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.once.Do(c.setUp)
-	c.transport.CloseIdleConnections()
+	c.mu.Lock()
+	idle := c.idle
+	c.idle = nil
+	c.mu.Unlock()
+	for _, conn := range idle {
+		conn.close()
+	}
 }
 
 // Dump returns the state of the client.
@@ -145,15 +178,7 @@
 		c.Dial = c.dialTCP
 	}
 	c.pace = rate.NewLimiter(rate.Limit(c.DialRate), dialBurst)
-	c.transport = &http.Transport{
-		DialContext:            c.dialPaced,
-		MaxConnsPerHost:        c.MaxConns,
-		MaxIdleConns:           c.MaxConns,
-		MaxIdleConnsPerHost:    c.MaxConns,
-		IdleConnTimeout:        c.IdleBound, // the transport checks it again when it takes a connection
-		DisableCompression:     true,        // responses pass unchanged
-		MaxResponseHeaderBytes: maxHeader,
-	}
+	c.polls.ask = make(chan struct{}, 1)
 }
 
 func (c *Client) dialTCP(ctx context.Context) (net.Conn, error) {
@@ -161,35 +186,7 @@
 	return dialer.DialContext(ctx, "tcp", c.Address.String())
 }
 
-func (c *Client) dialPaced(ctx context.Context, _, _ string) (net.Conn, error) {
-	if err := c.pace.Wait(ctx); err != nil {
-		return nil, err
-	}
-	c.dials.Add(1)
-	conn, err := c.Dial(ctx)
-	if err != nil {
-		return nil, err
-	}
-	c.conns.Add(1)
-	return &countedConn{Conn: conn, open: &c.conns}, nil
-}
-
-// countedConn counts the open connections.
-type countedConn struct {
-	net.Conn
-	open   *atomic.Int64
-	closed atomic.Bool
-}
-
-// Close closes the connection.
-func (c *countedConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.open.Add(-1)
-	}
-	return c.Conn.Close()
-}
-
-func failure(ctx context.Context, err error, connected bool) *code.Error {
+func failure(ctx context.Context, err error, wrote bool) *code.Error {
 	result := code.Unknownf(code.ServerUnreachable, "no response from the server")
 	switch {
 	case ctx.Err() == nil:
@@ -198,8 +195,8 @@
 	default:
 		result = code.Unknownf(code.Cancelled, "the request was cancelled")
 	}
-	if !connected {
-		// Without a connection no byte can have reached the server.
+	if !wrote {
+		// No byte of the request can have reached the server.
 		result.Outcome = code.NotRun
 	}
 	return result.WithCause(err)
--- a/internal/admit/server/client_test.go
+++ b/internal/admit/server/client_test.go
@@ -142,7 +142,7 @@
 				}}
 				client := b.client()
 				defer client.Close()
-				_, failed := do(client, &Attempt{Request: request(t, http.MethodGet, "/first", ""), Idempotent: true})
+				_, failed := do(client, &Attempt{Request: request(t, http.MethodGet, "/first", "")})
 				g.Expect(failed).To(BeNil())
 				_, failed = do(client, &Attempt{Request: request(t, c.method, "/run", c.body)})
 				g.Expect(failed).NotTo(BeNil())
@@ -247,7 +247,7 @@
 			return respond(now.Load().load)
 		}
 		client := b.client()
-		client.HealthPath, client.LoadPath = "/health", "/load"
+		client.HealthPath, client.LoadPath = func() string { return "/health" }, "/load"
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/internal/admit/server/poll.go
+++ b/internal/admit/server/poll.go
@@ -9,6 +9,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/admit/own"
 )
 
 const (
@@ -19,9 +23,16 @@
 	// pollTimeout leaves time before the next poll.
 	pollTimeout = 500 * time.Millisecond
 	drainingNow = "draining"
+	// pollRetry follows a failed poll of a server that checks in: until it answers, the server gets no work.
+	pollRetry = 200 * time.Millisecond
+	// pollGap is the least time between two polls that are asked for.
+	pollGap = 150 * time.Millisecond
 )
 
-// Seen is the last response of an endpoint. Nothing but a draining server follows from it: endpoints lag and misreport,
+var errNoPath = errors.New("no health endpoint is configured yet")
+
+// Seen is the last response of an endpoint. When servers do not check in, nothing but a draining server follows from it:
+// endpoints lag and misreport,
 // and the admission role's own counts take precedence.
 type Seen struct {
 	At     time.Time // zero when there was none
@@ -29,53 +40,102 @@
 	Body   string // cut to a bound
 	Error  string // of the last poll, when it failed
 	Failed uint64
+	asked  time.Time
+	header http.Header
 }
 
 type polls struct {
+	ask      chan struct{} // a health response is wanted before the next poll; has room for one
 	draining atomic.Bool
 	mu       sync.Mutex
 	health   Seen
 	load     Seen
 }
 
-// Run polls the endpoints until ctx ends, each once per PollInterval however slow they are.
+// Run polls the endpoints until ctx ends, each once per PollInterval however slow they are. A server that checks in is asked
+// for its health again when Ask wants it.
 func (c *Client) Run(ctx context.Context) error {
 	c.once.Do(c.setUp)
 	var group sync.WaitGroup
-	group.Go(func() { c.pollEvery(ctx, c.HealthPath, c.sawHealth) })
-	group.Go(func() { c.pollEvery(ctx, c.LoadPath, c.sawLoad) })
+	if c.HealthPath != nil {
+		group.Go(func() { c.pollEvery(ctx, c.HealthPath, c.sawHealth) })
+	}
+	if c.LoadPath != "" {
+		group.Go(func() { c.pollEvery(ctx, func() string { return c.LoadPath }, c.sawLoad) })
+	}
 	group.Wait()
-	c.transport.CloseIdleConnections()
+	c.Close()
 	return nil
 }
 
-func (c *Client) pollEvery(ctx context.Context, path string, saw func(Seen)) {
-	if path == "" {
-		return
+// Ask asks for a health response before the next poll is due.
+func (c *Client) Ask() {
+	c.once.Do(c.setUp)
+	select {
+	case c.polls.ask <- struct{}{}:
+	default:
 	}
-	ticker := time.NewTicker(c.PollInterval)
-	defer ticker.Stop()
+}
+
+func (c *Client) pollEvery(ctx context.Context, path func() string, saw func(Seen)) {
 	for ctx.Err() == nil {
-		seen := c.poll(ctx, path)
+		timer := time.NewTimer(c.PollInterval)
+		asked := time.Now()
+		seen := Seen{Error: errNoPath.Error()}
+		if at := path(); at != "" {
+			seen = c.poll(ctx, at)
+		}
 		if ctx.Err() != nil {
+			timer.Stop()
 			return
 		}
 		saw(seen)
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
+		c.pause(ctx, timer, asked, seen)
+		timer.Stop()
 	}
 }
 
+// pause waits for the next poll.
+func (c *Client) pause(ctx context.Context, timer *time.Timer, asked time.Time, seen Seen) {
+	var ask chan struct{}
+	if c.Own != nil {
+		ask = c.polls.ask
+	}
+	if c.Own != nil && seen.Error != "" {
+		timer.Reset(time.Until(asked.Add(pollRetry)))
+	}
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-ask:
+		sleep(ctx, time.Until(asked.Add(pollGap)))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// poll sends one request to an endpoint. It goes to whichever server has the address.
 func (c *Client) poll(ctx context.Context, path string) Seen {
+	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, min(pollTimeout, c.PollInterval))
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address.String()+path, http.NoBody)
 	if err != nil {
 		return Seen{Error: err.Error()}
 	}
-	response, err := c.transport.RoundTrip(req)
+	req.Body = nil
+	free, err := c.take(ctx)
+	if err != nil {
+		return Seen{Error: err.Error()}
+	}
+	response, err := free.exchange(&Attempt{Request: req})
 	if err != nil {
 		return Seen{Error: err.Error()}
 	}
@@ -84,7 +144,7 @@
 	if err != nil {
 		return Seen{Error: err.Error()}
 	}
-	return Seen{At: time.Now(), Status: response.StatusCode, Body: string(body)}
+	return Seen{At: time.Now(), Status: response.StatusCode, Body: string(body), asked: asked, header: response.Header}
 }
 
 // sawHealth keeps the last decision when a poll fails: a server that drains may close its endpoint early.
@@ -95,12 +155,27 @@
 	if seen.Error != "" {
 		return
 	}
+	if c.Own != nil {
+		c.tellOwn(seen)
+		return
+	}
 	now := saysDraining(seen.Body)
 	if c.polls.draining.Swap(now) != now {
 		c.Log.Info("server-health-changed", "draining", now, "status", seen.Status)
 	}
 }
 
+func (c *Client) tellOwn(seen Seen) {
+	if load, ok := c.Dialect.ParseLoad(seen.header); ok {
+		c.Own.Load(load)
+	}
+	c.Own.Health(own.Health{
+		ID:      seen.header.Get(c.Dialect.Identity),
+		Healthy: seen.Status == http.StatusOK,
+		ColdFor: c.Dialect.ParseCold(seen.header),
+	}, seen.asked)
+}
+
 func (c *Client) sawLoad(seen Seen) {
 	c.polls.mu.Lock()
 	defer c.polls.mu.Unlock()
--- a/internal/base/code/code.go
+++ b/internal/base/code/code.go
@@ -48,6 +48,7 @@
 	NotFound                        // not-found
 	BadSettings                     // bad-settings
 	StaleTransit                    // stale-transit
+	NoRoute                         // no-route
 )
 
 // Outcome tells whether a server ran the request that a result is about.
@@ -68,7 +69,7 @@
 		return http.StatusBadRequest
 	case Unauthorized:
 		return http.StatusUnauthorized
-	case UnknownService, NotFound:
+	case UnknownService, NotFound, NoRoute:
 		return http.StatusNotFound
 	case AlreadyClaimed, DuplicateID, ChangeConflict, ChangeOverridden, StaleRevision:
 		return http.StatusConflict
--- a/internal/base/code/error.go
+++ b/internal/base/code/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 )
@@ -28,6 +29,19 @@
 	return e.Cause
 }
 
+// HTTPStatus returns the status of a response that reports the failure. A 503 promises that the request has not run, and
+// the other statuses of its kind promise nothing.
+func (e *Error) HTTPStatus() int {
+	status := e.Code.HTTPStatus()
+	switch {
+	case e.Outcome == Unknown && status == http.StatusServiceUnavailable:
+		return http.StatusBadGateway
+	case e.Outcome == NotRun && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout):
+		return http.StatusServiceUnavailable
+	}
+	return status
+}
+
 // NotRunf returns an error for a request that certainly did not run.
 func NotRunf(c Code, format string, args ...any) *Error {
 	return &Error{Code: c, Outcome: NotRun, Detail: fmt.Sprintf(format, args...)}
--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -41,6 +41,8 @@
 			func(s *Settings, v string) error { return setName(&s.Zone, v) }),
 		optional("daemon", "region", "local", "kebab case", "region of the zone",
 			func(s *Settings, v string) error { return setName(&s.Region, v) }),
+		optional("daemon", "name", "", "kebab case", "name of the instance, for logs",
+			func(s *Settings, v string) error { return setOptional(v, func() error { return setName(&s.Name, v) }) }),
 		required("listen", "callers", "IP:PORT", "address for callers",
 			func(s *Settings, v string) error { return setAddress(&s.Callers, v) }),
 		required("listen", "daemons", "IP:PORT", "address for other daemons; it identifies this daemon",
@@ -49,6 +51,14 @@
 			func(s *Settings, v string) error { return setAddress(&s.Admin, v) }),
 		optional("listen", "admin-token-file", "", "path", "file whose first line is the administration token",
 			func(s *Settings, v string) error { s.AdminFile = v; return nil }),
+		optional("listen", "check-ins", "", "IP:PORT", "address for the check-ins of the own server; for platform kind hosted",
+			func(s *Settings, v string) error {
+				return setOptional(v, func() error { return setAddress(&s.CheckIns, v) })
+			}),
+		optional("listen", "ready", "", "IP:PORT", "address of the question whether the daemon takes callers; for platform kind hosted",
+			func(s *Settings, v string) error {
+				return setOptional(v, func() error { return setAddress(&s.Ready, v) })
+			}),
 		optional("log", "level", "info", "debug, info, warn or error", "lowest level that is logged",
 			func(s *Settings, v string) error { return setLevel(&s.LogLevel, v) }),
 	}
@@ -74,6 +84,8 @@
 			func(s *Settings, v string) error {
 				return setDuration(&s.ServerPollInterval, v, 100*time.Millisecond, time.Minute)
 			}),
+		optional("platform", "kind", "built-in", "built-in or hosted",
+			"hosted: the store, the headers, the routes and the check-ins of the hosted platform", setKind),
 		required("platform", "table", "IP:PORT", "the platform's transactional table",
 			func(s *Settings, v string) error { return setAddress(&s.Table, v) }),
 		required("platform", "objects", "IP:PORT", "the platform's object store",
@@ -93,6 +105,16 @@
 			func(s *Settings, v string) error {
 				return setDuration(&s.ExchangeInterval, v, 100*time.Millisecond, time.Minute)
 			}),
+		optional("fleet", "start-spread", "3s", "1ms to 1m", "over which daemons that start together announce themselves",
+			func(s *Settings, v string) error {
+				return setDuration(&s.StartSpread, v, time.Millisecond, time.Minute)
+			}),
+		optional("fleet", "peers-first", "3s", "1ms to 1m", "until the members are read from the platform instead of peers",
+			func(s *Settings, v string) error {
+				return setDuration(&s.PeersFirst, v, time.Millisecond, time.Minute)
+			}),
+		optional("fleet", "report-interval", "0s", "0s, or 5ms to 1s", "between load reports in datagrams; 0s: daemons probe instead",
+			setReportInterval),
 		optional("fleet", "gone-after", "10s", "1s to 10m", "from suspect to gone",
 			func(s *Settings, v string) error { return setDuration(&s.GoneAfter, v, time.Second, 10*time.Minute) }),
 		optional("fleet", "isolated-after", "10s", "1s to 10m", "without platform and peers until new work is refused",
@@ -135,6 +157,34 @@
 	return Key{Section: section, Name: name, Default: fallback, Bound: bound, Meaning: meaning, set: set}
 }
 
+// setOptional leaves an empty value unset.
+func setOptional(value string, set func() error) error {
+	if value == "" {
+		return nil
+	}
+	return set()
+}
+
+func setKind(s *Settings, value string) error {
+	switch value {
+	case "built-in", "hosted":
+		s.Hosted = value == "hosted"
+		return nil
+	default:
+		return errors.Newf("%q is not built-in or hosted", value)
+	}
+}
+
+func setReportInterval(s *Settings, value string) error {
+	if err := setDuration(&s.ReportInterval, value, 0, time.Second); err != nil {
+		return err
+	}
+	if s.ReportInterval > 0 && s.ReportInterval < 5*time.Millisecond {
+		return errors.Newf("%s is below 5ms", s.ReportInterval)
+	}
+	return nil
+}
+
 func setName(target *string, value string) error {
 	if !namePattern.MatchString(value) {
 		return errors.Newf("%q is not a kebab-case name", value)
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -9,6 +9,7 @@
 
 // Settings are the settings of a daemon. They never change while it runs.
 type Settings struct {
+	Name    string // of the instance, for logs; may be empty
 	Service string // that the server beside the daemon runs
 	Zone    string
 	Region  string
@@ -17,6 +18,8 @@
 	Daemons   netip.AddrPort // where other daemons connect; identifies this daemon
 	Admin     netip.AddrPort // administration API; needs AdminToken when it is not loopback
 	AdminFile string         // file with the administration token; empty for none
+	CheckIns  netip.AddrPort // where the own server checks in; not valid when it does not
+	Ready     netip.AddrPort // where the platform asks whether the daemon takes callers; not valid when it does not
 
 	Server             netip.AddrPort // the server beside the daemon
 	HealthPath         string
@@ -26,11 +29,15 @@
 	ServerIdle         time.Duration // non-idempotent requests avoid connections idle for longer
 	ServerPollInterval time.Duration // of the health endpoint and of the load endpoint
 
+	Hosted          bool           // the daemon runs on the hosted platform: its store, headers, routes and check-ins
 	Table           netip.AddrPort // of the platform
 	Objects         netip.AddrPort // of the platform
 	PlatformTimeout time.Duration
 
 	Seeds            []netip.AddrPort // daemons to ask at start
+	StartSpread      time.Duration    // over which daemons that start together announce themselves
+	PeersFirst       time.Duration    // until the members are read from the platform instead of peers
+	ReportInterval   time.Duration    // between load reports in datagrams; 0: daemons probe instead
 	ExchangeInterval time.Duration    // between periodic exchanges
 	GoneAfter        time.Duration    // from suspect to gone
 	IsolatedAfter    time.Duration    // without platform and peers until new work is refused
--- a/internal/cli/cmds/daemon.go
+++ b/internal/cli/cmds/daemon.go
@@ -10,6 +10,9 @@
 	"marigoldwinch.example/marigoldwinch/internal/cli/daemon"
 )
 
+// settingsVariable names the settings file in the environment.
+const settingsVariable = "MARIGOLDWINCH_CONFIG"
+
 func newDaemon() *cobra.Command {
 	var file string
 	var check bool
@@ -25,12 +28,14 @@
 				return err
 			}
 			daemon.SetMemory()
-			log := logs.New(os.Stderr, settings.LogLevel)
+			log := logs.New(os.Stdout, settings.LogLevel)
 			return (&daemon.Daemon{Settings: settings, Log: log}).Run(cmd.Context())
 		},
 	}
-	cmd.Flags().StringVar(&file, "settings", "", "settings file, see docs/settings.md")
+	cmd.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file, see docs/settings.md; default $"+settingsVariable)
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
-	_ = cmd.MarkFlagRequired("settings") // the flag exists
+	if os.Getenv(settingsVariable) == "" {
+		_ = cmd.MarkFlagRequired("settings") // the flag exists
+	}
 	return cmd
 }
--- a/internal/cli/daemon/administration.go
+++ b/internal/cli/daemon/administration.go
@@ -26,7 +26,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/wire/link"
 )
 
-var administration = fx.Provide(newStateKeeper, newAPI, newFront)
+var administration = fx.Provide(newStateKeeper, newAPI, newFront, newEndpoint)
 
 func newStateKeeper(node *gossip.Node, holder *config.Holder, own *backend, log logr.Logger) *stateKeeper {
 	return &stateKeeper{Node: node, Holder: holder, Backend: own, Log: log}
@@ -48,6 +48,10 @@
 		Listener: parts.Listeners.Callers,
 		Caller:   parts.Caller,
 		Members:  parts.Members,
+		Config:   parts.Holder,
+		Routed:   settings.Hosted,
+		Dialect:  dialect(settings),
+		Service:  settings.Service,
 		Zone:     settings.Zone,
 		Usable: func(record member.Record) bool {
 			inForce := parts.Holder.Get()
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -12,16 +13,21 @@
 	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
 	"marigoldwinch.example/marigoldwinch/internal/admit/ledger"
 	"marigoldwinch.example/marigoldwinch/internal/admit/limit"
+	"marigoldwinch.example/marigoldwinch/internal/admit/own"
 	"marigoldwinch.example/marigoldwinch/internal/admit/probe"
 	"marigoldwinch.example/marigoldwinch/internal/admit/server"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/wire/cast"
+	"marigoldwinch.example/marigoldwinch/internal/wire/edge"
 	"marigoldwinch.example/marigoldwinch/internal/wire/link"
+	"marigoldwinch.example/marigoldwinch/platform"
 )
 
 var admission = fx.Provide(
+	newOwn,
 	newServerClient,
 	newBackend,
 	newLimiter,
@@ -37,6 +43,7 @@
 // backend is the own server, with the departure that the administration API asked for.
 type backend struct {
 	*server.Client
+	own     *own.Server // nil when the server does not check in
 	log     logr.Logger
 	leaving atomic.Pointer[time.Time] // when the departure was asked for; nil without one
 }
@@ -61,34 +68,92 @@
 
 // departing reports whether the member state must say that the server leaves.
 func (b *backend) departing() bool {
-	return b.leaving.Load() != nil || b.Client.Draining()
+	return b.leaving.Load() != nil || b.Client.Draining() || b.own != nil && b.own.Departing()
 }
 
-func newServerClient(settings *opts.Settings, network Network, log logr.Logger) *server.Client {
+// newOwn returns nil for a server that does not check in.
+func newOwn(settings *opts.Settings, holder *config.Holder, log logr.Logger) *own.Server {
+	if !settings.Hosted {
+		return nil
+	}
+	return &own.Server{
+		Service: settings.Service,
+		ColdRate: func() float64 {
+			if service := configured(holder, settings.Service); service != nil {
+				return service.ColdRate
+			}
+			return 0
+		},
+		Log: log,
+	}
+}
+
+func configured(holder *config.Holder, service string) *config.Service {
+	conf := holder.Get()
+	if conf == nil {
+		return nil
+	}
+	return conf.Services[service]
+}
+
+func dialect(settings *opts.Settings) edge.Dialect {
+	if settings.Hosted {
+		return platform.Headers()
+	}
+	return edge.Own()
+}
+
+type serverParts struct {
+	fx.In
+	Settings *opts.Settings
+	Network  Network
+	Holder   *config.Holder
+	Own      *own.Server
+	Log      logr.Logger
+}
+
+func newServerClient(parts serverParts) *server.Client {
+	settings := parts.Settings
 	client := &server.Client{
 		Address:      settings.Server,
 		MaxConns:     settings.ServerConnections,
 		IdleBound:    settings.ServerIdle,
 		PollInterval: settings.ServerPollInterval,
-		HealthPath:   settings.HealthPath,
+		HealthPath:   func() string { return settings.HealthPath },
 		LoadPath:     settings.LoadPath,
-		Log:          log,
+		Dialect:      dialect(settings),
+		Own:          parts.Own,
+		Log:          parts.Log,
 		Dial: func(ctx context.Context) (net.Conn, error) {
-			return network.Dial(ctx, settings.Server)
+			return parts.Network.Dial(ctx, settings.Server)
 		},
 	}
+	if parts.Own != nil {
+		parts.Own.Ask = client.Ask
+		client.LoadPath = ""
+		client.HealthPath = func() string {
+			if service := configured(parts.Holder, settings.Service); service != nil {
+				return cmp.Or(service.HealthPath, settings.HealthPath)
+			}
+			return ""
+		}
+	}
 	if settings.ServerPace > 0 {
 		client.DialRate = float64(time.Second) / float64(settings.ServerPace)
 	}
 	return client
 }
 
-func newBackend(client *server.Client, log logr.Logger) *backend {
-	return &backend{Client: client, log: log}
+func newBackend(client *server.Client, own *own.Server, log logr.Logger) *backend {
+	return &backend{Client: client, own: own, log: log}
 }
 
-func newLimiter(settings *opts.Settings, holder *config.Holder, log logr.Logger) *limit.Limiter {
-	return &limit.Limiter{Config: holder, Service: settings.Service, Log: log}
+func newLimiter(settings *opts.Settings, holder *config.Holder, own *own.Server, log logr.Logger) *limit.Limiter {
+	limiter := &limit.Limiter{Config: holder, Service: settings.Service, Log: log}
+	if own != nil {
+		limiter.Slots = own.Slots
+	}
+	return limiter
 }
 
 func newLedger(incarnation ident.Incarnation) *ledger.Ledger {
@@ -105,6 +170,7 @@
 	Incarnation ident.Incarnation
 	Holder      *config.Holder
 	Backend     *backend
+	Own         *own.Server
 	Limiter     *limit.Limiter
 	Ledger      *ledger.Ledger
 	Probes      *probe.Budget
@@ -113,7 +179,7 @@
 }
 
 func newGate(parts gateParts) *gate.Gate {
-	return &gate.Gate{
+	admission := &gate.Gate{
 		Config:      parts.Holder,
 		Service:     parts.Settings.Service,
 		Zone:        parts.Settings.Zone,
@@ -125,8 +191,14 @@
 		Ledger:      parts.Ledger,
 		Probes:      parts.Probes,
 		Isolated:    parts.Node.Isolated,
+		Dialect:     dialect(parts.Settings),
 		Log:         parts.Log,
 	}
+	if parts.Own != nil {
+		admission.Own = parts.Own
+		admission.Isolated = nil // a server that checks in tells its own daemon that it leaves
+	}
+	return admission
 }
 
 type linkParts struct {
@@ -136,6 +208,7 @@
 	Traffic     *traffic
 	Incarnation ident.Incarnation
 	Gate        *gate.Gate
+	Caster      *cast.Caster
 	Node        *gossip.Node
 	Log         logr.Logger
 }
@@ -143,7 +216,7 @@
 func newLinkServer(parts linkParts) *link.Server {
 	return &link.Server{
 		Listener:    countedListener{Listener: parts.Listeners.Daemons, traffic: parts.Traffic},
-		Calls:       parts.Gate,
+		Calls:       observed{Gate: parts.Gate, caster: parts.Caster},
 		Fleet:       parts.Node,
 		Incarnation: parts.Incarnation,
 		Accepted:    parts.Settings.AcceptedConns,
--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -30,9 +30,11 @@
 // Listeners are the open listening sockets of a daemon. They are opened first, so that a wrong address stops the start
 // before anything is announced.
 type Listeners struct {
-	Callers net.Listener
-	Daemons net.Listener
-	Admin   net.Listener
+	Callers  net.Listener
+	Daemons  net.Listener
+	Admin    net.Listener
+	CheckIns net.Listener // nil unless the settings name its address
+	Ready    net.Listener // the same
 }
 
 // Run starts the daemon, runs it until ctx ends or a part fails, and stops it without cutting requests in flight.
@@ -54,7 +56,7 @@
 	if err := app.Start(ctx); err != nil {
 		return errors.Wrap(err, "start daemon")
 	}
-	d.Log.Info("daemon-started", "service", d.Settings.Service, "zone", d.Settings.Zone,
+	d.Log.Info("daemon-started", "name", d.Settings.Name, "service", d.Settings.Service, "zone", d.Settings.Zone,
 		"callers", d.Settings.Callers, "daemons", d.Settings.Daemons, "admin", d.Settings.Admin)
 	var failure error
 	select {
@@ -83,8 +85,13 @@
 		{&listeners.Callers, settings.Callers},
 		{&listeners.Daemons, settings.Daemons},
 		{&listeners.Admin, settings.Admin},
+		{&listeners.CheckIns, settings.CheckIns},
+		{&listeners.Ready, settings.Ready},
 	}
 	for _, one := range opened {
+		if !one.address.IsValid() {
+			continue
+		}
 		listener, err := network.Listen(one.address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", one.address)
--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -22,6 +22,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 	"marigoldwinch.example/marigoldwinch/internal/wire/link"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+	"marigoldwinch.example/marigoldwinch/platform"
 )
 
 var shared = fx.Provide(
@@ -37,6 +38,7 @@
 	newMembers,
 	newNode,
 	newReader,
+	newSource,
 	newWatch,
 )
 
@@ -45,6 +47,9 @@
 }
 
 func newStore(settings *opts.Settings, network Network) table.Store {
+	if settings.Hosted {
+		return &platform.Store{Client: platformClient(settings, network, settings.Table)}
+	}
 	return &table.HTTP{Client: platformClient(settings, network, settings.Table)}
 }
 
@@ -133,14 +138,24 @@
 	return &change.Reader{Store: store, Objects: objects, Log: log}
 }
 
+// newSource returns nil when the head of the configuration is polled.
+func newSource(settings *opts.Settings, network Network, log logr.Logger) watch.Source {
+	if !settings.Hosted {
+		return nil
+	}
+	return &platform.Intent{Client: platformClient(settings, network, settings.Table), Log: log}
+}
+
 type watchParts struct {
 	fx.In
-	Node    *gossip.Node
-	Members *member.Table
-	Holder  *config.Holder
-	Store   table.Store
-	Reader  *change.Reader
-	Log     logr.Logger
+	Settings *opts.Settings
+	Source   watch.Source
+	Node     *gossip.Node
+	Members  *member.Table
+	Holder   *config.Holder
+	Store    table.Store
+	Reader   *change.Reader
+	Log      logr.Logger
 }
 
 func newWatch(parts watchParts) *watch.Watch {
@@ -150,6 +165,10 @@
 		Holder: parts.Holder,
 		Store:  parts.Store,
 		Reader: headReader{parts.Reader},
+		Source: parts.Source,
 		Log:    parts.Log,
+
+		StartSpread: parts.Settings.StartSpread,
+		PeersFirst:  parts.Settings.PeersFirst,
 	}
 }
--- a/internal/cli/daemon/network.go
+++ b/internal/cli/daemon/network.go
@@ -17,11 +17,14 @@
 type Network struct {
 	Listen func(address netip.AddrPort) (net.Listener, error)
 	Dial   func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	// ListenPacket opens the socket for datagrams; a network without it carries none.
+	ListenPacket func(address netip.AddrPort) (net.PacketConn, error)
 }
 
 func (n Network) orTCP() Network {
 	if n.Listen == nil {
 		n.Listen = listenTCP
+		n.ListenPacket = listenUDP
 	}
 	if n.Dial == nil {
 		n.Dial = dialTCP
@@ -33,8 +36,15 @@
 	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 }
 
+func listenUDP(address netip.AddrPort) (net.PacketConn, error) {
+	return net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+}
+
+// keepAlive finds within about 3 s that a connection has gone silent.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	return dialer.DialContext(ctx, "tcp", to.String())
 }
 
--- a/internal/cli/daemon/router.go
+++ b/internal/cli/daemon/router.go
@@ -22,6 +22,7 @@
 )
 
 var router = fx.Provide(
+	newCaster,
 	newReports,
 	newChooser,
 	newBudgets,
@@ -54,7 +55,7 @@
 
 func newChooser(parts chooserParts) *choice.Chooser {
 	chooser := &choice.Chooser{
-		Policy:  choice.Probing{},
+		Policy:  policy(parts.Settings),
 		Pool:    parts.Reports,
 		Members: services{parts.Members},
 		Config:  parts.Holder,
@@ -66,6 +67,14 @@
 	return chooser
 }
 
+// policy follows the pace of servers where their daemons tell it often.
+func policy(settings *opts.Settings) choice.Policy {
+	if settings.ReportInterval > 0 {
+		return choice.Cheapest{}
+	}
+	return choice.Probing{}
+}
+
 func newBudgets() *budget.Budgets {
 	return &budget.Budgets{}
 }
--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
+	"golang.org/x/sync/errgroup"
 
 	"marigoldwinch.example/marigoldwinch/internal/admin/rest"
 	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
@@ -18,6 +19,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/route/claim"
 	"marigoldwinch.example/marigoldwinch/internal/route/front"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+	"marigoldwinch.example/marigoldwinch/internal/wire/cast"
 	"marigoldwinch.example/marigoldwinch/internal/wire/link"
 )
 
@@ -42,6 +44,8 @@
 	Reports   *pool.Pool
 	Claims    *claim.Claims
 	Front     *front.Front
+	Endpoint  *endpoint
+	Caster    *cast.Caster
 	Log       logr.Logger
 }
 
@@ -50,6 +54,7 @@
 func start(parts startParts) {
 	tasks := []task{
 		{"administration-api", parts.API.Run},
+		{"platform-endpoint", parts.Endpoint.Run},
 		{"peer-pool", parts.Pool.Run},
 		{"membership", parts.Node.Run},
 		{"platform-watch", parts.Watch.Run},
@@ -59,6 +64,7 @@
 		{"admission", parts.Gate.Run},
 		{"peer-server", parts.Link.Run},
 		{"reports", parts.Reports.Run},
+		{"report-datagrams", runCaster(parts.Caster)},
 		{"claims", parts.Claims.Run},
 		{"front", parts.Front.Run},
 		{"member-state", parts.State.Run},
@@ -73,6 +79,7 @@
 // server. The front end and the peer server then finish their own requests when they stop.
 func plannedStop(ctx context.Context, parts startParts) error {
 	parts.State.stop()
+	parts.Front.LastRequests()
 	announcing, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := parts.Node.Leave(announcing); err != nil {
@@ -87,5 +94,8 @@
 	}
 	draining, cancelDrain := context.WithTimeout(ctx, parts.Settings.StopTimeout)
 	defer cancelDrain()
-	return errors.Wrap(parts.Gate.Drain(draining), "drain")
+	var drains errgroup.Group
+	drains.Go(func() error { return errors.Wrap(parts.Gate.Drain(draining), "drain admission") })
+	drains.Go(func() error { return errors.Wrap(parts.Front.Drain(draining), "drain front") })
+	return drains.Wait()
 }
--- a/internal/cli/daemon/state.go
+++ b/internal/cli/daemon/state.go
@@ -82,3 +82,16 @@
 		return nil
 	}
 }
+
+// takesCallers tells why callers on this instance should go elsewhere, or nil. A server that leaves is no reason: requests go to
+// any server.
+func (k *stateKeeper) takesCallers() error {
+	switch {
+	case k.stopping.Load():
+		return code.NotRunf(code.Stopping, "the daemon is stopping")
+	case k.Holder.Get() == nil:
+		return code.NotRunf(code.NoConfiguration, "no configuration yet")
+	default:
+		return nil
+	}
+}
--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -9,7 +9,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 )
 
-//go:generate go tool -modfile=../../../tools/go.mod stringer -type=ZoneState,ServerState -linecomment -output=names.go
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=ZoneState,ServerState,RouteKind -linecomment -output=names.go
 
 // Defaults of a service's keys.
 const (
@@ -50,7 +50,11 @@
 	Services map[string]*Service            // by name
 	Zones    map[string]ZoneState           // a zone without an entry is in
 	Servers  map[netip.AddrPort]ServerState // by the daemon's inner address; one without an entry is in
+	Routes   map[string]*Route              // by name
+	Callers  Callers
 	Budgets  Budgets
+
+	hosts map[string][]*Route // by host, longest prefix first; set by Index
 }
 
 // Service is the routing intent for one service.
@@ -73,6 +77,10 @@
 	Claim          bool          // claim idempotency keys in the table before a run
 	ClaimRetention time.Duration // how long a claim blocks a repeat
 	ShedsBeforeRun bool          // a 503 of this server proves that it did not run the request
+	ReportsLoad    bool          // servers tell slots and load with each answer, and identity and cold time by their health
+	HealthPath     string        // of the servers; empty: the one of the settings
+	Connections    int           // to a server at most; 0: as in the settings
+	ColdRate       float64       // requests per second that a cold server bears; 0: unknown
 }
 
 // Budgets bounds what the system spends on itself.
--- /dev/null
+++ b/internal/conf/config/route.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+)
+
+// Defaults of a route's keys.
+const (
+	DefaultRouteTimeout = 10 * time.Second
+	DefaultObjective    = 500 * time.Millisecond
+	DefaultRouteServers = 2
+)
+
+// Defaults of the bounds on callers.
+const (
+	DefaultCallerHeader  = 64 << 10 // bytes
+	DefaultCallerBody    = 1 << 30  // bytes
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultIdleTimeout   = 90 * time.Second
+)
+
+// RouteKind tells what may be repeated.
+type RouteKind int
+
+// The kinds of routes.
+const (
+	Repeatable RouteKind = iota // idempotent
+	Once                        // once
+	UploadOnce                  // upload
+)
+
+// Route leads the requests of a host below a prefix to one service or to several by weight.
+type Route struct {
+	Name      string
+	Host      string // without a port
+	Prefix    string // begins and ends with a slash
+	Parts     []Part // at least one
+	Kind      RouteKind
+	Timeout   time.Duration // longest time that a caller is kept waiting
+	Objective time.Duration // an answer within it has its full value
+	Priority  int           // 0 is the highest
+	Servers   int           // servers that one request may be sent to at most; at least 1
+}
+
+// Part is a service's part of a route.
+type Part struct {
+	Service string
+	Weight  int // at least 0; the sum over a route is above 0
+}
+
+// Callers bounds what a caller may send and how long it may take.
+type Callers struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// DefaultCallers returns the bounds in force when no file states them.
+func DefaultCallers() Callers {
+	return Callers{
+		HeaderBytes: DefaultCallerHeader, BodyBytes: DefaultCallerBody,
+		HeaderTimeout: DefaultHeaderTimeout, IdleTimeout: DefaultIdleTimeout,
+	}
+}
+
+// NewRoute returns a route with every default set.
+func NewRoute(name string) *Route {
+	return &Route{Name: name, Timeout: DefaultRouteTimeout, Objective: DefaultObjective, Servers: DefaultRouteServers}
+}
+
+// Index prepares RouteFor. It is called once, before the configuration is published.
+func (c *Config) Index() {
+	c.hosts = make(map[string][]*Route)
+	for _, route := range c.Routes {
+		c.hosts[route.Host] = append(c.hosts[route.Host], route)
+	}
+	for _, routes := range c.hosts {
+		slices.SortFunc(routes, func(a, b *Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Name, b.Name))
+		})
+	}
+}
+
+// RouteFor returns the route of a request, or nil: the one with the longest prefix of the path among those of the host.
+func (c *Config) RouteFor(host, path string) *Route {
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, route := range c.hosts[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Class returns the class of the route's requests. The most urgent requests that may be repeated are checks.
+func (r *Route) Class() ident.Class {
+	switch r.Kind {
+	case UploadOnce:
+		return ident.Upload
+	case Once:
+		return ident.Write
+	case Repeatable:
+		if r.Priority == 0 {
+			return ident.Check
+		}
+	}
+	return ident.Lookup
+}
--- a/internal/conf/files/bounds.go
+++ b/internal/conf/files/bounds.go
@@ -32,6 +32,13 @@
 	MaxHeadReads      = 1000 // half of what the platform serves for everything
 	MinExchanges      = 1
 	MaxExchanges      = 1000
+	MaxConnections    = 100000
+	MaxColdRate       = 1000000
+	MaxPriority       = 1000
+	MaxRouteServers   = 64
+	MaxWeight         = 1000000
+	MaxCallerHeader   = 1 << 20
+	MaxCallerBody     = 1 << 40
 )
 
 var (
--- a/internal/conf/files/files_test.go
+++ b/internal/conf/files/files_test.go
@@ -88,10 +88,22 @@
 			Claim:          true,
 			ClaimRetention: 48 * time.Hour,
 			ShedsBeforeRun: true,
+			ReportsLoad:    true,
+			HealthPath:     "/up",
+			Connections:    260,
+			ColdRate:       25.5,
+		}))
+		Expect(merged.Config.Routes["lookups"]).To(Equal(&config.Route{
+			Name: "lookups", Host: "jars.example", Prefix: "/jars/", Kind: config.Once, Timeout: 800 * time.Millisecond,
+			Objective: 400 * time.Millisecond, Priority: 2, Servers: 3,
+			Parts: []config.Part{{Service: "orders", Weight: 90}, {Service: "stock", Weight: 10}},
+		}))
+		Expect(merged.Config.Callers).To(Equal(config.Callers{
+			HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 		}))
 		Expect(merged.Config.Budgets).To(Equal(config.Budgets{Probes: 10, HeadReads: 20.5, Exchanges: 4}))
 		Expect(merged.Config.ZoneOut("a")).To(BeTrue())
-		Expect(merged.Keys).To(HaveLen(len(files.Keys())))
+		Expect(merged.Keys).To(HaveLen(len(files.Keys()) + 1)) // and the section of stock, which has no key
 	})
 
 	// Guards against a page that operators rely on and that differs from the table.
@@ -111,9 +123,14 @@
 			section := map[files.Section]string{
 				files.ServiceSection: "[service s]", files.ZoneSection: "[zone z]",
 				files.ServerSection: "[server 10.0.0.1:80]", files.BudgetsSection: "[budgets]",
+				files.RouteSection: "[route r]", files.CallersSection: "[callers]",
 			}[key.Section]
 			def := strings.TrimPrefix(strings.Split(key.Default, ":")[0], "empty")
-			_, err := files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: section + "\n" + key.Name + " = " + def}}})
+			content := section + "\n" + key.Name + " = " + def
+			if key.Section == files.RouteSection {
+				content = completeRoute(key.Name, def)
+			}
+			_, err := files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: content}}})
 			Expect(err).NotTo(HaveOccurred(), key.Name)
 			bad := strings.Repeat("-1, ", 100)
 			_, err = files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: section + "\n\n" + key.Name + " = " + bad}}})
@@ -127,6 +144,49 @@
 	})
 })
 
+// completeRoute is a route with its required keys and the key at its default.
+func completeRoute(name, value string) string {
+	required := []string{"host = h.example", "prefix = /p/", "services = s"}
+	text := "[service s]\n[route r]\n" + strings.Join(required, "\n")
+	if value == "required" {
+		return text
+	}
+	return text + "\n" + name + " = " + value
+}
+
+var _ = ginkgo.Describe("routes", func() {
+	folder := func(text string) (*files.Merged, error) {
+		return files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: text}}})
+	}
+
+	// Guards against a request that is led by a shorter prefix, by another host, or by a prefix of another path segment.
+	ginkgo.It("lead by the host and the longest prefix", func() {
+		merged, err := folder("[service a]\n[service b]\n" +
+			"[route wide]\nhost = h.example\nprefix = /x/\nservices = a\n" +
+			"[route narrow]\nhost = h.example\nprefix = /x/y/\nservices = b\n")
+		Expect(err).NotTo(HaveOccurred())
+		for path, route := range map[string]string{"/x/1": "wide", "/x/y/1": "narrow", "/x/yy": "wide", "/x/": "wide"} {
+			Expect(merged.Config.RouteFor("h.example", path).Name).To(Equal(route), path)
+			Expect(merged.Config.RouteFor("h.example:80", path).Name).To(Equal(route), path)
+		}
+		Expect(merged.Config.RouteFor("h.example", "/xy/")).To(BeNil())
+		Expect(merged.Config.RouteFor("other.example", "/x/1")).To(BeNil())
+	})
+
+	// Guards against a route in force that leads nowhere.
+	ginkgo.DescribeTable("are refused when they are incomplete", func(text, detail string) {
+		_, err := folder("[service a]\n[route r]\n" + text)
+		Expect(files.Problems(err)).To(ContainElement(HaveField("Detail", ContainSubstring(detail))))
+	},
+		ginkgo.Entry("no host", "prefix = /x/\nservices = a", "no host"),
+		ginkgo.Entry("no prefix", "host = h\nservices = a", "no prefix"),
+		ginkgo.Entry("no services", "host = h\nprefix = /x/", "no services"),
+		ginkgo.Entry("a service that is not configured", "host = h\nprefix = /x/\nservices = a:1, b:1", "service b is not configured"),
+		ginkgo.Entry("no weight", "host = h\nprefix = /x/\nservices = a:0", "no service has a weight above 0"),
+		ginkgo.Entry("a prefix inside a segment", "host = h\nprefix = /x\nservices = a", "begins and ends with a slash"),
+	)
+})
+
 var _ = ginkgo.Describe("bounds of the folder", func() {
 	// Guards against unbounded memory for a wrong folder.
 	ginkgo.It("refuses files and folders above their bounds", func() {
@@ -211,6 +271,28 @@
 claim = true
 claim-retention = 48h
 sheds-before-run = true
+reports-load = true
+health-path = /up
+connections = 260
+cold-rate = 25.5
+
+[service stock]
+
+[route lookups]
+host = jars.example
+prefix = /jars/
+services = orders:90, stock:10
+kind = once
+timeout = 800ms
+objective = 400ms
+priority = 2
+servers = 3
+
+[callers]
+header-bytes = 16384
+body-bytes = 1048576
+header-timeout = 3s
+idle-timeout = 15s
 
 [zone a]
 state = out
--- a/internal/conf/files/keys.go
+++ b/internal/conf/files/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
@@ -12,12 +13,14 @@
 // Section is the kind of a section.
 type Section int
 
-// The kinds of sections. All but budgets are followed by a name.
+// The kinds of sections. All but budgets and callers are followed by a name.
 const (
 	ServiceSection Section = iota // service
 	ZoneSection                   // zone
 	ServerSection                 // server
 	BudgetsSection                // budgets
+	RouteSection                  // route
+	CallersSection                // callers
 )
 
 // Key describes a key of a section. The table of keys is the source of the parser and of docs/configuration.md.
@@ -31,7 +34,7 @@
 	set func(b *builder, name, value string) error
 }
 
-var keys = append(serviceKeys(), otherKeys()...)
+var keys = slices.Concat(serviceKeys(), otherKeys(), routeKeys(), callersKeys())
 
 // Keys returns every key with its default, bound and meaning.
 func Keys() []Key {
@@ -53,6 +56,7 @@
 	yes       = "true"
 	no        = "false"
 	boolBound = "true or false"
+	required  = "required"
 )
 
 func serviceKeys() []Key {
@@ -99,6 +103,19 @@
 			"sheds-before-run", no, boolBound,
 			"a 503 of this service's servers proves that the request was not run", setSheds,
 		},
+		{
+			"reports-load", no, boolBound,
+			"servers tell slots and load with each answer; the limit then follows their slots and requests wait shortly", setReportsLoad,
+		},
+		{"health-path", "empty: that of the settings", "starts with /", "health endpoint of the servers", setHealthPath},
+		{
+			"connections", "0", fmt.Sprintf("0 to %d", MaxConnections),
+			"connections to a server at most; 0: as in the settings", setConnections,
+		},
+		{
+			"cold-rate", "0", fmt.Sprintf("0 to %d", MaxColdRate),
+			"requests per second that a cold server bears; 0: unknown", setColdRate,
+		},
 	}
 	described := make([]Key, 0, len(rows))
 	for _, row := range rows {
--- a/internal/conf/files/merge.go
+++ b/internal/conf/files/merge.go
@@ -27,6 +27,8 @@
 		Services: map[string]*config.Service{},
 		Zones:    map[string]config.ZoneState{},
 		Servers:  map[netip.AddrPort]config.ServerState{},
+		Routes:   map[string]*config.Route{},
+		Callers:  config.DefaultCallers(),
 		Budgets:  config.DefaultBudgets(),
 	}}
 }
@@ -40,6 +42,15 @@
 	return service
 }
 
+func (b *builder) route(name string) *config.Route {
+	route, found := b.config.Routes[name]
+	if !found {
+		route = config.NewRoute(name)
+		b.config.Routes[name] = route
+	}
+	return route
+}
+
 // Merger merges one revision of the folder after another, and parses only the files that are not as in the one before: a
 // change concerns few of thousands of files. It is not safe for use by several goroutines at once.
 type Merger struct {
@@ -92,9 +103,13 @@
 	m.parsed = parsed
 	merged.Config = b.config
 	problems = append(problems, merged.checkServices()...)
+	if len(problems) == 0 { // a bad value leaves its route incomplete
+		problems = merged.checkRoutes()
+	}
 	if err := invalid(problems); err != nil {
 		return nil, err
 	}
+	merged.Config.Index()
 	return merged, nil
 }
 
@@ -140,6 +155,40 @@
 	return problems
 }
 
+// checkRoutes checks that each route is complete and leads to services that are configured.
+func (m *Merged) checkRoutes() []Problem {
+	var problems []Problem
+	for _, name := range slices.Sorted(maps.Keys(m.Config.Routes)) {
+		route := m.Config.Routes[name]
+		detail := ""
+		switch {
+		case route.Host == "":
+			detail = "the route has no host"
+		case route.Prefix == "":
+			detail = "the route has no prefix"
+		case len(route.Parts) == 0:
+			detail = "the route has no services"
+		}
+		for _, part := range route.Parts {
+			if m.Config.Services[part.Service] == nil {
+				detail = fmt.Sprintf("service %s is not configured", part.Service)
+			}
+		}
+		if detail == "" {
+			continue
+		}
+		problem := Problem{Key: header(RouteSection, name), Detail: detail}
+		for _, key := range []string{"services", "host", "prefix"} {
+			if entry, found := m.Keys[ID{Section: RouteSection, Name: name, Key: key}]; found {
+				problem.File, problem.Line = entry.File, entry.Line
+				break
+			}
+		}
+		problems = append(problems, problem)
+	}
+	return problems
+}
+
 // Entries returns the entries in force, sorted by section, name and key.
 func (m *Merged) Entries() []Entry {
 	return slices.SortedFunc(maps.Values(m.Keys), func(a, b Entry) int {
--- a/internal/conf/files/names.go
+++ b/internal/conf/files/names.go
@@ -12,11 +12,13 @@
 	_ = x[ZoneSection-1]
 	_ = x[ServerSection-2]
 	_ = x[BudgetsSection-3]
+	_ = x[RouteSection-4]
+	_ = x[CallersSection-5]
 }
 
-const _Section_name = "servicezoneserverbudgets"
+const _Section_name = "servicezoneserverbudgetsroutecallers"
 
-var _Section_index = [...]uint8{0, 7, 11, 17, 24}
+var _Section_index = [...]uint8{0, 7, 11, 17, 24, 29, 36}
 
 func (i Section) String() string {
 	idx := int(i) - 0
--- a/internal/conf/files/parse.go
+++ b/internal/conf/files/parse.go
@@ -130,10 +130,12 @@
 	return r != '\t' && (unicode.IsControl(r) || r == '\uFEFF' || r == '\u2028' || r == '\u2029')
 }
 
+const wantSections = "[service NAME], [zone NAME], [server ADDRESS], [route NAME], [callers] or [budgets]"
+
 func (p *parser) scanHeader(line int, text string) (name string, ok bool) {
 	name = strings.TrimSuffix(strings.TrimPrefix(text, "["), "]")
 	if !strings.HasSuffix(text, "]") || name != strings.TrimSpace(name) || name == "" {
-		p.add(line, "", fmt.Sprintf("%q: want a section as [service NAME], [zone NAME], [server ADDRESS] or [budgets]", clip(text)))
+		p.add(line, "", fmt.Sprintf("%q: want a section as %s", clip(text), wantSections))
 		return "", false
 	}
 	if first, found := p.headers[name]; found {
@@ -194,12 +196,19 @@
 		return BudgetsSection, "", ""
 	case ServiceSection.String():
 		section = ServiceSection
+	case CallersSection.String():
+		if named {
+			return CallersSection, "", "the section has no name"
+		}
+		return CallersSection, "", ""
 	case ZoneSection.String():
 		section = ZoneSection
+	case RouteSection.String():
+		section = RouteSection
 	case ServerSection.String():
 		return ServerSection, name, checkAddress(name)
 	default:
-		return 0, "", "unknown section: want [service NAME], [zone NAME], [server ADDRESS] or [budgets]"
+		return 0, "", "unknown section: want " + wantSections
 	}
 	if !ValidZone(name) {
 		const want = "name %q: want lower-case letters and digits with hyphens, at most %d bytes"
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -53,6 +53,7 @@
 	Holder *config.Holder
 	Store  table.Store
 	Reader Reader
+	Source Source // followed instead of polling the head; may be nil
 	Log    logr.Logger
 
 	StartSpread time.Duration // DefaultStartSpread when 0
@@ -79,7 +80,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return w.announceLoop(ctx) })
 	group.Go(func() error { return w.startLoop(ctx) })
-	group.Go(func() error { return w.headLoop(ctx) })
+	if w.Source != nil {
+		group.Go(func() error { return w.sourceLoop(ctx) })
+	} else {
+		group.Go(func() error { return w.headLoop(ctx) })
+	}
 	group.Go(func() error { return w.sweepLoop(ctx) })
 	return group.Wait()
 }
--- a/internal/plat/rest/rest.go
+++ b/internal/plat/rest/rest.go
@@ -121,7 +121,7 @@
 func (c *Client) refused(r Request, sent *http.Response) error {
 	detail := fmt.Sprintf("%s %s: status %d", r.Method, r.Path, sent.StatusCode)
 	switch sent.StatusCode {
-	case http.StatusNotFound:
+	case http.StatusNotFound, http.StatusGone:
 		return code.NotRunf(code.NotFound, "%s", detail)
 	case http.StatusPreconditionFailed, http.StatusConflict:
 		return code.NotRunf(code.ChangeConflict, "%s", detail)
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -58,6 +58,8 @@
 // Request is a caller's request.
 type Request struct {
 	Service       string
+	Route         *config.Route // that led the request here; nil when its path names the service
+	Name          string        // the caller's own id of the request, for logs; may be empty
 	Method        string
 	Target        string // path and query as the server sees them
 	Path          string // path without the query, for the patterns of the configuration
@@ -124,6 +126,7 @@
 	class      ident.Class
 	depth      int
 	idempotent bool
+	servers    int // that may be asked to run the request
 	body       *replay
 	claim      *claim.Ask // nil when the key is not claimed
 
@@ -131,6 +134,7 @@
 	attempts uint32
 	tried    []netip.AddrPort
 	unsure   bool // an attempt may have run
+	ran      int  // attempts that may have run
 }
 
 // Do carries out a request. Its errors are coded and tell the outcome of the whole request. The caller closes the
@@ -174,15 +178,22 @@
 		return nil, code.NotRunf(code.UnknownService, "service %q is not configured", ask.Service)
 	}
 	timeout := ask.Timeout
+	class, idempotent, servers := service.ClassOf(ask.Method, ask.Path), service.IsIdempotent(ask.Method, ask.Path), maxAttempts
 	if timeout == 0 {
 		timeout = service.Timeout
 	}
+	if route := ask.Route; route != nil {
+		if ask.Timeout == 0 || route.Timeout < timeout {
+			timeout = route.Timeout
+		}
+		class, idempotent, servers = route.Class(), route.Kind == config.Repeatable, route.Servers
+	}
 	r := &request{
 		c: c, ask: ask, service: service, revision: conf.Revision,
 		pool: c.Pool.Service(ask.Service), budget: c.Budgets.Service(ask.Service), delays: c.delaysOf(ask.Service),
 		id:       ident.RequestID{Router: c.Incarnation, Seq: c.seq.Add(1)},
-		deadline: time.Now().Add(timeout), class: service.ClassOf(ask.Method, ask.Path),
-		idempotent: service.IsIdempotent(ask.Method, ask.Path), body: newReplay(ask.Body, ask.ContentLength),
+		deadline: time.Now().Add(timeout), class: class, idempotent: idempotent, servers: servers,
+		body: newReplay(ask.Body, ask.ContentLength),
 	}
 	return r, r.nest()
 }
@@ -261,6 +272,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unsure = true
+	r.ran++
 }
 
 // timed reports whether an answer is expected within the service's usual latency.
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -46,7 +46,7 @@
 		if !r.mayRetry(ctx, failure) {
 			return nil, failure
 		}
-		if !isUnsent(failure) && !r.backoff(ctx) {
+		if !isUnsent(failure) && !r.isFree(failure) && !r.backoff(ctx) {
 			return nil, failure
 		}
 		r.c.counters.retries.Add(1)
@@ -59,9 +59,9 @@
 		return false
 	}
 	r.mu.Lock()
-	attempts, unsure := r.attempts, r.unsure
+	attempts, unsure, ran := r.attempts, r.unsure, r.ran
 	r.mu.Unlock()
-	if attempts == 0 || attempts >= maxAttempts {
+	if attempts == 0 || attempts >= maxAttempts || ran >= r.servers {
 		return false
 	}
 	// A run of unknown outcome may be repeated only when a second run does no harm, and only at the first level of a
@@ -69,7 +69,13 @@
 	if unsure && (!r.idempotent || r.depth > 0) {
 		return false
 	}
-	return r.body.rewind() && (isUnsent(failure) || r.budget.Retry())
+	return r.body.rewind() && (isUnsent(failure) || r.isFree(failure) || r.budget.Retry())
+}
+
+// isFree reports whether an attempt was refused by the daemon of a server that tells its load. The refusal has cost that
+// server nothing, and it names a better place by its report.
+func (r *request) isFree(failure *code.Error) bool {
+	return r.service.ReportsLoad && failure.Outcome == code.NotRun && failure.Code != code.ServerShed && failure.Code != code.WrongServer
 }
 
 // isUnsent reports whether no byte of an attempt left. It has cost no server anything, so that another selection is not a
@@ -163,7 +169,10 @@
 
 // hedge makes the second attempt. It runs in the goroutine of the timer.
 func (r *request) hedge(ctx context.Context, race *race) {
-	if race.winner.Load() != nil || len(r.c.Choice.Servers(r.ask.Service)) < 2 || !r.budget.Hedge() {
+	r.mu.Lock()
+	ran := r.ran
+	r.mu.Unlock()
+	if ran+2 > r.servers || race.winner.Load() != nil || len(r.c.Choice.Servers(r.ask.Service)) < 2 || !r.budget.Hedge() {
 		race.done <- raced{err: errLost}
 		return
 	}
--- /dev/null
+++ b/internal/route/choice/cheapest.go
@@ -0,0 +1,84 @@
+package choice
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+	"marigoldwinch.example/marigoldwinch/internal/wire/edge"
+)
+
+const (
+	// paceFades is how long a told pace says something about the present one; a server's instance changes as often.
+	paceFades = 150 * time.Millisecond
+	// meanPace is the pace to expect of a server that has told none lately, in percent.
+	meanPace = 180
+	// fullCost multiplies the cost of a server whose limit is reached: the request would wait or be refused.
+	fullCost = 3
+	// warmingCost multiplies the cost of a cold server, which is slow and takes few requests.
+	warmingCost = 3
+	// otherZone multiplies the cost of a server in another zone. Bytes between zones are paid for.
+	otherZone = 1.1
+	// otherZoneBulk is the same for a request with a large body.
+	otherZoneBulk = 1.6
+	// triedCost multiplies the cost of a server that has refused an earlier attempt of the request.
+	triedCost = 8
+)
+
+// cheapest is the policy of the Cheapest type. It reports false when every server refuses new work.
+func (p *pick) cheapest(look *pool.Look) (netip.AddrPort, bool) {
+	best, low, equal := netip.AddrPort{}, math.Inf(1), 0
+	for i, server := range p.list.servers {
+		cost, ok := p.cost(look, server, i < p.list.own)
+		switch {
+		case !ok:
+		case cost < low:
+			best, low, equal = server, cost, 1
+		case cost == low:
+			equal++
+			if look.Rand.IntN(equal) == 0 {
+				best = server
+			}
+		}
+	}
+	return best, best.IsValid()
+}
+
+func (p *pick) cost(look *pool.Look, server netip.AddrPort, own bool) (float64, bool) {
+	load, pace, factor := float64(look.InFlight(server)), float64(meanPace), 1.0
+	if v := look.View(server); v != nil {
+		if v.Refusing != code.None {
+			return 0, false
+		}
+		load = float64(v.Load)
+		told := float64(max(v.Pace, 1))
+		if v.Pace == 0 {
+			told = edge.UsualPace
+		}
+		fresh := max(0, 1-float64(v.Age)/float64(paceFades))
+		pace += (told - pace) * fresh
+		if v.Warming {
+			factor *= warmingCost
+		}
+		if v.Load >= v.Limit {
+			factor *= fullCost
+		}
+	}
+	penalty, usable := p.usable(server, look.Now)
+	if !usable {
+		factor *= triedCost
+	}
+	if !own {
+		factor *= p.zoneCost()
+	}
+	return (load + 1) * pace * factor * penalty, true
+}
+
+func (p *pick) zoneCost() float64 {
+	if p.bulk {
+		return otherZoneBulk
+	}
+	return otherZone
+}
--- a/internal/route/choice/choice.go
+++ b/internal/route/choice/choice.go
@@ -82,7 +82,7 @@
 	}
 	s := c.service(service)
 	l := c.candidates(service, conf)
-	p := pick{chooser: c, state: s, list: l, tried: tried}
+	p := pick{chooser: c, state: s, list: l, tried: tried, bulk: !timed}
 	sent, ok := s.pool.Pick(&p, timed)
 	if !ok {
 		return sent, code.NotRunf(code.NoServer, "service %s has no server that may be used", service)
--- a/internal/route/choice/policy.go
+++ b/internal/route/choice/policy.go
@@ -10,12 +10,16 @@
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
 )
 
-// Policy is a way to select a server: Probing, RoundRobin, RandomTwo, LeastInFlight or Perfect.
+// Policy is a way to select a server: Cheapest, Probing, RoundRobin, RandomTwo, LeastInFlight or Perfect.
 type Policy interface{ isPolicy() }
 
 // Probing selects by load reports: servers with much load are hot; among cold ones low latency decides, then low load.
 type Probing struct{}
 
+// Cheapest takes the server at which a request costs least by fresh reports: the requests there, with those that this router
+// has sent since, times the time that work takes at the server now. It suits servers that tell their pace.
+type Cheapest struct{}
+
 // RoundRobin takes servers in turn. It is a baseline for measurements.
 type RoundRobin struct{}
 
@@ -31,6 +35,7 @@
 	Cost func(server netip.AddrPort) time.Duration
 }
 
+func (Cheapest) isPolicy()      {}
 func (Probing) isPolicy()       {}
 func (RoundRobin) isPolicy()    {}
 func (RandomTwo) isPolicy()     {}
@@ -67,6 +72,7 @@
 	state   *state
 	list    *list
 	tried   []netip.AddrPort
+	bulk    bool // the request has a large body
 }
 
 // Pick implements pool.Picker.
@@ -75,6 +81,8 @@
 		return netip.AddrPort{}, false
 	}
 	switch policy := p.chooser.Policy.(type) {
+	case Cheapest:
+		return p.cheapest(look)
 	case RoundRobin:
 		turn := p.state.turn.Add(1)
 		return p.list.servers[turn%uint64(len(p.list.servers))], true
--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -4,13 +4,12 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,8 +17,11 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/route/ahead"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
+	"marigoldwinch.example/marigoldwinch/internal/wire/edge"
 )
 
 // DaemonsPath lists the daemons that callers may use.
@@ -32,11 +34,10 @@
 	DefaultMaxTimeout  = time.Hour       // a longer Request-Timeout is a mistake
 )
 
-const idleBound = 90 * time.Second // callers keep connections for their next request
+const idleBound = config.DefaultIdleTimeout // callers keep connections for their next request
 
 // Headers of requests and of own responses.
 const (
-	headerTimeout = "Request-Timeout"
 	headerKey     = "Idempotency-Key"
 	headerCode    = "Marigoldwinch-Code"
 	headerOutcome = "Marigoldwinch-Outcome"
@@ -53,11 +54,15 @@
 	All() []member.Record
 }
 
-// Front is the HTTP front end. It uses net/http without gin: the path is split at one separator, which needs no router.
+// Front is the HTTP front end. It uses no router: a path is split at one separator, or led by the configured routes.
 type Front struct {
 	Listener net.Listener
 	Caller   Caller
 	Members  Members
+	Config   *config.Holder // bounds on callers and routes
+	Routed   bool           // requests are led by routes; else the path begins with the service
+	Dialect  edge.Dialect   // with callers
+	Service  string         // of the own server, from whose instance the requests come
 	Zone     string
 	Usable   func(record member.Record) bool // whether configuration lets callers use a daemon; all when nil
 	Unlist   func()                          // makes the other daemons stop listing this one; may be nil
@@ -65,10 +70,13 @@
 	Stop     time.Duration                   // bound on waiting for requests in flight; none when 0
 	Log      logr.Logger
 
-	MaxHeader   int           // bytes; DefaultMaxHeader when 0
-	HeaderBound time.Duration // DefaultHeaderBound when 0
+	MaxHeader   int           // bytes, while no configuration is in force; DefaultMaxHeader when 0
+	HeaderBound time.Duration // the same; DefaultHeaderBound when 0
 	MaxTimeout  time.Duration // DefaultMaxTimeout when 0
 
+	once      sync.Once
+	server    *ahead.Server
+	splits    splits
 	stopping  atomic.Bool
 	inFlight  atomic.Int64
 	requests  atomic.Uint64
@@ -78,15 +86,14 @@
 
 // Run serves until ctx ends and then stops without interrupting requests in flight.
 func (f *Front) Run(ctx context.Context) error {
-	server := &http.Server{
-		Handler: f, IdleTimeout: idleBound,
-		ReadHeaderTimeout: cmp.Or(f.HeaderBound, DefaultHeaderBound), MaxHeaderBytes: cmp.Or(f.MaxHeader, DefaultMaxHeader),
-	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(f.Listener) }()
+	go func() { served <- f.connections().Run() }()
 	select {
 	case err := <-served:
-		return err
+		if !f.stopping.Load() {
+			return err
+		}
+		<-ctx.Done()
 	case <-ctx.Done():
 	}
 	f.stopping.Store(true)
@@ -100,16 +107,49 @@
 		wait, cancel = context.WithTimeout(context.Background(), f.Stop)
 	}
 	defer cancel()
-	err := server.Shutdown(wait)
-	if served := <-served; !errors.Is(served, http.ErrServerClosed) {
-		return served
+	return f.connections().Shutdown(wait)
+}
+
+// LastRequests makes callers go elsewhere: each connection closes behind the requests that it has sent.
+func (f *Front) LastRequests() {
+	f.connections().LastRequests()
+}
+
+// Drain stops reading requests and waits for those in flight.
+func (f *Front) Drain(ctx context.Context) error {
+	f.stopping.Store(true)
+	return f.connections().Shutdown(ctx)
+}
+
+func (f *Front) connections() *ahead.Server {
+	f.once.Do(func() {
+		f.server = &ahead.Server{Listener: f.Listener, Handler: f, Bounds: f.bounds, Log: f.Log}
+	})
+	return f.server
+}
+
+func (f *Front) bounds() ahead.Bounds {
+	bounds := ahead.Bounds{
+		HeaderBytes: cmp.Or(f.MaxHeader, DefaultMaxHeader), HeaderTimeout: cmp.Or(f.HeaderBound, DefaultHeaderBound), IdleTimeout: idleBound,
 	}
-	return err
+	if conf := f.inForce(); f.Routed && conf != nil {
+		bounds = ahead.Bounds{
+			HeaderBytes: conf.Callers.HeaderBytes, HeaderTimeout: conf.Callers.HeaderTimeout, IdleTimeout: conf.Callers.IdleTimeout,
+		}
+	}
+	return bounds
+}
+
+func (f *Front) inForce() *config.Config {
+	if f.Config == nil {
+		return nil
+	}
+	return f.Config.Get()
 }
 
 // ServeHTTP serves one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == DaemonsPath {
+	if r.URL.Path == DaemonsPath && !f.Routed {
 		f.serveDaemons(w, r)
 		return
 	}
@@ -122,9 +162,6 @@
 		return
 	}
 	f.answer(w, r, ask)
-	if rest, ok := ask.Body.(*callerBody); ok && !rest.ended.Load() {
-		rest.discard(w)
-	}
 }
 
 func (f *Front) answer(w http.ResponseWriter, r *http.Request, ask *call.Request) {
@@ -137,93 +174,81 @@
 	f.pass(w, r, response)
 }
 
-// maxDiscard is what net/http itself reads of a rest; the connection does not serve another request after a longer one.
-const maxDiscard = 256 << 10
-
-// callerBody is a caller's body that the handler can take over from the attempt that reads it.
-type callerBody struct {
-	io.ReadCloser
-	turn  chan struct{} // held by a read in progress
-	taken atomic.Bool   // by the handler
-	ended atomic.Bool
-}
-
-// Read implements io.Reader.
-func (b *callerBody) Read(p []byte) (int, error) {
-	b.turn <- struct{}{}
-	defer func() { <-b.turn }()
-	if b.taken.Load() {
-		return 0, io.ErrClosedPipe
-	}
-	return b.read(p)
-}
-
-func (b *callerBody) read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		b.ended.Store(true)
-	}
-	return n, err
-}
-
-// discard reads the rest of a body that no attempt has read. In full duplex, net/http reads it only after the handler and
-// then fails to read the next request, so that the caller would lose its connection.
-func (b *callerBody) discard(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).Flush() // the caller may wait for the response before it sends the rest
-	b.taken.Store(true)
-	b.turn <- struct{}{}
-	defer func() { <-b.turn }()
-	rest := make([]byte, maxDiscard/8)
-	for read := 0; read < maxDiscard && !b.ended.Load(); {
-		n, _ := b.read(rest)
-		read += n
-	}
-}
-
 // request checks and translates a caller's request.
 func (f *Front) request(w http.ResponseWriter, r *http.Request) (*call.Request, error) {
-	service, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
-	if service == "" {
-		return nil, code.NotRunf(code.UnknownService, "the path names no service: want /SERVICE/PATH")
-	}
 	ask := &call.Request{
-		Service: service, Method: r.Method, Target: "/" + rest, Path: "/" + rest, Host: r.Host,
-		Header: endToEnd(r.Header), ContentLength: r.ContentLength, Key: r.Header.Get(headerKey),
+		Method: r.Method, Host: r.Host, ContentLength: r.ContentLength, Key: r.Header.Get(headerKey),
 	}
-	if _, path, ok := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); ok {
-		ask.Path = "/" + path // unescaped, as the patterns of the configuration are
+	if err := f.lead(r, ask); err != nil {
+		return nil, err
 	}
-	if r.URL.RawQuery != "" {
-		ask.Target += "?" + r.URL.RawQuery
+	if f.Dialect.RequestID != "" {
+		ask.Name = r.Header.Get(f.Dialect.RequestID)
 	}
-	if text := r.Header.Get(headerTimeout); text != "" {
-		timeout, err := time.ParseDuration(text)
+	if text := r.Header.Get(f.Dialect.Timeout); text != "" {
+		timeout, ok := f.Dialect.ParseTimeout(text)
 		longest := cmp.Or(f.MaxTimeout, DefaultMaxTimeout)
-		if err != nil || timeout <= 0 || timeout > longest {
-			return nil, code.NotRunf(code.BadRequest, "%s %q: want a duration above 0 and up to %v", headerTimeout, text, longest)
+		if !ok || timeout > longest {
+			return nil, code.NotRunf(code.BadRequest, "%s %q: want a time above 0 and up to %v", f.Dialect.Timeout, text, longest)
 		}
 		ask.Timeout = timeout
 	}
-	if text := r.Header.Get(ident.ContextHeader); text != "" {
+	if text := r.Header.Get(f.Dialect.Context); text != "" && f.Dialect.Context != "" {
 		parent, err := ident.ParseCallContext(text)
 		if err != nil {
-			return nil, code.NotRunf(code.BadRequest, "%s is malformed", ident.ContextHeader).WithCause(err)
+			return nil, code.NotRunf(code.BadRequest, "%s is malformed", f.Dialect.Context).WithCause(err)
 		}
 		ask.Context = &parent
 	}
+	ask.Header = f.endToEnd(r.Header)
 	f.body(w, r, ask)
 	return ask, nil
 }
 
-// body prepares the streaming of a request body. Without full duplex, net/http would read the rest of the body before it
-// sends a response that comes early.
+// lead finds out where a request goes.
+func (f *Front) lead(r *http.Request, ask *call.Request) error {
+	if f.Routed {
+		return f.follow(r, ask)
+	}
+	service, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	if service == "" {
+		return code.NotRunf(code.UnknownService, "the path names no service: want /SERVICE/PATH")
+	}
+	ask.Service, ask.Target, ask.Path = service, "/"+rest, "/"+rest
+	if _, path, ok := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); ok {
+		ask.Path = "/" + path // unescaped, as the patterns of the configuration are
+	}
+	if r.URL.RawQuery != "" {
+		ask.Target += "?" + r.URL.RawQuery
+	}
+	return nil
+}
+
+// follow leads a request by the routes. Its target passes unchanged.
+func (f *Front) follow(r *http.Request, ask *call.Request) error {
+	conf := f.inForce()
+	if conf == nil {
+		return code.NotRunf(code.NoConfiguration, "no configuration is known yet")
+	}
+	route := conf.RouteFor(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		return code.NotRunf(code.NoRoute, "no route leads %s%s", r.Host, r.URL.EscapedPath())
+	}
+	if r.ContentLength > conf.Callers.BodyBytes {
+		return code.NotRunf(code.BodyTooLarge, "the body has %d bytes: at most %d", r.ContentLength, conf.Callers.BodyBytes)
+	}
+	ask.Route, ask.Service = route, f.splits.next(route)
+	ask.Target, ask.Path = r.URL.RequestURI(), r.URL.Path
+	return nil
+}
+
+// body prepares the streaming of a request body.
 func (f *Front) body(w http.ResponseWriter, r *http.Request, ask *call.Request) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return
 	}
 	control := http.NewResponseController(w)
-	_ = control.EnableFullDuplex() // HTTP/2 is always full duplex
-	ask.Body = &callerBody{ReadCloser: r.Body, turn: make(chan struct{}, 1)}
+	ask.Body = r.Body
 	ask.Abort = func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }
 	ask.WaitForAck = strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	if len(r.Trailer) > 0 {
@@ -237,9 +262,9 @@
 	"Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// endToEnd returns the headers that concern the whole way of a request. Only a header with names to leave out is copied.
-func endToEnd(header http.Header) http.Header {
-	if !concernsConnection(header) {
+// endToEnd returns the headers that concern the whole way of a request. Only a header that changes is copied.
+func (f *Front) endToEnd(header http.Header) http.Header {
+	if !f.changes(header) {
 		return header
 	}
 	kept := header.Clone()
@@ -251,18 +276,23 @@
 	for _, name := range hopByHop {
 		kept.Del(name)
 	}
-	kept.Del(ident.ContextHeader) // taken over into the request before
+	if f.Dialect.Context != "" {
+		kept.Del(f.Dialect.Context) // taken over into the request before
+	}
+	if f.Dialect.Caller != "" {
+		kept[f.Dialect.Caller] = []string{f.Service}
+	}
 	return kept
 }
 
-func concernsConnection(header http.Header) bool {
+func (f *Front) changes(header http.Header) bool {
 	for _, name := range hopByHop {
 		if _, present := header[name]; present {
 			return true
 		}
 	}
-	_, present := header[ident.ContextHeader]
-	return present
+	_, present := header[f.Dialect.Context]
+	return present || f.Dialect.Caller != ""
 }
 
 // Dump is the state of the front end.
--- a/internal/route/front/front_test.go
+++ b/internal/route/front/front_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/go-logr/logr"
 	"github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
@@ -24,6 +25,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
 	"marigoldwinch.example/marigoldwinch/internal/route/choice"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+	"marigoldwinch.example/marigoldwinch/internal/wire/edge"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -132,7 +134,7 @@
 		Choice: &choice.Chooser{Policy: choice.Probing{}, Pool: p, Members: list, Config: holder},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	f = &Front{Listener: listener, Caller: caller, Members: list, Zone: "a"}
+	f = &Front{Listener: listener, Caller: caller, Members: list, Dialect: edge.Own(), Zone: "a", Log: logr.Discard()}
 	done := make(chan error, 1)
 	go func() { done <- f.Run(ctx) }()
 	t.Cleanup(func() {
--- a/internal/route/front/header_test.go
+++ b/internal/route/front/header_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/wire/edge"
 )
 
 // Guards against a header of one connection, or the context of another call, that reaches the server because the header is
@@ -19,7 +20,7 @@
 			header["Connection"] = []string{"close, x-named"}
 		}
 		before := header.Clone()
-		g.Expect(endToEnd(header)).To(Equal(http.Header{"Accept": {"*/*"}}), name)
+		g.Expect((&Front{Dialect: edge.Own()}).endToEnd(header)).To(Equal(http.Header{"Accept": {"*/*"}}), name)
 		g.Expect(header).To(Equal(before), name)
 	}
 }
--- a/internal/route/front/reply.go
+++ b/internal/route/front/reply.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
@@ -30,12 +32,6 @@
 	if response.ContentLength >= 0 && r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
-	if header["Date"] == nil {
-		header["Date"] = nil // net/http would add one that the server did not send
-	}
-	if header["Content-Type"] == nil {
-		header["Content-Type"] = nil // the same for a guessed type
-	}
 	w.WriteHeader(response.Status)
 	f.copyBody(w, response, piece, err)
 	for name, values := range response.Trailer {
@@ -68,7 +64,7 @@
 	body, err := json.Marshal(map[string]any{
 		"type":    "about:blank",
 		"title":   failure.Code.String(),
-		"status":  failure.Code.HTTPStatus(),
+		"status":  failure.HTTPStatus(),
 		"detail":  failure.Detail,
 		"code":    int(failure.Code),
 		"outcome": failure.Outcome.String(),
@@ -79,6 +75,13 @@
 	return body
 }
 
+// retryPause is about the time in which a server's load changes; callers come back spread around it.
+const retryPause = 120 * time.Millisecond
+
+func retryAfter() time.Duration {
+	return retryPause/2 + rand.N(retryPause)
+}
+
 // fail sends an own response.
 func (f *Front) fail(w http.ResponseWriter, err error) {
 	f.failures.Add(1)
@@ -89,7 +92,10 @@
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(headerCode, strconv.Itoa(int(failure.Code)))
 	header.Set(headerOutcome, failure.Outcome.String())
-	w.WriteHeader(failure.Code.HTTPStatus())
+	if status := failure.HTTPStatus(); status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter().Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(failure.HTTPStatus())
 	_, _ = w.Write(body) // a caller that has gone needs no answer
 }
 
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -18,7 +18,7 @@
 
 const (
 	// Size bounds the reports per service: every selection looks at all of them.
-	Size = 16
+	Size = 64
 	// MaxAge is the age at which a report is dropped: load changes within milliseconds, and an old report misleads.
 	MaxAge = 250 * time.Millisecond
 	// MaxUses bounds the selections on one report. Acks bring a new report within a round trip, so the bound is met only
@@ -38,6 +38,7 @@
 	Servers  func(service string) []netip.AddrPort // servers that may be selected and so are worth a probe
 	Now      func() time.Time                      // time.Now when nil
 	Rand     func(service string) *rand.Rand       // source per service; randomly seeded when nil
+	Told     bool                                  // servers' daemons send reports by themselves, so that none is probed
 	Log      logr.Logger
 	services sync.Map // name to *Service
 }
@@ -89,6 +90,7 @@
 	Waiting  time.Duration // the oldest timed attempt of this router with no answer yet
 	Warming  bool
 	Refusing code.Code
+	Pace     int // percent of the usual; 0 when unknown
 }
 
 // Ratio is the load relative to what the server may run at once.
@@ -112,6 +114,16 @@
 	return 0
 }
 
+// View returns the report of a server as it counts now, or nil.
+func (l *Look) View(server netip.AddrPort) *View {
+	for i := range l.Views {
+		if l.Views[i].Server == server {
+			return &l.Views[i]
+		}
+	}
+	return nil
+}
+
 // Picker selects a server.
 type Picker interface {
 	// Pick returns false when there is no server to select. It runs under the lock of the service.
@@ -185,7 +197,7 @@
 		}
 		s.views = append(s.views, View{
 			Server: r.Server, Load: load, Limit: max(r.Limit, 1), Latency: r.Latency,
-			Age: age, Waiting: waiting, Warming: r.Warming, Refusing: r.Refusing,
+			Age: age, Waiting: waiting, Warming: r.Warming, Refusing: r.Refusing, Pace: r.Pace,
 		})
 	}
 	s.reports = kept
--- a/internal/route/pool/probe.go
+++ b/internal/route/pool/probe.go
@@ -34,6 +34,9 @@
 			return nil
 		case <-ticker.C:
 		}
+		if p.Told {
+			continue
+		}
 		p.services.Range(func(_, value any) bool {
 			value.(*Service).probeRound(ctx)
 			return true
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -122,6 +122,7 @@
 	Latency  time.Duration  // recent median of the server's own time; 0 when unknown
 	Warming  bool           // the warm-up limit is in force
 	Refusing code.Code      // why all new work is refused, or None
+	Pace     int            // time that work takes at the server now, in percent of the usual; 0 when unknown
 }
 
 // Resolve asks what became of an attempt. It is always sent over a new connection.
--- a/internal/wire/proto/report.go
+++ b/internal/wire/proto/report.go
@@ -1,6 +1,7 @@
 package proto
 
 import (
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 )
 
@@ -11,9 +12,41 @@
 	buf = putUint(buf, 4, uint64(m.Limit))
 	buf = putInt(buf, 5, int64(m.Latency))
 	buf = putBool(buf, 6, m.Warming)
-	return putUint(buf, 7, uint64(m.Refusing))
+	buf = putUint(buf, 7, uint64(m.Refusing))
+	return putUint(buf, 8, uint64(m.Pace))
 }
 
+// EncodeReport writes a report as the content of a datagram.
+func EncodeReport(m *Report) []byte {
+	return appendReport(putUint(nil, datagramVersion, Version), m)
+}
+
+// DecodeReport reads the content of a datagram.
+func DecodeReport(buf []byte) (Report, error) {
+	var m Report
+	version := uint64(0)
+	r := reader{rest: buf}
+	for r.next() {
+		if r.number == datagramVersion {
+			version = r.number64()
+		}
+	}
+	if r.err != nil {
+		return Report{}, r.err
+	}
+	if version != Version {
+		return Report{}, code.NotRunf(code.VersionMismatch, "report of version %d, want %d", version, Version)
+	}
+	err := readReport(buf, &m)
+	if err == nil && !m.Server.IsValid() {
+		err = malformed("report without a server")
+	}
+	return m, err
+}
+
+// datagramVersion is the field of the protocol's version in a datagram.
+const datagramVersion fieldNumber = 100
+
 func readReport(buf []byte, m *Report) error {
 	r := reader{rest: buf}
 	for r.next() {
@@ -32,6 +65,8 @@
 			m.Warming = r.boolean()
 		case 7:
 			m.Refusing = r.code()
+		case 8:
+			m.Pace = r.count()
 		}
 	}
 	return r.err
