--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -160,7 +160,7 @@
 	}
 	c.attempt.Sheds = service.ShedsBeforeRun
 	c.attempt.Written = c.written
-	c.gate.Limit.Begin(&c.ticket, c.head.Class, c.head.End)
+	c.gate.Limit.Begin(&c.ticket, c.head.Class, int(c.gate.running.Load()), c.head.End)
 	response, failed := c.gate.Server.Do(&c.attempt)
 	if failed != nil {
 		c.gate.Limit.End(&c.ticket, verdict(failed))
--- a/internal/admit/limit/judge.go
+++ b/internal/admit/limit/judge.go
@@ -11,7 +11,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.start(now)
-	l.fixed.Store(int64(l.told()))
+	l.fixed.Store(int64(l.told(now)))
 	l.latency.Store(int64(l.overall.value()))
 	for class := range l.medians {
 		l.typical[class].Store(int64(l.medians[class].value()))
--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -71,9 +71,6 @@
 	maxFall  = 0.7 // the adaptive limit falls at most to this part in one window
 	riseBy   = 1.1 // and rises by this factor
 	riseAdd  = 0.04
-	// toldShare is the part of the slots that the limit of a server that tells them leaves in use. Servers slow down when
-	// nearly all slots are taken.
-	toldShare = 0.75
 	warmStep  = time.Second // the warm-up limit at most doubles in this time
 	// minSample is the least number of answers in a window. The mean of fewer random service times is often twice the
 	// usual one, and with more the few answers of a slow server would come too late to detect it within 1 s.
@@ -86,7 +83,7 @@
 type Limiter struct {
 	Config  *config.Holder
 	Service string     // whose slots bound the limit
-	Slots   func() int // slots that the server tells, 0 when unknown; nil when servers tell none
+	Told    Teller // nil when servers tell nothing
 	Log     logr.Logger
 
 	fixed   atomic.Int64 // the limit of a server that tells its slots; 0 when the limit is adaptive
@@ -118,6 +115,8 @@
 	probeNext time.Time // no probe of the floor begins before
 	medians   [ident.Classes]median
 	overall   median
+	knee      knee
+	used      float64 // part of the slots in use of a server that tells them
 }
 
 // Dump is the state of a limiter.
@@ -213,19 +212,6 @@
 	l.restart(Started, now)
 }
 
-// told returns the limit of a server that tells its slots, or 0.
-func (l *Limiter) told() int {
-	c := l.Config.Get()
-	if l.Slots == nil || c == nil || c.Services[l.Service] == nil || !c.Services[l.Service].ReportsLoad {
-		return 0
-	}
-	slots := l.Slots()
-	if slots == 0 {
-		slots = c.Services[l.Service].Slots
-	}
-	return max(1, int(toldShare*float64(slots)))
-}
-
 func (l *Limiter) configured() int {
 	c := l.Config.Get()
 	if c == nil || c.Services[l.Service] == nil {
--- a/internal/admit/limit/limit_test.go
+++ b/internal/admit/limit/limit_test.go
@@ -60,7 +60,7 @@
 // request gives the server a whole request.
 func (r *rig) request(class ident.Class, spent time.Duration, result Result, ended func()) {
 	t := &Ticket{}
-	r.Begin(t, class, true)
+	r.Begin(t, class, 1, true)
 	r.Written(t)
 	time.AfterFunc(spent, func() {
 		r.End(t, result)
@@ -129,7 +129,7 @@
 		}
 	case "begin":
 		for range number(t, d, "n", 1) {
-			r.Begin(&Ticket{}, ident.Lookup, false)
+			r.Begin(&Ticket{}, ident.Lookup, 1, false)
 		}
 	case "restart":
 		r.Restart(Returned)
--- a/internal/admit/limit/ticket.go
+++ b/internal/admit/limit/ticket.go
@@ -15,15 +15,18 @@
 	ended   bool
 	step    uint64
 	regime  uint64
+	running int  // requests at the server when this one began, with it
+	steady  bool // the server's instance worked at its usual pace then
 }
 
-// Begin notes that a request goes to the server. whole tells that no further part of its body follows.
-func (l *Limiter) Begin(t *Ticket, class ident.Class, whole bool) {
+// Begin notes that a request goes to the server, as one of so many that run. whole tells that no further part of its body
+// follows.
+func (l *Limiter) Begin(t *Ticket, class ident.Class, running int, whole bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.start(now)
-	*t = Ticket{class: class, whole: whole, since: now, step: l.step, regime: l.regime}
+	*t = Ticket{class: class, whole: whole, since: now, step: l.step, regime: l.regime, running: running, steady: l.steady()}
 }
 
 // Written notes that the server has the whole request: its own time begins. Until then a request may take as long as its
@@ -65,6 +68,9 @@
 	case Late:
 		l.sample(t, now)
 	case Normal:
+		if t.steady && t.whole && l.steady() {
+			l.knee.add(t.class, now.Sub(t.since), t.running, l.Told.Slots())
+		}
 		l.recent[0].normal++
 		if t.step == l.step {
 			l.warmOK++
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -151,7 +151,7 @@
 func newLimiter(settings *opts.Settings, holder *config.Holder, own *own.Server, log logr.Logger) *limit.Limiter {
 	limiter := &limit.Limiter{Config: holder, Service: settings.Service, Log: log}
 	if own != nil {
-		limiter.Slots = own.Slots
+		limiter.Told = own
 	}
 	return limiter
 }
--- a/internal/route/choice/cheapest.go
+++ b/internal/route/choice/cheapest.go
@@ -27,7 +27,14 @@
 	triedCost = 8
 )
 
-// cheapest is the policy of the Cheapest type. It reports false when every server refuses new work.
+const (
+	// queueShare is the part of its limit up to which a server's queue may be filled by a first attempt. A longer queue
+	// outlasts the short time that a request waits there.
+	queueShare = 0.25
+)
+
+// cheapest is the policy of the Cheapest type. It reports false when every server refuses new work or is known to be full: a
+// request that is sent there comes back after a wait, and its caller is better told at once.
 func (p *pick) cheapest(look *pool.Look) (netip.AddrPort, bool) {
 	best, low, equal := netip.AddrPort{}, math.Inf(1), 0
 	for i, server := range p.list.servers {
@@ -63,6 +70,9 @@
 			factor *= warmingCost
 		}
 		if v.Load >= v.Limit {
+			if float64(v.Load) >= float64(v.Limit)*(1+queueShare) || len(p.tried) > 0 {
+				return 0, false
+			}
 			factor *= fullCost
 		}
 	}
--- a/internal/route/choice/choice.go
+++ b/internal/route/choice/choice.go
@@ -85,6 +85,9 @@
 	p := pick{chooser: c, state: s, list: l, tried: tried, bulk: !timed}
 	sent, ok := s.pool.Pick(&p, timed)
 	if !ok {
+		if len(l.servers) > 0 {
+			return sent, code.NotRunf(code.Overloaded, "every server of service %s is full or refuses work", service)
+		}
 		return sent, code.NotRunf(code.NoServer, "service %s has no server that may be used", service)
 	}
 	counter, ok := s.selected.Load(sent.Server)
