Test what the daemon knows of its server; take over a body that a reader still holds

Cause of the hang in the whole-daemon tests: the connection discarded the rest of a request's body while an attempt that had been given up still read it; both waited in net/http's body. The body now has a turn, and the connection takes it.

Cause of the flaky TestIdleConnectionIsNotUsed: a response was complete before the writer of its request had reported its end, and the connection was closed.

--- /dev/null
+++ b/internal/admit/own/own_test.go
@@ -0,0 +1,121 @@
+package own
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/go-logr/logr"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+)
+
+// TestScripts guards against work for a server that leaves, that is not the expected one, or that is cold, and against
+// decisions by reports of an earlier lifetime.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			asked := 0
+			s := &Server{
+				Service: "stock", ColdRate: func() float64 { return 10 }, Ask: func() { asked++ }, Log: logr.Discard(),
+			}
+			start := time.Now()
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				switch d.Cmd {
+				case "check-in":
+					return checkIn(t, s, d, start) + state(s)
+				case "leave":
+					s.Leave(d.CmdArgs[0].Key)
+				case "health":
+					h := Health{ID: text(t, d, "id"), Healthy: !d.HasArg("bad"), ColdFor: duration(t, d, "cold")}
+					s.Health(h, time.Now())
+				case "doubt":
+					s.Doubt()
+					return fmt.Sprintf("asked %d times\n", asked)
+				case "wait":
+					wait, err := time.ParseDuration(d.CmdArgs[0].Key)
+					if err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(wait)
+				case "take":
+					return take(t, s, d)
+				default:
+					t.Fatalf("unknown command %s", d.Cmd)
+				}
+				return state(s)
+			})
+		})
+	})
+}
+
+func checkIn(t *testing.T, s *Server, d *datadriven.TestData, start time.Time) string {
+	c := CheckIn{
+		ID: text(t, d, "id"), Service: "stock", Slots: 12, Draining: d.HasArg("draining"),
+		ColdFor: duration(t, d, "cold"), Born: start.Add(duration(t, d, "born")),
+	}
+	if d.HasArg("service") {
+		c.Service = text(t, d, "service")
+	}
+	sequence, err := strconv.ParseUint(text(t, d, "seq"), 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Sequence = sequence
+	if err := s.CheckIn(c); err != nil {
+		return code.Of(err).Code.String() + "\n"
+	}
+	return ""
+}
+
+// take sends as many requests as are asked for, evenly over the time, and counts those that may be sent.
+func take(t *testing.T, s *Server, d *datadriven.TestData) string {
+	count, err := strconv.Atoi(text(t, d, "count"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	over := duration(t, d, "over")
+	sent := 0
+	for range count {
+		if s.Take(time.Now()) {
+			sent++
+		}
+		time.Sleep(over / time.Duration(count))
+	}
+	return fmt.Sprintf("%d of %d\n", sent, count)
+}
+
+func state(s *Server) string {
+	refused := "takes work"
+	if failure := s.Refusing(); failure != nil {
+		refused = failure.Code.String()
+	}
+	return fmt.Sprintf("%s: %s, departing %v, cold %v\n", strings.TrimSpace(s.Identity()+" "), refused, s.Departing(), s.Cold())
+}
+
+func text(t *testing.T, d *datadriven.TestData, name string) string {
+	for _, arg := range d.CmdArgs {
+		if arg.Key == name && len(arg.Vals) == 1 {
+			return arg.Vals[0]
+		}
+	}
+	if name != "id" {
+		t.Fatalf("%s: no argument %s", d.Pos, name)
+	}
+	return ""
+}
+
+func duration(t *testing.T, d *datadriven.TestData, name string) time.Duration {
+	if !d.HasArg(name) {
+		return 0
+	}
+	parsed, err := time.ParseDuration(text(t, d, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -19,6 +19,8 @@
 	idleMargin = time.Second
 	// maxStray bounds the bytes that are read of responses that belong to no request.
 	maxStray = 1 << 20
+	// lateBody is how long the rest of a request may take after its response.
+	lateBody = time.Second
 	// writeBuffer holds a usual request, so that it leaves in one segment.
 	writeBuffer = 4 << 10
 )
@@ -292,16 +294,34 @@
 	if !b.done.CompareAndSwap(false, true) {
 		return
 	}
-	inTime := b.stop()
-	whole := false
+	if !b.stop() || !complete || b.last {
+		b.conn.close()
+		return
+	}
 	select {
 	case err := <-b.sent:
-		whole = err == nil
-	default: // the server has answered early and may still read the rest of the body
+		b.settle(err)
+	default:
+		go b.awaitSent()
 	}
-	if complete && inTime && whole && !b.last {
-		b.conn.release()
+}
+
+// awaitSent waits for the end of a request whose response was complete before it. The server may still read the body.
+func (b *responseBody) awaitSent() {
+	timer := time.NewTimer(lateBody)
+	defer timer.Stop()
+	select {
+	case err := <-b.sent:
+		b.settle(err)
+	case <-timer.C:
+		b.conn.close()
+	}
+}
+
+func (b *responseBody) settle(sent error) {
+	if sent != nil {
+		b.conn.close()
 		return
 	}
-	b.conn.close()
+	b.conn.release()
 }
--- a/internal/route/ahead/conn.go
+++ b/internal/route/ahead/conn.go
@@ -224,7 +224,7 @@
 	x := &exchange{conn: c, before: c.turn, done: make(chan struct{}), cancel: cancel, close: request.Close}
 	c.turn = x.done
 	x.request = request.WithContext(ctx)
-	x.body = &body{ReadCloser: request.Body, exchange: x, ended: make(chan struct{})}
+	x.body = &body{ReadCloser: request.Body, exchange: x, turn: make(chan struct{}, 1), ended: make(chan struct{})}
 	x.body.expect = request.Header.Get("Expect") != ""
 	if request.Body == http.NoBody || request.ContentLength == 0 {
 		close(x.body.ended)
@@ -249,24 +249,55 @@
 	return request.Close || x.aborted.Load()
 }
 
-// body notes when a request's body has been read, and asks a caller for one that it holds back.
+// body notes when a request's body has been read, and asks a caller for one that it holds back. A handler may leave a reader
+// of it behind, from which the connection takes it over.
 type body struct {
 	io.ReadCloser
 	exchange *exchange
-	expect   bool
+	expect   bool          // the caller waits to be asked for the body; changes under turn
+	turn     chan struct{} // held by a read in progress
+	taken    atomic.Bool   // by the connection
 	once     sync.Once
-	ended    chan struct{}
+	ended    chan struct{} // closed when the body has been read to its end
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	b.turn <- struct{}{}
+	defer func() { <-b.turn }()
+	if b.taken.Load() {
+		return 0, io.ErrClosedPipe
+	}
 	if b.expect {
 		b.expect = false
 		b.exchange.sendContinue()
 	}
+	return b.read(p)
+}
+
+func (b *body) read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		b.once.Do(func() { close(b.ended) })
 	}
 	return n, err
 }
+
+// discard reads the rest, and reports whether it has been read to its end.
+func (b *body) discard() bool {
+	b.taken.Store(true)
+	b.turn <- struct{}{}
+	defer func() { <-b.turn }()
+	if b.expect {
+		return false // the caller sends no body
+	}
+	rest := make([]byte, maxDiscard/8)
+	for read := 0; read < maxDiscard; {
+		n, err := b.read(rest)
+		read += n
+		if err != nil {
+			return errors.Is(err, io.EOF)
+		}
+	}
+	return false
+}
--- a/internal/route/ahead/exchange.go
+++ b/internal/route/ahead/exchange.go
@@ -61,14 +61,16 @@
 		return
 	default:
 	}
-	if x.body.expect || x.aborted.Load() {
-		x.close = true // the caller sends no body, or not the rest of it
+	if x.aborted.Load() {
+		x.close = true // no more can be read
 		return
 	}
 	_ = x.FlushError() // the caller may wait for the response before it sends the rest
-	if n, err := io.CopyN(io.Discard, x.body, maxDiscard); err == nil && n == maxDiscard {
+	_ = x.conn.net.SetReadDeadline(time.Now().Add(x.conn.server.Bounds().HeaderTimeout))
+	if !x.body.discard() {
 		x.close = true
 	}
+	_ = x.conn.net.SetReadDeadline(time.Time{})
 }
 
 // Header implements http.ResponseWriter.
