Follow the settings file while the daemon runs; test the platform, connections and choice

SIGHUP ended the process. The file is now read again on SIGHUP and every second; log level and platform addresses change at once, the rest with the next start.

A bufio.Writer reads a body into its own buffer (ReadFrom), so that a header stayed unsent while a body was awaited; the header is now sent before a wait.

The race in bench/proc's revision watch is gone: the map was filled while readers had been started.

--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -71,7 +71,7 @@
 	maxFall  = 0.7 // the adaptive limit falls at most to this part in one window
 	riseBy   = 1.1 // and rises by this factor
 	riseAdd  = 0.04
-	warmStep  = time.Second // the warm-up limit at most doubles in this time
+	warmStep = time.Second // the warm-up limit at most doubles in this time
 	// minSample is the least number of answers in a window. The mean of fewer random service times is often twice the
 	// usual one, and with more the few answers of a slow server would come too late to detect it within 1 s.
 	minSample = 4
@@ -82,7 +82,7 @@
 // Limiter computes the limit. Its fields are set before Run.
 type Limiter struct {
 	Config  *config.Holder
-	Service string     // whose slots bound the limit
+	Service string // whose slots bound the limit
 	Told    Teller // nil when servers tell nothing
 	Log     logr.Logger
 
--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -202,7 +202,10 @@
 
 func (k *conn) write(a *Attempt) error {
 	buffered := bufio.NewWriterSize(counting{k}, writeBuffer)
-	err := a.Request.Write(buffered)
+	if a.Request.Body != nil {
+		a.Request.Body = &flushingBody{ReadCloser: a.Request.Body, writer: buffered}
+	}
+	err := a.Request.Write(plainWriter{buffered})
 	if err == nil {
 		err = buffered.Flush()
 	}
@@ -218,6 +221,39 @@
 	return nil
 }
 
+// plainWriter hides that a bufio.Writer reads from a body by itself, into the buffer that flushingBody empties meanwhile.
+type plainWriter struct {
+	to *bufio.Writer
+}
+
+// Write implements io.Writer.
+func (w plainWriter) Write(p []byte) (int, error) {
+	return w.to.Write(p)
+}
+
+// WriteByte implements io.ByteWriter, by which net/http adds no buffer of its own.
+func (w plainWriter) WriteByte(c byte) error {
+	return w.to.WriteByte(c)
+}
+
+// flushingBody sends what has been written before it waits for a further piece. The first piece is there already.
+type flushingBody struct {
+	io.ReadCloser
+	writer *bufio.Writer
+	later  bool
+}
+
+// Read implements io.Reader.
+func (b *flushingBody) Read(p []byte) (int, error) {
+	if b.later {
+		if err := b.writer.Flush(); err != nil {
+			return 0, err
+		}
+	}
+	b.later = true
+	return b.ReadCloser.Read(p)
+}
+
 // receive reads the response of the attempt. Responses to earlier requests can still arrive; the id tells them apart.
 func (k *conn) receive(a *Attempt) (*http.Response, error) {
 	stray := int64(0)
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -10,7 +10,7 @@
 
 // New returns a logger that writes key=value lines to w. The message of a log call is the event's stable name in kebab
 // case and appears as event=NAME.
-func New(w io.Writer, level slog.Level) logr.Logger {
+func New(w io.Writer, level slog.Leveler) logr.Logger {
 	options := &slog.HandlerOptions{Level: level, ReplaceAttr: renameMessage}
 	return logr.FromSlogHandler(slog.NewTextHandler(w, options))
 }
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -4,6 +4,7 @@
 import (
 	"log/slog"
 	"net/netip"
+	"reflect"
 	"time"
 )
 
@@ -54,3 +55,8 @@
 
 	LogLevel slog.Level
 }
+
+// equal compares two settings.
+func (s *Settings) equal(other *Settings) bool {
+	return reflect.DeepEqual(s, other)
+}
--- a/internal/bench/proc/change_test.go
+++ b/internal/bench/proc/change_test.go
@@ -241,6 +241,8 @@
 	w := &revisionWatch{cancel: cancel, current: map[string]uint64{}}
 	for _, node := range fleet.Nodes {
 		w.current[node.Daemon.Name] = 0
+	}
+	for _, node := range fleet.Nodes {
 		w.ended.Go(func() { w.follow(watching, node) })
 	}
 	DeferCleanup(w.stop)
--- a/internal/cli/cmds/daemon.go
+++ b/internal/cli/cmds/daemon.go
@@ -1,7 +1,10 @@
 package cmds
 
 import (
+	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -10,6 +13,32 @@
 	"marigoldwinch.example/marigoldwinch/internal/cli/daemon"
 )
 
+// reloads tells of each SIGHUP.
+func reloads() (asked <-chan struct{}, stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	told := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-signals:
+			}
+			select {
+			case <-done:
+				return
+			case told <- struct{}{}:
+			}
+		}
+	}()
+	return told, func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
+
 // settingsVariable names the settings file in the environment.
 const settingsVariable = "MARIGOLDWINCH_CONFIG"
 
@@ -28,8 +57,15 @@
 				return err
 			}
 			daemon.SetMemory()
-			log := logs.New(os.Stdout, settings.LogLevel)
-			return (&daemon.Daemon{Settings: settings, Log: log}).Run(cmd.Context())
+			level := &slog.LevelVar{}
+			level.Set(settings.LogLevel)
+			reload, stop := reloads()
+			defer stop()
+			run := &daemon.Daemon{
+				Settings: settings, File: file, Reload: reload, Log: logs.New(os.Stdout, level),
+				Changed: func(changed *opts.Settings) { level.Set(changed.LogLevel) },
+			}
+			return run.Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file, see docs/settings.md; default $"+settingsVariable)
--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -23,7 +23,10 @@
 // Daemon is one daemon. Set the exported fields before Run.
 type Daemon struct {
 	Settings *opts.Settings
-	Network  Network // TCP when its fields are nil
+	File     string                 // that the settings come from; followed while the daemon runs; empty for none
+	Reload   <-chan struct{}        // asks for reading the file now; may be nil
+	Changed  func(s *opts.Settings) // called with each valid change of the file; may be nil
+	Network  Network                // TCP when its fields are nil
 	Log      logr.Logger
 }
 
@@ -40,11 +43,13 @@
 // Run starts the daemon, runs it until ctx ends or a part fails, and stops it without cutting requests in flight.
 func (d *Daemon) Run(ctx context.Context) error {
 	failures := make(chan error, 1)
+	live := &opts.Live{File: d.File, Signals: d.Reload, Changed: d.Changed, Log: d.Log}
+	live.Start(d.Settings)
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(d.Settings.StopGrace+d.Settings.StopTimeout+stopMargin),
-		fx.Supply(d.Settings, d.Network.orTCP(), failures),
+		fx.Supply(d.Settings, live, d.Network.orTCP(), failures),
 		fx.Provide(func() logr.Logger { return d.Log }),
 		fx.Provide(newIncarnation, openListeners),
 		shared, fleet, admission, router, administration,
--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -46,19 +46,23 @@
 	return &config.Holder{}
 }
 
-func newStore(settings *opts.Settings, network Network) table.Store {
-	if settings.Hosted {
-		return &platform.Store{Client: platformClient(settings, network, settings.Table)}
+func newStore(live *opts.Live, network Network) table.Store {
+	if live.Get().Hosted {
+		return &platform.Store{Client: tableClient(live, network)}
 	}
-	return &table.HTTP{Client: platformClient(settings, network, settings.Table)}
+	return &table.HTTP{Client: tableClient(live, network)}
 }
 
-func newObjects(settings *opts.Settings, network Network) object.Store {
-	return &object.HTTP{Client: platformClient(settings, network, settings.Objects)}
+func newObjects(live *opts.Live, network Network) object.Store {
+	return &object.HTTP{Client: platformClient(live, network, func() netip.AddrPort { return live.Get().Objects })}
 }
 
-func platformClient(settings *opts.Settings, network Network, address netip.AddrPort) rest.Client {
-	return rest.Client{Address: address, HTTP: network.client(address), Timeout: settings.PlatformTimeout}
+func tableClient(live *opts.Live, network Network) rest.Client {
+	return platformClient(live, network, func() netip.AddrPort { return live.Get().Table })
+}
+
+func platformClient(live *opts.Live, network Network, locate func() netip.AddrPort) rest.Client {
+	return rest.Client{Locate: locate, HTTP: network.client(), Timeout: live.Get().PlatformTimeout}
 }
 
 func newPool(settings *opts.Settings, incarnation ident.Incarnation, counted *traffic, log logr.Logger) *link.Pool {
@@ -139,11 +143,11 @@
 }
 
 // newSource returns nil when the head of the configuration is polled.
-func newSource(settings *opts.Settings, network Network, log logr.Logger) watch.Source {
-	if !settings.Hosted {
+func newSource(live *opts.Live, network Network, log logr.Logger) watch.Source {
+	if !live.Get().Hosted {
 		return nil
 	}
-	return &platform.Intent{Client: platformClient(settings, network, settings.Table), Log: log}
+	return &platform.Intent{Client: tableClient(live, network), Log: log}
 }
 
 type watchParts struct {
--- a/internal/cli/daemon/network.go
+++ b/internal/cli/daemon/network.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -48,10 +50,14 @@
 	return dialer.DialContext(ctx, "tcp", to.String())
 }
 
-// client returns an HTTP client for the platform's service at an address.
-func (n Network) client(address netip.AddrPort) *http.Client {
+// client returns an HTTP client for the platform's service, which is addressed by IP numbers.
+func (n Network) client() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		DialContext: func(ctx context.Context, _, at string) (net.Conn, error) {
+			address, err := netip.ParseAddrPort(at)
+			if err != nil {
+				return nil, errors.Wrapf(err, "address of the platform")
+			}
 			return n.Dial(ctx, address)
 		},
 		MaxConnsPerHost:     platformConns,
--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -31,6 +31,7 @@
 	Lifecycle fx.Lifecycle
 	Failures  chan error
 	Settings  *opts.Settings
+	Live      *opts.Live
 	API       *rest.API
 	Pool      *link.Pool
 	Link      *link.Server
@@ -53,6 +54,7 @@
 // flight needs still runs while it finishes; the administration API stops last.
 func start(parts startParts) {
 	tasks := []task{
+		{"settings", parts.Live.Run},
 		{"administration-api", parts.API.Run},
 		{"platform-endpoint", parts.Endpoint.Run},
 		{"peer-pool", parts.Pool.Run},
--- a/internal/plat/rest/rest.go
+++ b/internal/plat/rest/rest.go
@@ -46,9 +46,10 @@
 // Client sends requests to one platform store.
 type Client struct {
 	Address     netip.AddrPort
-	HTTP        *http.Client  // nil: one that all clients share
-	Timeout     time.Duration // of one request; 0: DefaultTimeout
-	MaxResponse int64         // bytes; 0: DefaultMaxResponse
+	Locate      func() netip.AddrPort // the address now, when it can change; may be nil
+	HTTP        *http.Client          // nil: one that all clients share
+	Timeout     time.Duration         // of one request; 0: DefaultTimeout
+	MaxResponse int64                 // bytes; 0: DefaultMaxResponse
 }
 
 // Request is one request. Its path is already escaped.
@@ -76,7 +77,7 @@
 	defer cancel()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	target := fmt.Sprintf("http://%s%s", c.Address, r.Path)
+	target := fmt.Sprintf("http://%s%s", c.at(), r.Path)
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, target, bytes.NewReader(r.Body))
 	if err != nil {
 		return Response{}, code.NotRunf(code.BadRequest, "platform request %s %s", r.Method, r.Path).WithCause(err)
@@ -92,6 +93,13 @@
 	return c.read(r, sent)
 }
 
+func (c *Client) at() netip.AddrPort {
+	if c.Locate != nil {
+		return c.Locate()
+	}
+	return c.Address
+}
+
 func (c *Client) client() *http.Client {
 	if c.HTTP != nil {
 		return c.HTTP
@@ -144,5 +152,5 @@
 	if proven || r.Method == http.MethodGet {
 		made = code.NotRunf
 	}
-	return made(code.PlatformUnavailable, "platform at %s: %s", c.Address, detail).WithCause(cause)
+	return made(code.PlatformUnavailable, "platform at %s: %s", c.at(), detail).WithCause(cause)
 }
--- a/internal/route/ahead/conn.go
+++ b/internal/route/ahead/conn.go
@@ -115,7 +115,7 @@
 		if err != nil {
 			return true
 		}
-		c.limit.left = bounds.HeaderBytes + slack
+		c.limit.left = max(0, bounds.HeaderBytes+slack-c.reader.Buffered())
 		request, err := http.ReadRequest(c.reader)
 		c.limit.left = -1
 		if err != nil {
--- a/internal/route/choice/cheapest.go
+++ b/internal/route/choice/cheapest.go
@@ -56,25 +56,11 @@
 func (p *pick) cost(look *pool.Look, server netip.AddrPort, own bool) (float64, bool) {
 	load, pace, factor := float64(look.InFlight(server)), float64(meanPace), 1.0
 	if v := look.View(server); v != nil {
-		if v.Refusing != code.None {
+		room, ok := p.room(v)
+		if !ok {
 			return 0, false
 		}
-		load = float64(v.Load)
-		told := float64(max(v.Pace, 1))
-		if v.Pace == 0 {
-			told = edge.UsualPace
-		}
-		fresh := max(0, 1-float64(v.Age)/float64(paceFades))
-		pace += (told - pace) * fresh
-		if v.Warming {
-			factor *= warmingCost
-		}
-		if v.Load >= v.Limit {
-			if float64(v.Load) >= float64(v.Limit)*(1+queueShare) || len(p.tried) > 0 {
-				return 0, false
-			}
-			factor *= fullCost
-		}
+		load, pace, factor = float64(v.Load), expectedPace(v), room
 	}
 	penalty, usable := p.usable(server, look.Now)
 	if !usable {
@@ -86,6 +72,32 @@
 	return (load + 1) * pace * factor * penalty, true
 }
 
+// room returns the factor for a server that is cold or full, and false for one that would not run the request.
+func (p *pick) room(v *pool.View) (factor float64, ok bool) {
+	if v.Refusing != code.None {
+		return 0, false
+	}
+	factor = 1
+	if v.Warming {
+		factor = warmingCost
+	}
+	if v.Load < v.Limit {
+		return factor, true
+	}
+	queueFull := float64(v.Load) >= float64(v.Limit)*(1+queueShare)
+	return factor * fullCost, !queueFull && len(p.tried) == 0
+}
+
+// expectedPace fades from the told pace to the usual mean.
+func expectedPace(v *pool.View) float64 {
+	told := float64(v.Pace)
+	if v.Pace == 0 {
+		told = edge.UsualPace
+	}
+	fresh := max(0, 1-float64(v.Age)/float64(paceFades))
+	return meanPace + (told-meanPace)*fresh
+}
+
 func (p *pick) zoneCost() float64 {
 	if p.bulk {
 		return otherZoneBulk
