Log each decision about a request, bounded and without blocking; explain a request from the logs

Lines go through a queue, so that a full pipe blocks nobody.

TestOutcomes failed once beside load: a confirmation is sent by a goroutine of its own and was recorded before the end of the stream.

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -102,6 +102,7 @@
 
 func (c *call) sendRefusal(refused *code.Error) error {
 	c.gate.count(refused.Code)
+	c.explain(refused)
 	return c.stream.Send(&proto.Ack{
 		Verdict: proto.Refused,
 		Code:    refused.Code,
@@ -119,6 +120,7 @@
 
 func (c *call) sendFailure(failed *code.Error) error {
 	c.gate.count(failed.Code)
+	c.explain(failed)
 	return c.stream.Send(&proto.Failure{
 		Code:    failed.Code,
 		Outcome: failed.Outcome,
--- /dev/null
+++ b/internal/admit/gate/explain.go
@@ -0,0 +1,34 @@
+package gate
+
+import (
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+)
+
+// name is how logs name the request: by the caller's id, else by the router's.
+func (c *call) name() string {
+	if header := c.gate.Dialect.RequestID; header != "" {
+		if id := c.head.Header.Get(header); id != "" {
+			return id
+		}
+	}
+	return c.head.ID.Request.String()
+}
+
+// explain logs why the call was refused or failed, with what decided it.
+func (c *call) explain(failed *code.Error) {
+	g := c.gate
+	if g.Decisions == nil {
+		return
+	}
+	event := "call-failed"
+	if failed.Outcome == code.NotRun {
+		event = "call-refused"
+	}
+	report := g.Report()
+	g.Decisions.Notable(event, c.name(), "attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(),
+		"server", c.identity, "code", failed.Code.String(), "outcome", failed.Outcome.String(), "running", report.InFlight,
+		"limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", time.Until(c.deadline),
+		"revision", g.Config.Revision(), "detail", failed.Error())
+}
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -17,6 +17,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/admit/server"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/wire/edge"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
@@ -59,7 +60,8 @@
 	Limit       *limit.Limiter
 	Ledger      *ledger.Ledger
 	Probes      *probe.Budget
-	Isolated    func() bool // neither platform nor any peer heard from; nil means never
+	Decisions   *logs.Decisions // may be nil
+	Isolated    func() bool     // neither platform nor any peer heard from; nil means never
 	Log         logr.Logger
 
 	hostOnce sync.Once
--- a/internal/cli/cmds/cmds_test.go
+++ b/internal/cli/cmds/cmds_test.go
@@ -159,3 +159,36 @@
 	a <- string(text)
 	return len(text), nil
 }
+
+// Guards against a story that lacks a daemon's part, is out of order, or holds another request's lines.
+func TestExplain(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(folder, name)
+		g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+		return path
+	}
+	router := write("router", `time=2026-01-02T10:00:00.300Z level=INFO event=request-failed request=a1 code=overloaded
+time=2026-01-02T10:00:00.100Z level=INFO event=attempt-failed request=a1 attempt=1
+time=2026-01-02T10:00:00.100Z level=INFO event=attempt-failed request=a2 attempt=1
+time=2026-01-02T09:00:00.000Z level=INFO event=server-left server=s
+not a line of a daemon
+`)
+	admission := write("admission", `sidecar-1 time=2026-01-02T10:00:00.050Z level=INFO event=call-refused request=a1 running=12
+time=2026-01-02T10:00:00.200Z level=INFO event=call-failed request=a1.c7 running=12
+time=2026-01-02T09:59:59.000Z level=INFO event=server-cold server=s
+`)
+	var out, errOut bytes.Buffer
+	g.Expect(cmds.Run(t.Context(), []string{"explain", "a1", router, admission}, &out, &errOut)).To(Equal(cmds.StatusOK), errOut.String())
+	var events []string
+	for _, line := range strings.Split(out.String(), "\n") {
+		if _, event, found := strings.Cut(line, "event="); found {
+			event, _, _ = strings.Cut(event, " ")
+			events = append(events, event)
+		}
+	}
+	g.Expect(events).To(Equal([]string{"call-refused", "attempt-failed", "call-failed", "request-failed", "server-cold"}))
+	g.Expect(cmds.Run(t.Context(), []string{"explain", "a9", router}, &out, &errOut)).NotTo(Equal(cmds.StatusOK))
+	g.Expect(cmds.Run(t.Context(), []string{"explain", "a1", filepath.Join(folder, "none")}, &out, &errOut)).NotTo(Equal(cmds.StatusOK))
+}
--- a/internal/cli/cmds/daemon.go
+++ b/internal/cli/cmds/daemon.go
@@ -61,8 +61,10 @@
 			level.Set(settings.LogLevel)
 			reload, stop := reloads()
 			defer stop()
+			out := logs.NewWriter(os.Stdout)
+			defer out.Close()
 			run := &daemon.Daemon{
-				Settings: settings, File: file, Reload: reload, Log: logs.New(os.Stdout, level),
+				Settings: settings, File: file, Reload: reload, Log: logs.New(out, level),
 				Changed: func(changed *opts.Settings) { level.Set(changed.LogLevel) },
 			}
 			return run.Run(cmd.Context())
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -17,6 +17,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/admit/probe"
 	"marigoldwinch.example/marigoldwinch/internal/admit/server"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
@@ -175,6 +176,7 @@
 	Ledger      *ledger.Ledger
 	Probes      *probe.Budget
 	Node        *gossip.Node
+	Decisions   *logs.Decisions
 	Log         logr.Logger
 }
 
@@ -192,6 +194,7 @@
 		Probes:      parts.Probes,
 		Isolated:    parts.Node.Isolated,
 		Dialect:     dialect(parts.Settings),
+		Decisions:   parts.Decisions,
 		Log:         parts.Log,
 	}
 	if parts.Own != nil {
--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/base/stats"
 	"marigoldwinch.example/marigoldwinch/internal/conf/change"
@@ -27,6 +28,7 @@
 
 var shared = fx.Provide(
 	stats.NewSet,
+	newDecisions,
 	newTraffic,
 	newHolder,
 	newStore,
@@ -42,6 +44,10 @@
 	newWatch,
 )
 
+func newDecisions(log logr.Logger) *logs.Decisions {
+	return &logs.Decisions{Log: log}
+}
+
 func newHolder() *config.Holder {
 	return &config.Holder{}
 }
--- a/internal/cli/daemon/router.go
+++ b/internal/cli/daemon/router.go
@@ -4,12 +4,15 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
 	"marigoldwinch.example/marigoldwinch/internal/admit/ledger"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
+	"marigoldwinch.example/marigoldwinch/internal/base/stats"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
@@ -94,6 +97,8 @@
 	Budgets     *budget.Budgets
 	Claims      *claim.Claims
 	Ledger      *ledger.Ledger
+	Decisions   *logs.Decisions
+	Metrics     *stats.Set
 	Log         logr.Logger
 }
 
@@ -111,7 +116,11 @@
 			running, found := parts.Ledger.Lookup(id)
 			return call.Running(running), found
 		},
-		AckBound: parts.Settings.AckTimeout,
-		Log:      parts.Log,
+		AckBound:  parts.Settings.AckTimeout,
+		Decisions: parts.Decisions,
+		Durations: func(service string) *metrics.Histogram {
+			return parts.Metrics.Histogram("request_duration_seconds", "service", service)
+		},
+		Log: parts.Log,
 	}
 }
--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -295,6 +295,7 @@
 
 // fail ends the attempt without a response.
 func (a *attempt) fail(failure *code.Error) *code.Error {
+	a.explain(failure)
 	if failure.Outcome == code.Unknown && isServers(failure.Code) {
 		a.r.c.Choice.Result(a.r.ask.Service, a.sent.Server, true, failure.Code.String())
 	}
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -11,12 +11,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/route/budget"
 	"marigoldwinch.example/marigoldwinch/internal/route/choice"
@@ -41,6 +43,8 @@
 	Start       time.Time                                // start of the daemon; send times count from it
 	Nested      func(id ident.RequestID) (Running, bool) // the own server's running requests; may be nil
 	AckBound    time.Duration                            // DefaultAckBound when 0
+	Durations   func(service string) *metrics.Histogram  // of requests until the response header; may be nil
+	Decisions   *logs.Decisions                          // may be nil
 	Log         logr.Logger
 
 	seq      atomic.Uint64
@@ -126,6 +130,7 @@
 	class      ident.Class
 	depth      int
 	idempotent bool
+	began      time.Time
 	servers    int // that may be asked to run the request
 	body       *replay
 	claim      *claim.Ask // nil when the key is not claimed
@@ -161,8 +166,11 @@
 	response, err := r.run(ctx)
 	if err != nil {
 		cancel()
-		return nil, r.failed(code.Of(err))
+		failure := r.failed(code.Of(err))
+		r.explain(nil, failure)
+		return nil, failure
 	}
+	r.explain(response, nil)
 	response.cancel = cancel
 	return response, nil
 }
@@ -188,11 +196,12 @@
 		}
 		class, idempotent, servers = route.Class(), route.Kind == config.Repeatable, route.Servers
 	}
+	now := time.Now()
 	r := &request{
 		c: c, ask: ask, service: service, revision: conf.Revision,
 		pool: c.Pool.Service(ask.Service), budget: c.Budgets.Service(ask.Service), delays: c.delaysOf(ask.Service),
-		id:       ident.RequestID{Router: c.Incarnation, Seq: c.seq.Add(1)},
-		deadline: time.Now().Add(timeout), class: class, idempotent: idempotent, servers: servers,
+		id:    ident.RequestID{Router: c.Incarnation, Seq: c.seq.Add(1)},
+		began: now, deadline: now.Add(timeout), class: class, idempotent: idempotent, servers: servers,
 		body: newReplay(ask.Body, ask.ContentLength),
 	}
 	return r, r.nest()
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -102,6 +102,9 @@
 	for _, line := range f.log {
 		fmt.Fprintln(&out, line)
 	}
+	for range f.confirmed { // by a goroutine of its own, in no order with the others
+		fmt.Fprintln(&out, "confirmed")
+	}
 	if leaked := f.leaked(); leaked > 0 {
 		fmt.Fprintf(&out, "%d streams were not closed\n", leaked)
 	}
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -78,6 +78,10 @@
 	Server netip.AddrPort
 	At     time.Time
 	Timed  bool // its answer is expected within the usual latency, unlike an upload's
+
+	Load  int           // at the server when it was selected, by the report
+	Limit int           // 0 without a report
+	Age   time.Duration // of the report
 }
 
 // View is a report as it counts for a selection now.
@@ -173,7 +177,11 @@
 	if i := s.find(server); i >= 0 {
 		s.reports[i].uses++
 	}
-	return Sent{Server: server, At: now, Timed: timed}, true
+	sent := Sent{Server: server, At: now, Timed: timed}
+	if v := look.View(server); v != nil {
+		sent.Load, sent.Limit, sent.Age = v.Load, v.Limit, v.Age
+	}
+	return sent, true
 }
 
 // look drops spent reports and returns the others, corrected by what this router has sent since.
