Judge a warming server by the service times of the service's other servers

Cause of the overruns of a cold server: the warm-up compared its answers with its own first ones. Routers now tell the median service time that the other servers report with each request to a server that may be warming up, and a step needs 8 answers.

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -161,6 +161,7 @@
 		c.attempt.ID = c.head.Header.Get(name)
 	}
 	c.attempt.Sheds = service.ShedsBeforeRun
+	c.gate.Limit.Expect(c.head.Usual)
 	c.attempt.Written = c.written
 	c.gate.Limit.Begin(&c.ticket, c.head.Class, int(c.gate.running.Load()), c.head.End)
 	response, failed := c.gate.Server.Do(&c.attempt)
--- a/internal/admit/limit/judge.go
+++ b/internal/admit/limit/judge.go
@@ -105,9 +105,9 @@
 		return
 	}
 	total := l.warmOK + l.warmBad
-	abnormal := l.warmBad*2 >= total || l.window.last > highRatio
+	abnormal := l.warmBad*2 >= total || l.window.last > highRatio || l.slowerThanOthers()
 	switch {
-	case total == 0:
+	case total == 0 || l.usual > 0 && l.warmOK > 0 && total < othersAnswers:
 		return
 	case abnormal && l.warm > 1:
 		l.warm /= 2
--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -54,6 +54,12 @@
 	highRatio = 2.0
 	// normalRatio is the latency over its floor up to which the limit rises again.
 	normalRatio = 1.5
+	// othersRatio is the time of a warming server's answers over that of the service's other servers from which it is taken to
+	// be still cold. Zones and neighbors make warm servers differ by less.
+	othersRatio = 2.5
+	// othersAnswers is the number of answers that such a comparison needs. The mean of fewer answers of a cold server is often as
+	// short as that of a warm one.
+	othersAnswers = 8
 	// coldRatio is the latency over its floor that makes a server cold when it lasts for coldAfter.
 	coldRatio = 4.0
 	// coldAfter is above the 500 ms for which a server slows down at random, and leaves time to detect a cold one
@@ -100,6 +106,8 @@
 	cause     Cause
 	changed   time.Time
 	warmAt    time.Time                // last change of warm
+	usual     time.Duration            // median service time of the service's other servers; 0 when unknown
+	warmSpent time.Duration            // time of the answers counted in warmOK
 	warmOK    int                      // normal answers since warmAt to requests that began since warmAt
 	warmBad   int                      // failed answers since warmAt
 	step      uint64                   // rises with warmAt
@@ -243,6 +251,22 @@
 	l.step++
 	l.warmOK = 0
 	l.warmBad = 0
+	l.warmSpent = 0
+}
+
+// Expect notes the service time that is usual at the service's other servers.
+func (l *Limiter) Expect(usual time.Duration) {
+	if usual <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.usual = usual
+}
+
+// slowerThanOthers reports whether the answers of the present step take much longer than those of the service's other servers.
+func (l *Limiter) slowerThanOthers() bool {
+	return l.usual > 0 && l.warmOK > 0 && float64(l.warmSpent) > othersRatio*float64(l.usual)*float64(l.warmOK)
 }
 
 // publish puts the limit in force and logs a change with its cause.
--- a/internal/admit/limit/ticket.go
+++ b/internal/admit/limit/ticket.go
@@ -74,6 +74,7 @@
 		l.recent[0].normal++
 		if t.step == l.step {
 			l.warmOK++
+			l.warmSpent += now.Sub(t.since)
 		}
 		l.learn(t, now)
 	}
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -70,7 +70,8 @@
 	roundTrip time.Duration
 	nextProbe time.Time // the server asked not to be probed before
 	last      time.Time
-	waiting   []time.Time // when the timed attempts with no answer yet were sent, oldest first; at most maxWaiting
+	latency   time.Duration // of the server's last report that told one
+	waiting   []time.Time   // when the timed attempts with no answer yet were sent, oldest first; at most maxWaiting
 }
 
 // Sent is an attempt that was counted as sent.
@@ -82,6 +83,8 @@
 	Load  int           // at the server when it was selected, by the report
 	Limit int           // 0 without a report
 	Age   time.Duration // of the report
+
+	Usual time.Duration // median service time at the other servers, for a server that may be warming up; 0 when unknown
 }
 
 // View is a report as it counts for a selection now.
@@ -178,6 +181,9 @@
 		s.reports[i].uses++
 	}
 	sent := Sent{Server: server, At: now, Timed: timed}
+	if v := look.View(server); v == nil || v.Warming {
+		sent.Usual = s.usual(server)
+	}
 	if v := look.View(server); v != nil {
 		sent.Load, sent.Limit, sent.Age = v.Load, v.Limit, v.Age
 	}
@@ -278,6 +284,23 @@
 	}
 }
 
+// usual returns the median of the latencies that the service's other servers last told, or 0 when none is known. A server that
+// warms up is judged by it, since its own earlier answers may have been those of a cold one.
+func (s *Service) usual(except netip.AddrPort) time.Duration {
+	var space [Size]time.Duration
+	told := space[:0]
+	for server, c := range s.counts {
+		if server != except && c.latency > 0 {
+			told = append(told, c.latency)
+		}
+	}
+	if len(told) == 0 {
+		return 0
+	}
+	slices.Sort(told)
+	return told[len(told)/2]
+}
+
 // Learn takes in a report. One without a server is ignored.
 func (s *Service) Learn(report proto.Report) {
 	now := s.pool.now()
@@ -290,6 +313,9 @@
 	if !report.Server.IsValid() {
 		return
 	}
+	if report.Latency > 0 && !report.Warming {
+		s.count(report.Server, now).latency = report.Latency
+	}
 	next := entry{report: report, at: now}
 	if i := s.find(report.Server); i >= 0 {
 		s.reports[i] = next
--- a/internal/wire/proto/frame.go
+++ b/internal/wire/proto/frame.go
@@ -38,6 +38,7 @@
 	buf = putUint(buf, 12, uint64(m.Depth))
 	buf = putUint(buf, 13, m.Revision)
 	buf = putBool(buf, 14, m.End)
+	buf = putInt(buf, 16, int64(m.Usual))
 	return putBytes(buf, 15, m.Body), nil
 }
 
@@ -95,6 +96,8 @@
 		m.End = r.boolean()
 	case 15:
 		m.Body = r.bytes(MaxPiece)
+	case 16:
+		m.Usual = r.duration()
 	}
 }
 
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -57,9 +57,10 @@
 	Class         ident.Class
 	Idempotent    bool
 	Depth         int
-	Revision      uint64 // configuration revision of the router
-	Body          []byte // first piece of the body, at most MaxPiece
-	End           bool   // no Piece follows
+	Revision      uint64        // configuration revision of the router
+	Usual         time.Duration // median service time at the service's other servers by their reports; 0 when unknown
+	Body          []byte        // first piece of the body, at most MaxPiece
+	End           bool          // no Piece follows
 }
 
 // Piece is a further part of a body.
