Hold the slot of a request that was given up at a warming server for a moment

Cause of the last overruns: a cancelled request freed its slot at once, while the server still worked on it until it noticed the closed connection; with a limit of 2 a third request arrived. Traced in TestStartedServerIsNotOverloaded/alone: 3 requests at the server at 23.701 s, limit 2, a cancelled one among them.

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -22,6 +22,9 @@
 // that another one can have become the better place.
 const shortWait = 40 * time.Millisecond
 
+// noticeTime is how long a server may take to notice that the connection of a request has closed.
+const noticeTime = 100 * time.Millisecond
+
 // epoch is the origin of this process's monotonic time.
 var epoch = time.Now()
 
@@ -167,7 +170,7 @@
 	response, failed := c.gate.Server.Do(&c.attempt)
 	if failed != nil {
 		c.gate.Limit.End(&c.ticket, verdict(failed))
-		c.release()
+		c.giveUp(failed)
 		if failed.Code == code.ServerUnreachable && failed.Outcome == code.NotRun {
 			c.gate.Limit.Restart(limit.Unreachable)
 		}
@@ -191,6 +194,16 @@
 	}
 }
 
+// giveUp returns the slot of a call without a response. A server that warms up bears few requests, and works on one that was
+// given up until it notices that the connection has closed.
+func (c *call) giveUp(failed *code.Error) {
+	if failed.Outcome == code.NotRun || !c.gate.Limit.Warming() {
+		c.release()
+		return
+	}
+	time.AfterFunc(noticeTime, c.release)
+}
+
 func (c *call) written() {
 	c.gate.Limit.Written(&c.ticket)
 }
