Use a subset of a large service's servers; let calls behind other requests go first

A route that may be repeated and whose objective is at most half of that of its service's requests that run once leads checks. Priority 0 does not, as it reserved slots for requests that only test the configuration.

--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -182,6 +182,11 @@
 	if err != nil {
 		stop()
 		k.close()
+		select {
+		case failed := <-sent:
+			err = errors.CombineErrors(failed, err) // the end of the sending is the cause
+		default:
+		}
 		return nil, err
 	}
 	k.keepAlive(response.Header)
--- a/internal/cli/daemon/router.go
+++ b/internal/cli/daemon/router.go
@@ -63,6 +63,7 @@
 		Members: services{parts.Members},
 		Config:  parts.Holder,
 		Zone:    parts.Settings.Zone,
+		Self:    parts.Settings.Daemons,
 		Log:     parts.Log,
 	}
 	parts.Reports.Servers = func(service string) []netip.AddrPort { return chooser.Servers(service) }
--- a/internal/conf/config/route.go
+++ b/internal/conf/config/route.go
@@ -45,6 +45,8 @@
 	Objective time.Duration // an answer within it has its full value
 	Priority  int           // 0 is the highest
 	Servers   int           // servers that one request may be sent to at most; at least 1
+
+	urgent bool // set by Index
 }
 
 // Part is a service's part of a route.
@@ -76,6 +78,7 @@
 
 // Index prepares RouteFor. It is called once, before the configuration is published.
 func (c *Config) Index() {
+	c.markUrgent()
 	c.hosts = make(map[string][]*Route)
 	for _, route := range c.Routes {
 		c.hosts[route.Host] = append(c.hosts[route.Host], route)
@@ -100,17 +103,37 @@
 	return nil
 }
 
-// Class returns the class of the route's requests. The most urgent requests that may be repeated are checks.
+// urgentRatio is the objective of a service's other requests over that of its checks.
+const urgentRatio = 2
+
+// markUrgent finds the routes whose requests are checks: those that may be repeated and whose objective is at most half of that
+// of a service's requests that run once. Such short requests stand behind others' requests, which fail with them.
+func (c *Config) markUrgent() {
+	slowest := make(map[string]time.Duration)
+	for _, route := range c.Routes {
+		if route.Kind == Repeatable {
+			continue
+		}
+		for _, part := range route.Parts {
+			slowest[part.Service] = max(slowest[part.Service], route.Objective)
+		}
+	}
+	for _, route := range c.Routes {
+		for _, part := range route.Parts {
+			route.urgent = route.urgent || route.Kind == Repeatable && route.Objective*urgentRatio <= slowest[part.Service]
+		}
+	}
+}
+
+// Class returns the class of the route's requests.
 func (r *Route) Class() ident.Class {
-	switch r.Kind {
-	case UploadOnce:
+	switch {
+	case r.Kind == UploadOnce:
 		return ident.Upload
-	case Once:
+	case r.Kind == Once:
 		return ident.Write
-	case Repeatable:
-		if r.Priority == 0 {
-			return ident.Check
-		}
+	case r.urgent:
+		return ident.Check
 	}
 	return ident.Lookup
 }
--- a/internal/conf/files/files_test.go
+++ b/internal/conf/files/files_test.go
@@ -173,6 +173,24 @@
 		Expect(merged.Config.RouteFor("other.example", "/x/1")).To(BeNil())
 	})
 
+	// Guards against calls behind other requests that wait like any other, and against usual requests that go before others.
+	ginkgo.It("with a much shorter objective lead checks", func() {
+		route := func(name, service, kind, objective string) string {
+			return "[route " + name + "]\nhost = h\nprefix = /" + name + "/\nservices = " + service + "\nkind = " + kind +
+				"\nobjective = " + objective + "\n"
+		}
+		merged, err := folder("[service a]\n[service b]\n" + route("orders", "a", "once", "400ms") +
+			route("checks", "a", "idempotent", "100ms") + route("lookups", "a", "idempotent", "300ms") +
+			route("alone", "b", "idempotent", "10ms") + route("photos", "b", "upload", "15ms"))
+		Expect(err).NotTo(HaveOccurred())
+		classes := map[string]ident.Class{
+			"orders": ident.Write, "checks": ident.Check, "lookups": ident.Lookup, "alone": ident.Lookup, "photos": ident.Upload,
+		}
+		for name, class := range classes {
+			Expect(merged.Config.Routes[name].Class()).To(Equal(class), name)
+		}
+	})
+
 	// Guards against a route in force that leads nowhere.
 	ginkgo.DescribeTable("are refused when they are incomplete", func(text, detail string) {
 		_, err := folder("[service a]\n[route r]\n" + text)
--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -116,7 +116,7 @@
 	r := a.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sent, err := r.c.Choice.Select(r.ask.Service, r.tried, r.timed())
+	sent, err := r.c.Choice.Select(r.ask.Service, r.tried, r.class)
 	if err != nil {
 		return err
 	}
@@ -148,12 +148,16 @@
 	return head, nil
 }
 
+// roundTrips is the number of average round trips to the server that are added to the bound of an ack. On a loaded link or
+// instance, single ones take several times the average.
+const roundTrips = 3
+
 func (a *attempt) ackBound() time.Duration {
 	bound := a.r.c.AckBound
 	if bound == 0 {
 		bound = DefaultAckBound
 	}
-	return bound + a.r.pool.RoundTrip(a.sent.Server)
+	return bound + roundTrips*a.r.pool.RoundTrip(a.sent.Server)
 }
 
 // ackLate closes a connection on which no ack has come in time. Recv then fails and the attempt is resolved.
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -286,5 +286,5 @@
 
 // timed reports whether an answer is expected within the service's usual latency.
 func (r *request) timed() bool {
-	return r.class == ident.Check || r.class == ident.Lookup
+	return choice.Timed(r.class)
 }
--- a/internal/route/choice/cheapest.go
+++ b/internal/route/choice/cheapest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
 	"marigoldwinch.example/marigoldwinch/internal/wire/edge"
 )
@@ -84,6 +85,9 @@
 	if v.Load < v.Limit {
 		return factor, true
 	}
+	if p.class == ident.Check {
+		return factor * fullCost, true // admission lets checks go before the others
+	}
 	queueFull := float64(v.Load) >= float64(v.Limit)*(1+queueShare)
 	return factor * fullCost, !queueFull && len(p.tried) == 0
 }
@@ -99,7 +103,7 @@
 }
 
 func (p *pick) zoneCost() float64 {
-	if p.bulk {
+	if p.class == ident.Upload {
 		return otherZoneBulk
 	}
 	return otherZone
--- a/internal/route/choice/cheapest_test.go
+++ b/internal/route/choice/cheapest_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
@@ -40,7 +41,8 @@
 // pick returns the number of the selected server, or -1.
 func (r *cheapestRig) pick(tried ...netip.AddrPort) int {
 	l := &list{servers: r.servers, own: 1, index: map[netip.AddrPort]int{}}
-	sent, ok := r.reports.Service("s").Pick(&pick{chooser: r.chooser, state: r.chooser.service("s"), list: l, tried: tried}, true)
+	p := &pick{chooser: r.chooser, state: r.chooser.service("s"), list: l, tried: tried, class: ident.Lookup}
+	sent, ok := r.reports.Service("s").Pick(p, true)
 	if !ok {
 		return -1
 	}
--- a/internal/route/choice/choice.go
+++ b/internal/route/choice/choice.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
@@ -29,6 +30,7 @@
 	Members Members
 	Config  *config.Holder
 	Zone    string           // own zone
+	Self    netip.AddrPort   // of the daemon that selects; decides its subset of a large service
 	Now     func() time.Time // time.Now when nil
 	Log     logr.Logger
 
@@ -73,17 +75,16 @@
 }
 
 // Select selects a server for an attempt and counts the attempt as sent to it: the caller reports its end to the pool.
-// Servers in tried are selected only when there is no other one. A timed attempt is one whose answer is expected within
-// the usual latency.
-func (c *Chooser) Select(service string, tried []netip.AddrPort, timed bool) (pool.Sent, error) {
+// Servers in tried are selected only when there is no other one.
+func (c *Chooser) Select(service string, tried []netip.AddrPort, class ident.Class) (pool.Sent, error) {
 	conf := c.Config.Get()
 	if conf == nil {
 		return pool.Sent{}, code.NotRunf(code.NoConfiguration, "no configuration is known yet")
 	}
 	s := c.service(service)
 	l := c.candidates(service, conf)
-	p := pick{chooser: c, state: s, list: l, tried: tried, bulk: !timed}
-	sent, ok := s.pool.Pick(&p, timed)
+	p := pick{chooser: c, state: s, list: l, tried: tried, class: class}
+	sent, ok := s.pool.Pick(&p, Timed(class))
 	if !ok {
 		if len(l.servers) > 0 {
 			return sent, code.NotRunf(code.Overloaded, "every server of service %s is full or refuses work", service)
@@ -98,6 +99,11 @@
 	return sent, nil
 }
 
+// Timed reports whether an answer is expected within the service's usual latency.
+func Timed(class ident.Class) bool {
+	return class == ident.Check || class == ident.Lookup
+}
+
 func (c *Chooser) service(name string) *state {
 	if found, ok := c.services.Load(name); ok {
 		return found.(*state)
@@ -150,6 +156,7 @@
 	if len(serving) == 0 {
 		serving = suspect
 	}
+	serving = c.subset(serving)
 	sort.Slice(serving, func(i, j int) bool {
 		if first, second := serving[i].Zone == c.Zone, serving[j].Zone == c.Zone; first != second {
 			return first
--- a/internal/route/choice/choice_test.go
+++ b/internal/route/choice/choice_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
@@ -51,7 +52,7 @@
 		for i, b := range q.servers {
 			c.Pool.Service("stock").Learn(proto.Report{Server: b.address, InFlight: 2 + min(i, 1), Limit: slots, Latency: meanWork})
 		}
-		sent, err := c.Select("stock", nil, true)
+		sent, err := c.Select("stock", nil, ident.Lookup)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		got[sent.Server]++
 	}
@@ -71,13 +72,13 @@
 		c.Unreachable("stock", b.address)
 	}
 	for range 20 * servers {
-		sent, err := c.Select("stock", nil, true)
+		sent, err := c.Select("stock", nil, ident.Lookup)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(dead).NotTo(gomega.HaveKey(sent.Server))
 	}
 	q.now += 2 * darkFor
 	g.Eventually(func() bool {
-		sent, err := c.Select("stock", nil, true)
+		sent, err := c.Select("stock", nil, ident.Lookup)
 		return err == nil && dead[sent.Server]
 	}).Should(gomega.BeTrue(), "never tried again")
 }
@@ -87,7 +88,7 @@
 	g := gomega.NewWithT(t)
 	q := newQueueing(3, fixed(Probing{}))
 	c := q.routers[0]
-	_, err := c.Select("stock", nil, true)
+	_, err := c.Select("stock", nil, ident.Lookup)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	avoided := func() (n int) {
 		for _, s := range c.Dump().(Dump).Services[0].Servers {
@@ -160,7 +161,7 @@
 				}
 				c.Pool.Service("stock").Learn(proto.Report{Server: b.address, InFlight: n, Limit: slots, Latency: meanWork})
 			}
-			sent, err := c.Select("stock", nil, true)
+			sent, err := c.Select("stock", nil, ident.Lookup)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			c.Pool.Service("stock").Ended(sent, false)
 			if q.backend(sent.Server).zone == c.Zone {
--- a/internal/route/choice/policy.go
+++ b/internal/route/choice/policy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
 )
 
@@ -72,7 +73,7 @@
 	state   *state
 	list    *list
 	tried   []netip.AddrPort
-	bulk    bool // the request has a large body
+	class   ident.Class
 }
 
 // Pick implements pool.Picker.
--- a/internal/route/choice/policy_test.go
+++ b/internal/route/choice/policy_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/onsi/gomega"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
@@ -133,7 +134,7 @@
 func (q *queueing) request(router int) {
 	c := q.routers[router]
 	service := c.Pool.Service("stock")
-	sent, err := c.Select("stock", nil, true)
+	sent, err := c.Select("stock", nil, ident.Lookup)
 	address := sent.Server
 	if err != nil {
 		panic(err)
--- a/internal/wire/cast/cast.go
+++ b/internal/wire/cast/cast.go
@@ -17,7 +17,9 @@
 
 const (
 	// interest is how long a daemon that has sent a request gets reports.
-	interest = 10 * time.Second
+	interest = 5 * time.Second
+	// datagramRate bounds the datagrams per second of a daemon. With many users, each gets reports less often.
+	datagramRate = 600
 	// quietEvery is how often a report goes out that has not changed.
 	quietEvery = 5
 	// maxDatagram bounds a received datagram in bytes.
@@ -57,6 +59,7 @@
 	ticker := time.NewTicker(c.Interval)
 	defer ticker.Stop()
 	var last proto.Report
+	credit := 0.0
 	for unchanged := 0; ; {
 		select {
 		case <-ctx.Done():
@@ -70,14 +73,19 @@
 			unchanged++
 			continue
 		}
+		credit = min(credit+datagramRate*c.Interval.Seconds(), datagramRate)
+		users := c.interested()
+		if float64(len(users)) > credit {
+			continue
+		}
+		credit -= float64(len(users))
 		last, unchanged = report, 0
-		c.send(report)
+		c.send(report, users)
 	}
 }
 
 // send tells the daemons that use the server. A datagram that is lost is followed by the next one.
-func (c *Caster) send(report proto.Report) {
-	users := c.interested()
+func (c *Caster) send(report proto.Report, users []netip.AddrPort) {
 	if len(users) == 0 {
 		return
 	}
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -98,8 +98,9 @@
 		Host: texts.Draw(t, "host"), Header: headers.Draw(t, "header"), ContentLength: rapid.Int64Range(-1, 1<<40).Draw(t, "length"),
 		Remaining: durations.Draw(t, "remaining"), SentAt: durations.Draw(t, "sent-at"),
 		Class: ident.Class(rapid.IntRange(0, ident.Classes-1).Draw(t, "class")), Idempotent: rapid.Bool().Draw(t, "idempotent"),
-		Depth: counts.Draw(t, "depth"), Revision: rapid.Uint64().Draw(t, "revision"), Usual: durations.Draw(t, "usual"), Body: bodies.Draw(t, "body"),
-		End: rapid.Bool().Draw(t, "end"),
+		Depth: counts.Draw(t, "depth"), Revision: rapid.Uint64().Draw(t, "revision"), Usual: durations.Draw(t, "usual"),
+		Body: bodies.Draw(t, "body"),
+		End:  rapid.Bool().Draw(t, "end"),
 	}
 }
 
