Hedge after half of a route's objective, at most 10 in 100 requests

Cause: an answer that is late for its route's objective has little value, and a hedge came only after the 95th percentile of all answers, at most 5 in 100.

--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -19,7 +19,7 @@
 	DefaultCheckReserve   = 2
 	DefaultUploadShare    = 0.5
 	DefaultRetryShare     = 0.1
-	DefaultHedgeShare     = 0.05
+	DefaultHedgeShare     = 0.1
 	DefaultClaimRetention = 24 * time.Hour
 	DefaultProbes         = 20 // probes per server and second
 	DefaultHeadReads      = 40 // reads of the configuration head per second by the whole fleet
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -26,9 +26,11 @@
 	delayQuantile = 0.95
 	// errorShare is the recent share of errors above which hedging is suspended. A failing or overloaded service, or one
 	// behind it, would get hedges on top of the retries nearer to the failure.
-	errorShare    = 0.1
-	errorWeight   = 0.1
-	minHedgeDelay = time.Millisecond // a lower p95 is within the noise of the network
+	errorShare  = 0.1
+	errorWeight = 0.1
+	// hedgeObjective is the part of a route's objective after which an answer is likely to come too late.
+	hedgeObjective = 0.5
+	minHedgeDelay  = time.Millisecond // a lower p95 is within the noise of the network
 )
 
 // errLost ends an attempt after the other attempt of its race has answered.
@@ -150,7 +152,12 @@
 		return 0, false
 	}
 	delay := r.delays.quantile()
-	return max(delay, minHedgeDelay), delay > 0
+	if route := r.ask.Route; route != nil {
+		if soon := time.Duration(float64(route.Objective) * hedgeObjective); delay == 0 || soon < delay {
+			delay = soon
+		}
+	}
+	return max(delay, minHedgeDelay), delay > 0 && !r.delays.suspended.Load()
 }
 
 // race is a first attempt and its hedge. The first to receive an answer wins.
