Serve metrics on an address of their own; log slow calls with where their time went

TestCancelledAndLostCalls expected the slot of a cancelled call to be free at once. At a warming server it is held for 100 ms since a server works on until it notices the closed connection; the test now expects the slot to be held and then freed.

--- a/internal/admin/rest/rest.go
+++ b/internal/admin/rest/rest.go
@@ -101,8 +101,15 @@
 }
 
 func (a *API) metrics(c *gin.Context) {
-	c.Header("Content-Type", "text/plain; charset=utf-8")
-	a.Metrics.Write(c.Writer)
+	MetricsHandler(a.Metrics).ServeHTTP(c.Writer, c.Request)
+}
+
+// MetricsHandler serves the metrics as text.
+func MetricsHandler(metrics *stats.Set) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.Write(w)
+	})
 }
 
 func (a *API) dump(c *gin.Context) {
--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -35,6 +35,7 @@
 	head     *proto.Head
 	stream   proto.Stream
 	deadline time.Time
+	arrived  time.Time // when its head came
 	granted  time.Time // when the call got its slot
 	entry    ledger.Entry
 	target   *url.URL // of head; set by check
@@ -51,7 +52,7 @@
 func (g *Gate) Call(peer *proto.Peer, head *proto.Head, stream proto.Stream) error {
 	received := time.Now()
 	excess := peer.Transit(head.SentAt, received.Sub(epoch))
-	c := &call{gate: g, peer: peer, head: head, stream: stream, deadline: received.Add(head.Remaining - excess)}
+	c := &call{gate: g, peer: peer, head: head, stream: stream, arrived: received, deadline: received.Add(head.Remaining - excess)}
 	entry, refused := g.Ledger.Begin(peer, head, c.deadline)
 	if refused != nil {
 		return c.refuseUnregistered(refused)
@@ -176,6 +177,7 @@
 		}
 		return c.fail(failed)
 	}
+	c.explainSlow()
 	defer func() { _ = response.Body.Close() }() // its bytes have been passed on or given up by then
 	c.gate.Limit.End(&c.ticket, judge(response))
 	return c.reply(ctx, response)
--- a/internal/admit/gate/call_test.go
+++ b/internal/admit/gate/call_test.go
@@ -121,6 +121,10 @@
 		lookup.cancel()
 		synctest.Wait()
 		r.Expect(r.backend.cancelled).To(Equal(1))
+		r.Expect(r.Limit.Warming()).To(BeTrue())
+		r.Expect(r.running.Load()).To(Equal(int64(1)), "a warming server may still work on it")
+		time.Sleep(noticeTime)
+		synctest.Wait()
 		r.Expect(r.running.Load()).To(BeZero())
 
 		cancelled := r.order("/cancelled")
@@ -128,6 +132,7 @@
 		time.Sleep(time.Millisecond)
 		s.cancel()
 		r.calls.Wait()
+		time.Sleep(noticeTime)
 		r.Expect(r.backend.cancelled).To(Equal(2))
 		r.Expect(r.resolve(cancelled.ID).Failure.Outcome).To(Equal(code.Unknown))
 
--- a/internal/admit/gate/explain.go
+++ b/internal/admit/gate/explain.go
@@ -32,3 +32,22 @@
 		"limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", time.Until(c.deadline),
 		"revision", g.Config.Revision(), "detail", failed.Error())
 }
+
+// slowRatio is the time from the arrival to the response header, over the usual time of the class at this server, from which a
+// call is of interest.
+const slowRatio = 2
+
+// explainSlow logs where a slow call spent its time: waiting for a slot, or at the server.
+func (c *call) explainSlow() {
+	g := c.gate
+	now := time.Now()
+	usual := g.Limit.Typical(c.head.Class)
+	took := now.Sub(c.arrived)
+	if g.Decisions == nil || usual == 0 || took < slowRatio*usual {
+		return
+	}
+	report := g.Report()
+	g.Decisions.Notable("call-slow", c.name(), "attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(),
+		"server", c.identity, "waited", c.granted.Sub(c.arrived), "at-server", now.Sub(c.granted), "usual", usual,
+		"running", report.InFlight, "limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", c.deadline.Sub(now))
+}
--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -59,6 +59,10 @@
 			func(s *Settings, v string) error {
 				return setOptional(v, func() error { return setAddress(&s.Ready, v) })
 			}),
+		optional("listen", "metrics", "", "IP:PORT", "address for reading metrics without a token, beside the administration API",
+			func(s *Settings, v string) error {
+				return setOptional(v, func() error { return setAddress(&s.Metrics, v) })
+			}),
 		optional("log", "level", "info", "debug, info, warn or error", "lowest level that is logged",
 			func(s *Settings, v string) error { return setLevel(&s.LogLevel, v) }),
 	}
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -20,6 +20,7 @@
 	Admin     netip.AddrPort // administration API; needs AdminToken when it is not loopback
 	AdminFile string         // file with the administration token; empty for none
 	CheckIns  netip.AddrPort // where the own server checks in; not valid when it does not
+	Metrics   netip.AddrPort // where metrics are read without a token; not valid when only the administration API has them
 	Ready     netip.AddrPort // where the platform asks whether the daemon takes callers; not valid when it does not
 
 	Server             netip.AddrPort // the server beside the daemon
--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -38,6 +38,7 @@
 	Admin    net.Listener
 	CheckIns net.Listener // nil unless the settings name its address
 	Ready    net.Listener // the same
+	Metrics  net.Listener // the same
 }
 
 // Run starts the daemon, runs it until ctx ends or a part fails, and stops it without cutting requests in flight.
@@ -92,6 +93,7 @@
 		{&listeners.Admin, settings.Admin},
 		{&listeners.CheckIns, settings.CheckIns},
 		{&listeners.Ready, settings.Ready},
+		{&listeners.Metrics, settings.Metrics},
 	}
 	for _, one := range opened {
 		if !one.address.IsValid() {
--- a/internal/cli/daemon/hosted.go
+++ b/internal/cli/daemon/hosted.go
@@ -11,8 +11,10 @@
 	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
 
+	"marigoldwinch.example/marigoldwinch/internal/admin/rest"
 	"marigoldwinch.example/marigoldwinch/internal/admit/own"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
+	"marigoldwinch.example/marigoldwinch/internal/base/stats"
 	"marigoldwinch.example/marigoldwinch/platform"
 )
 
@@ -21,10 +23,15 @@
 	endpointStopTimeout   = 100 * time.Millisecond
 )
 
-// endpoint serves check-ins and the question whether the daemon takes callers. It has no listener without a hosted platform.
+// endpoint serves what is asked without a token: metrics, and on a hosted platform check-ins and whether the daemon takes
+// callers.
 type endpoint struct {
-	listeners []net.Listener
-	handler   http.Handler
+	served []served
+}
+
+type served struct {
+	listener net.Listener
+	handler  http.Handler
 }
 
 type endpointParts struct {
@@ -33,33 +40,38 @@
 	Listeners *Listeners
 	Own       *own.Server
 	State     *stateKeeper
+	Metrics   *stats.Set
 	Log       logr.Logger
 }
 
 func newEndpoint(parts endpointParts) *endpoint {
-	if parts.Own == nil {
-		return &endpoint{}
-	}
-	served := &platform.Endpoint{
-		CheckIn: parts.Own.CheckIn,
-		Leave:   parts.Own.Leave,
-		Ready:   parts.State.takesCallers,
-		Log:     parts.Log,
-	}
-	made := &endpoint{handler: served.Handler()}
-	for _, listener := range []net.Listener{parts.Listeners.CheckIns, parts.Listeners.Ready} {
-		if listener != nil {
-			made.listeners = append(made.listeners, listener)
+	made := &endpoint{}
+	if parts.Own != nil {
+		hosted := &platform.Endpoint{
+			CheckIn: parts.Own.CheckIn,
+			Leave:   parts.Own.Leave,
+			Ready:   parts.State.takesCallers,
+			Log:     parts.Log,
 		}
+		made.add(parts.Listeners.CheckIns, hosted.Handler())
+		made.add(parts.Listeners.Ready, hosted.Handler())
 	}
+	made.add(parts.Listeners.Metrics, rest.MetricsHandler(parts.Metrics))
 	return made
 }
 
+func (e *endpoint) add(listener net.Listener, handler http.Handler) {
+	if listener != nil {
+		e.served = append(e.served, served{listener, handler})
+	}
+}
+
 // Run serves until ctx ends.
 func (e *endpoint) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for _, listener := range e.listeners {
-		server := &http.Server{Handler: e.handler, ReadHeaderTimeout: endpointHeaderTimeout}
+	for _, one := range e.served {
+		listener := one.listener
+		server := &http.Server{Handler: one.handler, ReadHeaderTimeout: endpointHeaderTimeout}
 		group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return errors.Wrapf(err, "serve on %s", listener.Addr())
