Count requests that were given up as slow against a server that warms up

Cause: hedges cancelled the slowest requests of a cold server, so that its answers alone looked normal; traced in TestReturnedServerIsNotOverloaded: limit 2 to 4 at 20.2 s after seven cancelled calls.

--- a/internal/admit/limit/judge.go
+++ b/internal/admit/limit/judge.go
@@ -107,7 +107,7 @@
 	total := l.warmOK + l.warmBad
 	abnormal := l.warmBad*2 >= total || l.window.last > highRatio || l.slowerThanOthers()
 	switch {
-	case total == 0 || l.usual > 0 && l.warmOK > 0 && total < othersAnswers:
+	case total == 0 || l.usual > 0 && l.warmOK > 0 && total+l.warmCut < othersAnswers:
 		return
 	case abnormal && l.warm > 1:
 		l.warm /= 2
--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -57,6 +57,8 @@
 	// othersRatio is the time of a warming server's answers over that of the service's other servers from which it is taken to
 	// be still cold. Zones and neighbors make warm servers differ by less.
 	othersRatio = 2.5
+	// cutShare is one in how many requests of a warming server may be given up as slow.
+	cutShare = 4
 	// othersAnswers is the number of answers that such a comparison needs. The mean of fewer answers of a cold server is often as
 	// short as that of a warm one.
 	othersAnswers = 8
@@ -107,7 +109,8 @@
 	changed   time.Time
 	warmAt    time.Time                // last change of warm
 	usual     time.Duration            // median service time of the service's other servers; 0 when unknown
-	warmSpent time.Duration            // time of the answers counted in warmOK
+	warmSpent time.Duration            // time of the requests counted in warmOK and warmCut
+	warmCut   int                      // requests since warmAt that were given up after more than the usual time
 	warmOK    int                      // normal answers since warmAt to requests that began since warmAt
 	warmBad   int                      // failed answers since warmAt
 	step      uint64                   // rises with warmAt
@@ -252,6 +255,7 @@
 	l.warmOK = 0
 	l.warmBad = 0
 	l.warmSpent = 0
+	l.warmCut = 0
 }
 
 // Expect notes the service time that is usual at the service's other servers.
@@ -265,8 +269,13 @@
 }
 
 // slowerThanOthers reports whether the answers of the present step take much longer than those of the service's other servers.
+// Routers give up the slowest requests, so that the answers alone look faster than the server is.
 func (l *Limiter) slowerThanOthers() bool {
-	return l.usual > 0 && l.warmOK > 0 && float64(l.warmSpent) > othersRatio*float64(l.usual)*float64(l.warmOK)
+	count := l.warmOK + l.warmCut
+	if l.usual <= 0 || count == 0 {
+		return false
+	}
+	return l.warmCut*cutShare > count || float64(l.warmSpent) > othersRatio*float64(l.usual)*float64(count)
 }
 
 // publish puts the limit in force and logs a change with its cause.
--- a/internal/admit/limit/ticket.go
+++ b/internal/admit/limit/ticket.go
@@ -62,6 +62,10 @@
 	}
 	switch result {
 	case Ignored:
+		if spent := now.Sub(t.since); t.step == l.step && l.usual > 0 && spent > l.usual {
+			l.warmCut++
+			l.warmSpent += spent
+		}
 		return
 	case Failed:
 		l.failed()
