--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -38,6 +38,9 @@
 	newLinkServer,
 )
 
+// lastFrames is the time for the last frames of calls after the drain has waited for the calls themselves.
+const lastFrames = 300 * time.Millisecond
+
 // leaveGrace leaves most of the 3 s in which a departure must take effect.
 const leaveGrace = time.Second
 
@@ -223,7 +226,7 @@
 		Fleet:       parts.Node,
 		Incarnation: parts.Incarnation,
 		Accepted:    parts.Settings.AcceptedConns,
-		StopTimeout: parts.Settings.StopTimeout,
+		StopTimeout: min(parts.Settings.StopTimeout, lastFrames),
 		Log:         parts.Log,
 	}
 }
--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,18 +79,14 @@
 }
 
 // plannedStop announces the departure, leaves routers the grace to learn of it, and waits for the requests at the own
-// server. The front end and the peer server then finish their own requests when they stop.
+// server and of the own callers. The time of the announcement is part of the grace, as the platform may not answer.
 func plannedStop(ctx context.Context, parts startParts) error {
 	parts.State.stop()
 	parts.Front.LastRequests()
-	announcing, cancel := context.WithTimeout(ctx, leaveTimeout)
+	announcing, cancel := context.WithTimeout(ctx, max(leaveTimeout, parts.Settings.StopGrace))
 	defer cancel()
-	if err := parts.Node.Leave(announcing); err != nil {
-		parts.Log.Info("leave-not-announced", "cause", err.Error())
-	}
-	if err := parts.Watch.Withdraw(announcing); err != nil {
-		parts.Log.Info("announcement-not-withdrawn", "cause", err.Error())
-	}
+	var grace sync.WaitGroup
+	grace.Go(func() { announceLeave(announcing, parts) })
 	select {
 	case <-time.After(parts.Settings.StopGrace):
 	case <-ctx.Done():
@@ -99,5 +96,17 @@
 	var drains errgroup.Group
 	drains.Go(func() error { return errors.Wrap(parts.Gate.Drain(draining), "drain admission") })
 	drains.Go(func() error { return errors.Wrap(parts.Front.Drain(draining), "drain front") })
-	return drains.Wait()
+	err := drains.Wait()
+	cancel()
+	grace.Wait()
+	return err
+}
+
+func announceLeave(ctx context.Context, parts startParts) {
+	if err := parts.Node.Leave(ctx); err != nil {
+		parts.Log.Info("leave-not-announced", "cause", err.Error())
+	}
+	if err := parts.Watch.Withdraw(ctx); err != nil {
+		parts.Log.Info("announcement-not-withdrawn", "cause", err.Error())
+	}
 }
--- a/internal/cli/daemon/stop_test.go
+++ b/internal/cli/daemon/stop_test.go
@@ -12,6 +12,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
 	"marigoldwinch.example/marigoldwinch/internal/conf/change"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/plat/fake"
 )
 
 const leaveBound = 3 * time.Second // invariants 3 and 7
@@ -138,3 +139,20 @@
 	}
 	return statuses
 }
+
+// Guards against a planned stop that outlasts its bound, and is then killed, because the platform does not answer.
+func TestStopWithoutPlatformKeepsItsBound(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 2, "stock")
+		time.Sleep(10 * time.Second)
+		s.platform.Faults.Inject(fake.Slow{Delay: time.Minute})
+		n := s.nodes[0]
+		began := time.Now()
+		n.stop()
+		s.Expect(<-n.stopped).To(Succeed())
+		const margin = time.Second // for the parts that stop after the drain
+		s.Expect(time.Since(began)).To(BeNumerically("<", n.settings.StopGrace+margin))
+		s.platform.Faults.Clear()
+	})
+}
