Leave retries a reserve that hedges do not use; make no further attempt when all servers are full

Hedges now leave 5 additional attempts.

A request that found every server full selected again up to four times at once.

--- a/internal/route/budget/budget.go
+++ b/internal/route/budget/budget.go
@@ -12,6 +12,9 @@
 	// maxTokens bounds the burst after a long time without failures. A larger burst would be felt as load by servers that
 	// begin to fail together.
 	maxTokens = 50
+	// hedgeReserve is the number of additional attempts that hedges leave to retries. A failure comes unannounced, and a retry
+	// that is denied is a request that fails.
+	hedgeReserve = 5
 )
 
 // Budgets holds the budgets of all services. The zero value is ready for use.
@@ -64,7 +67,7 @@
 		s.denied.Add(1)
 		return false
 	}
-	if !s.attempts.take() {
+	if !s.attempts.takeAbove(hedgeReserve) {
 		s.hedges.credit(unit)
 		s.denied.Add(1)
 		return false
@@ -89,9 +92,14 @@
 }
 
 func (b *bucket) take() bool {
+	return b.takeAbove(0)
+}
+
+// takeAbove takes a token when so many are left after it.
+func (b *bucket) takeAbove(reserve int64) bool {
 	for {
 		old := b.tokens.Load()
-		if old < unit {
+		if old < (reserve+1)*unit {
 			return false
 		}
 		if b.tokens.CompareAndSwap(old, old-unit) {
--- a/internal/route/budget/budget_test.go
+++ b/internal/route/budget/budget_test.go
@@ -41,3 +41,17 @@
 	}
 	gomega.NewWithT(t).Expect(n).To(gomega.Equal(maxTokens))
 }
+
+// Guards against hedges that use up the budget, so that the retry of a lost request is denied.
+func TestHedgesLeaveRoomForRetries(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := (&Budgets{}).Service("stock")
+	for range 1000 {
+		s.Request(0.1, 0.1)
+		s.Hedge()
+	}
+	for range hedgeReserve {
+		g.Expect(s.Retry()).To(gomega.BeTrue())
+	}
+	g.Expect(s.Hedge()).To(gomega.BeFalse())
+}
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/route/choice"
 )
 
 const (
@@ -57,7 +58,7 @@
 
 // mayRetry applies the retry rules. The budget is asked last, because asking spends it.
 func (r *request) mayRetry(ctx context.Context, failure *code.Error) bool {
-	if ctx.Err() != nil || isFinal(failure.Code) {
+	if ctx.Err() != nil || isFinal(failure.Code) || errors.Is(failure, choice.ErrFull) {
 		return false
 	}
 	r.mu.Lock()
--- a/internal/route/choice/cheapest_test.go
+++ b/internal/route/choice/cheapest_test.go
@@ -5,10 +5,13 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
@@ -55,6 +58,18 @@
 	return -1
 }
 
+// members are servers of one zone and service.
+type members []netip.AddrPort
+
+// Service implements Members.
+func (m members) Service(string) []member.Record {
+	var records []member.Record
+	for _, server := range m {
+		records = append(records, member.Record{Address: server, Service: "s", State: member.Serving})
+	}
+	return records
+}
+
 // Guards against requests to a slowed, full or leaving server while another one is better, and against bytes between zones
 // for nothing.
 func TestCheapestServer(t *testing.T) {
@@ -86,6 +101,11 @@
 		r.report(i, full)
 	}
 	r.Expect(r.pick()).To(Equal(-1))
+	conf := &config.Holder{}
+	r.Expect(conf.Set(&config.Config{Revision: 1, Services: map[string]*config.Service{"s": config.NewService("s")}})).To(Succeed())
+	r.chooser.Config, r.chooser.Members = conf, members(r.servers)
+	_, err := r.chooser.Select("s", nil, ident.Lookup)
+	r.Expect(errors.Is(err, ErrFull)).To(BeTrue(), "no further attempt helps")
 	r.report(1, func(report *proto.Report) { report.InFlight, report.Queued = 12, 1 })
 	r.Expect(r.pick()).To(Equal(1), "a short queue takes a first attempt")
 	r.Expect(r.pick(r.servers[0])).To(Equal(-1), "and no second one")
--- a/internal/route/choice/choice.go
+++ b/internal/route/choice/choice.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
@@ -17,6 +18,9 @@
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
 )
 
+// ErrFull is the cause when no server is selected because all are known to be full or to refuse work.
+var ErrFull = errors.New("no server with room")
+
 // Members are the known members of the fleet.
 type Members interface {
 	// Service returns the records of a service's members in any order. The caller does not change them.
@@ -87,7 +91,7 @@
 	sent, ok := s.pool.Pick(&p, Timed(class))
 	if !ok {
 		if len(l.servers) > 0 {
-			return sent, code.NotRunf(code.Overloaded, "every server of service %s is full or refuses work", service)
+			return sent, code.NotRunf(code.Overloaded, "every server of service %s is full or refuses work", service).WithCause(ErrFull)
 		}
 		return sent, code.NotRunf(code.NoServer, "service %s has no server that may be used", service)
 	}
