--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -78,19 +78,19 @@
 	parts.Lifecycle.Append(fx.StopHook(func(ctx context.Context) error { return plannedStop(ctx, parts) }))
 }
 
-// plannedStop announces the departure, leaves routers the grace to learn of it, and waits for the requests at the own
-// server and of the own callers. The time of the announcement is part of the grace, as the platform may not answer.
+// plannedStop makes callers go elsewhere for the grace, and then waits for the requests at the own server and of the own callers.
+// Other daemons learn of it only leaveGrace before its end: until then the server beside this daemon works for them, and in a
+// rolling restart no further one is missing. The time of the announcement is part of the grace, as the platform may not answer.
 func plannedStop(ctx context.Context, parts startParts) error {
 	parts.State.stop()
 	parts.Front.LastRequests()
-	announcing, cancel := context.WithTimeout(ctx, max(leaveTimeout, parts.Settings.StopGrace))
+	last := min(leaveGrace, parts.Settings.StopGrace)
+	wait(ctx, parts.Settings.StopGrace-last)
+	announcing, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	var grace sync.WaitGroup
 	grace.Go(func() { announceLeave(announcing, parts) })
-	select {
-	case <-time.After(parts.Settings.StopGrace):
-	case <-ctx.Done():
-	}
+	wait(ctx, last)
 	draining, cancelDrain := context.WithTimeout(ctx, parts.Settings.StopTimeout)
 	defer cancelDrain()
 	var drains errgroup.Group
@@ -102,6 +102,13 @@
 	return err
 }
 
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func announceLeave(ctx context.Context, parts startParts) {
 	if err := parts.Node.Leave(ctx); err != nil {
 		parts.Log.Info("leave-not-announced", "cause", err.Error())
--- a/internal/cli/daemon/stop_test.go
+++ b/internal/cli/daemon/stop_test.go
@@ -156,3 +156,23 @@
 		s.platform.Faults.Clear()
 	})
 }
+
+// Guards against a rolling restart of daemons that takes their servers out of work long before the daemons stop.
+func TestServerOfStoppingDaemonWorksOn(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3, "stock", "orders")
+		time.Sleep(10 * time.Second)
+		n := s.nodes[0]
+		n.settings.StopGrace = 3 * time.Second
+		done := s.load(s.plan(300, 8*time.Second, n))
+		time.Sleep(2 * time.Second)
+		n.stop()
+		time.Sleep(time.Second)
+		before := n.server.Counts().Total
+		time.Sleep(700 * time.Millisecond)
+		s.Expect(n.server.Counts().Total).To(BeNumerically(">", before), "work in the first part of the grace")
+		s.Expect(<-n.stopped).To(Succeed())
+		s.expectUncut(<-done, 0.999)
+	})
+}
