--- a/internal/conf/config/route.go
+++ b/internal/conf/config/route.go
@@ -74,7 +74,9 @@
 
 // NewRoute returns a route with every default set.
 func NewRoute(name string) *Route {
-	return &Route{Name: name, Timeout: DefaultRouteTimeout, Objective: DefaultObjective, Priority: DefaultPriority, Servers: DefaultRouteServers}
+	return &Route{
+		Name: name, Timeout: DefaultRouteTimeout, Objective: DefaultObjective, Priority: DefaultPriority, Servers: DefaultRouteServers,
+	}
 }
 
 // Index prepares RouteFor. It is called once, before the configuration is published.
