Grant the first retries of a router in advance

5 additional attempts are granted with the first request and paid back out of the shares of the next 50, so that the share holds over any longer time; the test that bounds 8,000 requests to 800 additional attempts stays as it was. TestFirstRequestsMayBeRetried fails without the change. The outcome table's "without budget" cases use up the advance.

--- a/internal/route/budget/budget.go
+++ b/internal/route/budget/budget.go
@@ -15,6 +15,9 @@
 	// hedgeReserve is the number of additional attempts that hedges leave to retries. A failure comes unannounced, and a retry
 	// that is denied is a request that fails.
 	hedgeReserve = 5
+	// advance is granted with the first request and paid back out of the shares of the next ones: a router that has just
+	// started meets failures as every other, and its first requests have earned too few attempts for them.
+	advance = hedgeReserve * unit
 )
 
 // Budgets holds the budgets of all services. The zero value is ready for use.
@@ -22,11 +25,13 @@
 	services sync.Map // service name to *Service
 }
 
-// Service is the budget of one service. Both buckets start empty, so additional attempts never exceed their share of the
-// requests counted so far.
+// Service is the budget of one service. Beyond the advance, additional attempts never exceed their share of the requests counted
+// so far.
 type Service struct {
-	attempts bucket // additional attempts of any kind: at most RetryShare per request
-	hedges   bucket // the part of them that hedges may use: at most HedgeShare per request
+	attempts bucket       // additional attempts of any kind: at most RetryShare per request
+	hedges   bucket       // the part of them that hedges may use: at most HedgeShare per request
+	advanced atomic.Bool  // the advance has been granted
+	owed     atomic.Int64 // part of the advance that is not paid back; 0 to advance
 
 	requests atomic.Uint64
 	retried  atomic.Uint64
@@ -46,10 +51,25 @@
 // Request counts a request and credits its shares.
 func (s *Service) Request(retryShare, hedgeShare float64) {
 	s.requests.Add(1)
-	s.attempts.credit(int64(retryShare * unit))
+	if retryShare > 0 && s.advanced.CompareAndSwap(false, true) {
+		s.owed.Store(advance)
+		s.attempts.credit(advance)
+	}
+	s.attempts.credit(s.repay(int64(retryShare * unit)))
 	s.hedges.credit(int64(hedgeShare * unit))
 }
 
+// repay pays back the advance out of a request's share and returns what is left of the share.
+func (s *Service) repay(share int64) int64 {
+	for {
+		owed := s.owed.Load()
+		paid := min(owed, share)
+		if paid == 0 || s.owed.CompareAndSwap(owed, owed-paid) {
+			return share - paid
+		}
+	}
+}
+
 // Retry takes one additional attempt from the budget. It reports false when the budget is spent.
 func (s *Service) Retry() bool {
 	if !s.attempts.take() {
--- a/internal/route/budget/budget_test.go
+++ b/internal/route/budget/budget_test.go
@@ -29,6 +29,24 @@
 	g.Expect(d.Hedges).To(gomega.BeNumerically("<=", 400))
 }
 
+// Guards against a router that has just started and denies the retry of a lost request, and against an advance that raises the share.
+func TestFirstRequestsMayBeRetried(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := (&Budgets{}).Service("stock")
+	retries := 0
+	for range 50 {
+		s.Request(0.1, 0.1)
+		if retries < 5 {
+			g.Expect(s.Retry()).To(gomega.BeTrue())
+			retries++
+		}
+	}
+	g.Expect(s.Retry()).To(gomega.BeFalse(), "5 of 50 are used up")
+	off := (&Budgets{}).Service("orders")
+	off.Request(0, 0)
+	g.Expect(off.Retry()).To(gomega.BeFalse(), "no advance on a share of nothing")
+}
+
 // Guards against a burst of retries after a long time without failures.
 func TestSavedAttemptsAreBounded(t *testing.T) {
 	s := (&Budgets{}).Service("stock")
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -71,8 +71,14 @@
 		ask.Body = strings.NewReader(strings.Repeat("b", size))
 		ask.Abort = func() { f.note("aborted the caller's body") }
 	}
+	saved := c.Budgets.Service("stock")
 	for range tokens * 10 {
-		c.Budgets.Service("stock").Request(0.1, 0.05)
+		saved.Request(0.1, 0.05)
+	}
+	if tokens == 0 {
+		saved.Request(0.1, 0.05)
+		for saved.Retry() { // uses up the advance
+		}
 	}
 	for range delayRefresh {
 		if p95 > 0 {
