Repeat a lookup at once when its lost connection's request still runs

An idempotent request's answer is not held, so it is lost with its connection whatever a later question finds.

Ruled out: the budget (5 saved attempts were left 3.7 s after the start).

Conclusion: for lookups the question is only worth one answer.

--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -72,7 +72,7 @@
 	return failure
 }
 
-// resolve asks until the request is no longer running.
+// resolve asks until the request is no longer running, or its answer is lost in any case.
 func (a *attempt) resolve(conn uint64) (*proto.Resolution, error) {
 	failures := 0
 	for {
@@ -87,6 +87,9 @@
 			wait = resolveRetry
 		case found.State != proto.StateRunning:
 			return found, nil
+		case a.r.idempotent:
+			// Only answers to non-idempotent requests are held, so that this one's is lost with its connection.
+			return nil, code.Unknownf(code.OutcomeUnknown, "the connection failed while the request ran")
 		default:
 			failures = 0
 		}
