Read the fields of all messages by one loop

A message now has a function that reads one field, and decode and readNested have the loop.

Ruled out: a reader passed by value through a function, which escapes for each nested message.

--- a/internal/wire/proto/codec.go
+++ b/internal/wire/proto/codec.go
@@ -128,21 +128,21 @@
 	case *Ping:
 		return nil
 	case *Hello:
-		return readHello(buf, m)
+		return decode(buf, m, readHello)
 	case *Welcome:
-		return readWelcome(buf, m)
+		return decode(buf, m, readWelcome)
 	case *Resolve:
-		return readResolve(buf, m)
+		return decode(buf, m, readResolve)
 	case *Resolution:
-		return readResolution(buf, m)
+		return decode(buf, m, readResolution)
 	case *Probe:
-		return readProbe(buf, m)
+		return decode(buf, m, readProbe)
 	case *ProbeReply:
-		return readProbeReply(buf, m)
+		return decode(buf, m, readProbeReply)
 	case *Exchange:
-		return readExchange(buf, m)
+		return decode(buf, m, readExchange)
 	case *Status:
-		return readStatus(buf, m)
+		return decode(buf, m, readStatus)
 	default:
 		return code.Unknownf(code.Internal, "no decoding for %T", message)
 	}
@@ -156,15 +156,15 @@
 	buf = buf[size:]
 	switch kind {
 	case kindHead:
-		return readInto(buf, into, readHead)
+		return readInto(buf, into, &Head{ContentLength: -1}, readHead)
 	case kindPiece:
-		return readInto(buf, into, readPiece)
+		return readInto(buf, into, &Piece{}, readPiece)
 	case kindAck:
-		return readInto(buf, into, readAck)
+		return readInto(buf, into, &Ack{}, readAck)
 	case kindAnswer:
-		return readInto(buf, into, readFrameAnswer)
+		return readInto(buf, into, &Answer{ContentLength: -1}, readFrameAnswer)
 	case kindFailure:
-		return readInto(buf, into, readFailure)
+		return readInto(buf, into, &Failure{}, readFailure)
 	default:
 		return malformed("unknown kind of frame %d", kind)
 	}
@@ -176,9 +176,8 @@
 	Frame
 }
 
-func readInto[T any, P framePointer[T]](buf []byte, into *Envelope, read func([]byte, *T) error) error {
-	frame := new(T)
-	if err := read(buf, frame); err != nil {
+func readInto[T any, P framePointer[T]](buf []byte, into *Envelope, frame *T, read func(*reader, *T)) error {
+	if err := decode(buf, frame, read); err != nil {
 		return err
 	}
 	into.Frame = P(frame)
@@ -192,21 +191,17 @@
 	return putUint(buf, 4, m.Conn)
 }
 
-func readHello(buf []byte, m *Hello) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Version = uint32(r.uint(maxVersion))
-		case 2:
-			m.Incarnation = ident.Incarnation(r.number64())
-		case 3:
-			m.Address = r.address()
-		case 4:
-			m.Conn = r.number64()
-		}
+func readHello(r *reader, m *Hello) {
+	switch r.number {
+	case 1:
+		m.Version = uint32(r.uint(maxVersion))
+	case 2:
+		m.Incarnation = ident.Incarnation(r.number64())
+	case 3:
+		m.Address = r.address()
+	case 4:
+		m.Conn = r.number64()
 	}
-	return r.err
 }
 
 func appendWelcome(buf []byte, m *Welcome) []byte {
@@ -215,17 +210,13 @@
 	return putUint(buf, 3, uint64(m.Code))
 }
 
-func readWelcome(buf []byte, m *Welcome) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Version = uint32(r.uint(maxVersion))
-		case 2:
-			m.Incarnation = ident.Incarnation(r.number64())
-		case 3:
-			m.Code = r.code()
-		}
+func readWelcome(r *reader, m *Welcome) {
+	switch r.number {
+	case 1:
+		m.Version = uint32(r.uint(maxVersion))
+	case 2:
+		m.Incarnation = ident.Incarnation(r.number64())
+	case 3:
+		m.Code = r.code()
 	}
-	return r.err
 }
--- a/internal/wire/proto/fleet.go
+++ b/internal/wire/proto/fleet.go
@@ -20,29 +20,25 @@
 	return putUint(buf, 8, m.Version)
 }
 
-func readRecord(buf []byte, m *member.Record) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Address = r.address()
-		case 2:
-			m.Front = r.address()
-		case 3:
-			m.Service = r.text(maxName)
-		case 4:
-			m.Zone = r.text(maxName)
-		case 5:
-			m.Region = r.text(maxName)
-		case 6:
-			m.Incarnation = ident.Incarnation(r.number64())
-		case 7:
-			m.State = member.State(r.uint(uint64(member.Gone)))
-		case 8:
-			m.Version = r.number64()
-		}
+func readRecord(r *reader, m *member.Record) {
+	switch r.number {
+	case 1:
+		m.Address = r.address()
+	case 2:
+		m.Front = r.address()
+	case 3:
+		m.Service = r.text(maxName)
+	case 4:
+		m.Zone = r.text(maxName)
+	case 5:
+		m.Region = r.text(maxName)
+	case 6:
+		m.Incarnation = ident.Incarnation(r.number64())
+	case 7:
+		m.State = member.State(r.uint(uint64(member.Gone)))
+	case 8:
+		m.Version = r.number64()
 	}
-	return r.err
 }
 
 func appendStatus(buf []byte, m *Status) []byte {
@@ -50,17 +46,13 @@
 	return putUint(buf, 2, m.InForce)
 }
 
-func readStatus(buf []byte, m *Status) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			readNested(&r, &m.From, readRecord)
-		case 2:
-			m.InForce = r.number64()
-		}
+func readStatus(r *reader, m *Status) {
+	switch r.number {
+	case 1:
+		readNested(r, &m.From, readRecord)
+	case 2:
+		m.InForce = r.number64()
 	}
-	return r.err
 }
 
 func appendFile(buf []byte, m *files.File) []byte {
@@ -68,17 +60,13 @@
 	return putText(buf, 2, m.Content)
 }
 
-func readFile(buf []byte, m *files.File) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Name = r.text(maxName)
-		case 2:
-			m.Content = r.text(MaxFrame)
-		}
+func readFile(r *reader, m *files.File) {
+	switch r.number {
+	case 1:
+		m.Name = r.text(maxName)
+	case 2:
+		m.Content = r.text(MaxFrame)
 	}
-	return r.err
 }
 
 func appendChange(buf []byte, m *files.Change) []byte {
@@ -95,33 +83,23 @@
 	return buf
 }
 
-func readChange(buf []byte, m *files.Change) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Revision = r.number64()
-		case 2:
-			m.ID = r.text(maxName)
-		case 3:
-			m.Operator = r.text(maxName)
-		case 4:
-			m.At = r.time()
-		case 5:
-			m.Put = readElement(&r, m.Put, maxFiles, readFile)
-		case 6:
-			m.Remove = readElement(&r, m.Remove, maxFiles, readName)
+func readChange(r *reader, m *files.Change) {
+	switch r.number {
+	case 1:
+		m.Revision = r.number64()
+	case 2:
+		m.ID = r.text(maxName)
+	case 3:
+		m.Operator = r.text(maxName)
+	case 4:
+		m.At = r.time()
+	case 5:
+		m.Put = readElement(r, m.Put, maxFiles, readFile)
+	case 6:
+		if r.room(len(m.Remove), maxFiles) {
+			m.Remove = append(m.Remove, r.text(maxName))
 		}
 	}
-	return r.err
-}
-
-func readName(buf []byte, name *string) error {
-	if len(buf) > maxName {
-		return malformed("name has %d bytes, above %d", len(buf), maxName)
-	}
-	*name = string(buf)
-	return nil
 }
 
 func appendSet(buf []byte, m *files.Set) []byte {
@@ -132,17 +110,13 @@
 	return buf
 }
 
-func readSet(buf []byte, m *files.Set) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Revision = r.number64()
-		case 2:
-			m.Files = readElement(&r, m.Files, maxFiles, readFile)
-		}
+func readSet(r *reader, m *files.Set) {
+	switch r.number {
+	case 1:
+		m.Revision = r.number64()
+	case 2:
+		m.Files = readElement(r, m.Files, maxFiles, readFile)
 	}
-	return r.err
 }
 
 func appendSeen(buf []byte, m *HeadSeen) []byte {
@@ -150,17 +124,13 @@
 	return putInt(buf, 2, int64(m.Age))
 }
 
-func readSeen(buf []byte, m *HeadSeen) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Revision = r.number64()
-		case 2:
-			m.Age = r.duration()
-		}
+func readSeen(r *reader, m *HeadSeen) {
+	switch r.number {
+	case 1:
+		m.Revision = r.number64()
+	case 2:
+		m.Age = r.duration()
 	}
-	return r.err
 }
 
 func appendExchange(buf []byte, m *Exchange) ([]byte, error) {
@@ -188,34 +158,30 @@
 	return putBool(buf, 10, m.More), nil
 }
 
-func readExchange(buf []byte, m *Exchange) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			readNested(&r, &m.From, readRecord)
-		case 2:
-			readNested(&r, &m.Seen, readSeen)
-		case 3:
-			m.InForce = r.number64()
-		case 4:
-			readNested(&r, &m.Digests, readDigests)
-		case 5:
-			m.Members = readElement(&r, m.Members, maxMembers, readRecord)
-		case 6:
-			m.Changes = readElement(&r, m.Changes, maxChanges, readChange)
-		case 7:
-			m.Snapshot = new(files.Set)
-			readNested(&r, m.Snapshot, readSet)
-		case 8:
-			m.Since = r.number64()
-		case 9:
-			m.Want = r.boolean()
-		case 10:
-			m.More = r.boolean()
-		}
+func readExchange(r *reader, m *Exchange) {
+	switch r.number {
+	case 1:
+		readNested(r, &m.From, readRecord)
+	case 2:
+		readNested(r, &m.Seen, readSeen)
+	case 3:
+		m.InForce = r.number64()
+	case 4:
+		m.Digests = r.digests()
+	case 5:
+		m.Members = readElement(r, m.Members, maxMembers, readRecord)
+	case 6:
+		m.Changes = readElement(r, m.Changes, maxChanges, readChange)
+	case 7:
+		m.Snapshot = new(files.Set)
+		readNested(r, m.Snapshot, readSet)
+	case 8:
+		m.Since = r.number64()
+	case 9:
+		m.Want = r.boolean()
+	case 10:
+		m.More = r.boolean()
 	}
-	return r.err
 }
 
 // appendDigests writes fixed-size numbers, because digests are evenly distributed and longer as varints.
@@ -226,19 +192,21 @@
 	return buf
 }
 
-func readDigests(buf []byte, digests *[]uint64) error {
+func (r *reader) digests() []uint64 {
 	const size = 8
+	buf := r.section(MaxFrame)
 	if len(buf)%size != 0 || len(buf) > maxDigests*size {
-		return malformed("digests of %d bytes", len(buf))
+		r.err = malformed("digests of %d bytes", len(buf))
+		return nil
 	}
 	if len(buf) == 0 {
 		return nil
 	}
-	*digests = make([]uint64, 0, len(buf)/size)
+	digests := make([]uint64, 0, len(buf)/size)
 	for len(buf) > 0 {
 		digest, _ := protowire.ConsumeFixed64(buf)
-		*digests = append(*digests, digest)
+		digests = append(digests, digest)
 		buf = buf[size:]
 	}
-	return nil
+	return digests
 }
--- a/internal/wire/proto/frame.go
+++ b/internal/wire/proto/frame.go
@@ -52,28 +52,23 @@
 	return nil
 }
 
-func readHead(buf []byte, m *Head) error {
-	m.ContentLength = -1
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			readNested(&r, &m.ID, readAttempt)
-		case 2:
-			m.Service = r.text(maxName)
-		case 3:
-			m.Method = r.text(maxMethod)
-		case 4:
-			m.Target = r.text(MaxTarget)
-		case 5:
-			m.Host = r.text(maxHost)
-		case 6:
-			m.Header = r.header()
-		default:
-			readHeadNumbers(&r, m)
-		}
+func readHead(r *reader, m *Head) {
+	switch r.number {
+	case 1:
+		readNested(r, &m.ID, readAttempt)
+	case 2:
+		m.Service = r.text(maxName)
+	case 3:
+		m.Method = r.text(maxMethod)
+	case 4:
+		m.Target = r.text(MaxTarget)
+	case 5:
+		m.Host = r.text(maxHost)
+	case 6:
+		m.Header = r.header()
+	default:
+		readHeadNumbers(r, m)
 	}
-	return r.err
 }
 
 func readHeadNumbers(r *reader, m *Head) {
@@ -116,19 +111,15 @@
 	return putUint(buf, 3, uint64(m.Attempt))
 }
 
-func readAttempt(buf []byte, m *ident.AttemptID) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Request.Router = ident.Incarnation(r.number64())
-		case 2:
-			m.Request.Seq = r.number64()
-		case 3:
-			m.Attempt = uint32(r.uint(math.MaxUint32))
-		}
+func readAttempt(r *reader, m *ident.AttemptID) {
+	switch r.number {
+	case 1:
+		m.Request.Router = ident.Incarnation(r.number64())
+	case 2:
+		m.Request.Seq = r.number64()
+	case 3:
+		m.Attempt = uint32(r.uint(math.MaxUint32))
 	}
-	return r.err
 }
 
 func appendPiece(buf []byte, m *Piece) ([]byte, error) {
@@ -144,19 +135,15 @@
 	return putBytes(buf, 3, m.Data), nil
 }
 
-func readPiece(buf []byte, m *Piece) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.End = r.boolean()
-		case 2:
-			m.Trailer = r.header()
-		case 3:
-			m.Data = r.bytes(MaxPiece)
-		}
+func readPiece(r *reader, m *Piece) {
+	switch r.number {
+	case 1:
+		m.End = r.boolean()
+	case 2:
+		m.Trailer = r.header()
+	case 3:
+		m.Data = r.bytes(MaxPiece)
 	}
-	return r.err
 }
 
 func appendAck(buf []byte, m *Ack) []byte {
@@ -167,23 +154,19 @@
 	return putNested(buf, 5, &m.Report, appendReport)
 }
 
-func readAck(buf []byte, m *Ack) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Verdict = Verdict(r.uint(uint64(Refused)))
-		case 2:
-			m.Code = r.code()
-		case 3:
-			m.Detail = r.text(maxDetail)
-		case 4:
-			m.Retry = r.duration()
-		case 5:
-			readNested(&r, &m.Report, readReport)
-		}
+func readAck(r *reader, m *Ack) {
+	switch r.number {
+	case 1:
+		m.Verdict = Verdict(r.uint(uint64(Refused)))
+	case 2:
+		m.Code = r.code()
+	case 3:
+		m.Detail = r.text(maxDetail)
+	case 4:
+		m.Retry = r.duration()
+	case 5:
+		readNested(r, &m.Report, readReport)
 	}
-	return r.err
 }
 
 // shortDetail cuts a text for people; a long one must not make the message fail.
@@ -204,34 +187,29 @@
 	return putBytes(buf, 6, m.Body), nil
 }
 
-func readFrameAnswer(buf []byte, m *Answer) error {
-	return readAnswer(buf, m, MaxPiece)
+func readFrameAnswer(r *reader, m *Answer) {
+	readAnswer(r, m, MaxPiece)
 }
 
-func readHeldAnswer(buf []byte, m *Answer) error {
-	return readAnswer(buf, m, MaxHeld)
+func readHeldAnswer(r *reader, m *Answer) {
+	readAnswer(r, m, MaxHeld)
 }
 
-func readAnswer(buf []byte, m *Answer, limit int) error {
-	m.ContentLength = -1
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Status = r.count()
-		case 2:
-			m.Header = r.header()
-		case 3:
-			m.ContentLength = r.length()
-		case 4:
-			readNested(&r, &m.Report, readReport)
-		case 5:
-			m.End = r.boolean()
-		case 6:
-			m.Body = r.bytes(limit)
-		}
+func readAnswer(r *reader, m *Answer, limit int) {
+	switch r.number {
+	case 1:
+		m.Status = r.count()
+	case 2:
+		m.Header = r.header()
+	case 3:
+		m.ContentLength = r.length()
+	case 4:
+		readNested(r, &m.Report, readReport)
+	case 5:
+		m.End = r.boolean()
+	case 6:
+		m.Body = r.bytes(limit)
 	}
-	return r.err
 }
 
 func appendFailure(buf []byte, m *Failure) []byte {
@@ -241,19 +219,15 @@
 	return putNested(buf, 4, &m.Report, appendReport)
 }
 
-func readFailure(buf []byte, m *Failure) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Code = r.code()
-		case 2:
-			m.Outcome = code.Outcome(r.uint(uint64(code.NotRun)))
-		case 3:
-			m.Detail = r.text(maxDetail)
-		case 4:
-			readNested(&r, &m.Report, readReport)
-		}
+func readFailure(r *reader, m *Failure) {
+	switch r.number {
+	case 1:
+		m.Code = r.code()
+	case 2:
+		m.Outcome = code.Outcome(r.uint(uint64(code.NotRun)))
+	case 3:
+		m.Detail = r.text(maxDetail)
+	case 4:
+		readNested(r, &m.Report, readReport)
 	}
-	return r.err
 }
--- a/internal/wire/proto/header.go
+++ b/internal/wire/proto/header.go
@@ -73,7 +73,7 @@
 	}
 	names, values, err := countHeader(section)
 	if err != nil {
-		r.adopt(err)
+		r.err = err
 		return nil
 	}
 	if values == 0 {
--- a/internal/wire/proto/report.go
+++ b/internal/wire/proto/report.go
@@ -24,20 +24,14 @@
 // DecodeReport reads the content of a datagram.
 func DecodeReport(buf []byte) (Report, error) {
 	var m Report
-	version := uint64(0)
-	r := reader{rest: buf}
-	for r.next() {
-		if r.number == datagramVersion {
-			version = r.number64()
-		}
-	}
-	if r.err != nil {
-		return Report{}, r.err
+	var version uint64
+	if err := decode(buf, &version, readVersion); err != nil {
+		return Report{}, err
 	}
 	if version != Version {
 		return Report{}, code.NotRunf(code.VersionMismatch, "report of version %d, want %d", version, Version)
 	}
-	err := readReport(buf, &m)
+	err := decode(buf, &m, readReport)
 	if err == nil && !m.Server.IsValid() {
 		err = malformed("report without a server")
 	}
@@ -47,29 +41,31 @@
 // datagramVersion is the field of the protocol's version in a datagram.
 const datagramVersion fieldNumber = 100
 
-func readReport(buf []byte, m *Report) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Server = r.address()
-		case 2:
-			m.InFlight = r.count()
-		case 3:
-			m.Queued = r.count()
-		case 4:
-			m.Limit = r.count()
-		case 5:
-			m.Latency = r.duration()
-		case 6:
-			m.Warming = r.boolean()
-		case 7:
-			m.Refusing = r.code()
-		case 8:
-			m.Pace = r.count()
-		}
+func readVersion(r *reader, version *uint64) {
+	if r.number == datagramVersion {
+		*version = r.number64()
+	}
+}
+
+func readReport(r *reader, m *Report) {
+	switch r.number {
+	case 1:
+		m.Server = r.address()
+	case 2:
+		m.InFlight = r.count()
+	case 3:
+		m.Queued = r.count()
+	case 4:
+		m.Limit = r.count()
+	case 5:
+		m.Latency = r.duration()
+	case 6:
+		m.Warming = r.boolean()
+	case 7:
+		m.Refusing = r.code()
+	case 8:
+		m.Pace = r.count()
 	}
-	return r.err
 }
 
 func appendResolve(buf []byte, m *Resolve) []byte {
@@ -80,23 +76,19 @@
 	return putBool(buf, 5, m.Done)
 }
 
-func readResolve(buf []byte, m *Resolve) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			readNested(&r, &m.ID, readAttempt)
-		case 2:
-			m.Conn = r.number64()
-		case 3:
-			m.Incarnation = ident.Incarnation(r.number64())
-		case 4:
-			m.Elapsed = r.duration()
-		case 5:
-			m.Done = r.boolean()
-		}
+func readResolve(r *reader, m *Resolve) {
+	switch r.number {
+	case 1:
+		readNested(r, &m.ID, readAttempt)
+	case 2:
+		m.Conn = r.number64()
+	case 3:
+		m.Incarnation = ident.Incarnation(r.number64())
+	case 4:
+		m.Elapsed = r.duration()
+	case 5:
+		m.Done = r.boolean()
 	}
-	return r.err
 }
 
 func appendResolution(buf []byte, m *Resolution) ([]byte, error) {
@@ -118,33 +110,25 @@
 	return putBytes(buf, 4, answer), nil
 }
 
-func readResolution(buf []byte, m *Resolution) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.State = ResolveState(r.uint(uint64(StateFinished)))
-		case 2:
-			readNested(&r, &m.Report, readReport)
-		case 3:
-			m.Failure = new(Failure)
-			readNested(&r, m.Failure, readFailure)
-		case 4:
-			m.Answer = new(Answer)
-			readNested(&r, m.Answer, readHeldAnswer)
-		}
+func readResolution(r *reader, m *Resolution) {
+	switch r.number {
+	case 1:
+		m.State = ResolveState(r.uint(uint64(StateFinished)))
+	case 2:
+		readNested(r, &m.Report, readReport)
+	case 3:
+		m.Failure = new(Failure)
+		readNested(r, m.Failure, readFailure)
+	case 4:
+		m.Answer = &Answer{ContentLength: -1}
+		readNested(r, m.Answer, readHeldAnswer)
 	}
-	return r.err
 }
 
-func readProbe(buf []byte, m *Probe) error {
-	r := reader{rest: buf}
-	for r.next() {
-		if r.number == 1 {
-			m.Service = r.text(maxName)
-		}
+func readProbe(r *reader, m *Probe) {
+	if r.number == 1 {
+		m.Service = r.text(maxName)
 	}
-	return r.err
 }
 
 func appendProbeReply(buf []byte, m *ProbeReply) []byte {
@@ -153,17 +137,13 @@
 	return putNested(buf, 3, &m.Report, appendReport)
 }
 
-func readProbeReply(buf []byte, m *ProbeReply) error {
-	r := reader{rest: buf}
-	for r.next() {
-		switch r.number {
-		case 1:
-			m.Code = r.code()
-		case 2:
-			m.Next = r.duration()
-		case 3:
-			readNested(&r, &m.Report, readReport)
-		}
+func readProbeReply(r *reader, m *ProbeReply) {
+	switch r.number {
+	case 1:
+		m.Code = r.code()
+	case 2:
+		m.Next = r.duration()
+	case 3:
+		readNested(r, &m.Report, readReport)
 	}
-	return r.err
 }
--- a/internal/wire/proto/wire.go
+++ b/internal/wire/proto/wire.go
@@ -223,39 +223,56 @@
 }
 
 func (r *reader) time() time.Time {
-	inner := reader{rest: r.section(MaxFrame)}
-	var seconds, nanoseconds int64
-	for inner.next() {
-		switch inner.number {
-		case 1:
-			seconds = inner.signed()
-		case 2:
-			nanoseconds = int64(inner.uint(uint64(time.Second) - 1))
-		}
+	var m unixTime
+	readNested(r, &m, readTime)
+	return time.Unix(m.seconds, m.nanoseconds).UTC()
+}
+
+type unixTime struct {
+	seconds     int64
+	nanoseconds int64
+}
+
+func readTime(r *reader, m *unixTime) {
+	switch r.number {
+	case 1:
+		m.seconds = r.signed()
+	case 2:
+		m.nanoseconds = int64(r.uint(uint64(time.Second) - 1))
 	}
-	r.adopt(inner.err)
-	return time.Unix(seconds, nanoseconds).UTC()
 }
 
-// adopt takes over the error of a nested message.
-func (r *reader) adopt(err error) {
-	if r.err == nil {
-		r.err = err
+// decode reads the fields of a message, each by a call of read.
+func decode[T any](buf []byte, m *T, read func(*reader, *T)) error {
+	r := reader{rest: buf}
+	for r.next() {
+		read(&r, m)
 	}
+	return r.err
 }
 
 // readNested reads a message within a message.
-func readNested[T any](r *reader, into *T, read func([]byte, *T) error) {
-	data := r.section(MaxFrame)
-	if r.err == nil {
-		r.err = read(data, into)
+func readNested[T any](r *reader, into *T, read func(*reader, *T)) {
+	inner := r.section(MaxFrame)
+	outer := r.rest
+	r.rest = inner
+	for r.next() {
+		read(r, into)
 	}
+	r.rest = outer
 }
 
-// readElement reads an element of a list and bounds their count, because a short message may stand for a large struct.
-func readElement[T any](r *reader, list []T, limit int, read func([]byte, *T) error) []T {
-	if len(list) >= limit {
+// room bounds the count of a list's elements, because a short message may stand for a large struct.
+func (r *reader) room(count, limit int) bool {
+	if count >= limit {
 		r.err = malformed("field %d is repeated more than %d times", r.number, limit)
+	}
+	return r.err == nil
+}
+
+// readElement reads an element of a list.
+func readElement[T any](r *reader, list []T, limit int, read func(*reader, *T)) []T {
+	if !r.room(len(list), limit) {
 		return list
 	}
 	var element T
