--- a/internal/cli/cmds/daemon.go
+++ b/internal/cli/cmds/daemon.go
@@ -44,7 +44,6 @@
 
 func newDaemon() *cobra.Command {
 	var file string
-	var check bool
 	cmd := &cobra.Command{
 		Use:   "daemon --settings FILE",
 		Short: "Run the daemon beside a server",
@@ -53,7 +52,7 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			settings, err := opts.Load(file)
-			if err != nil || check {
+			if err != nil {
 				return err
 			}
 			daemon.SetMemory()
@@ -71,7 +70,6 @@
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file, see docs/settings.md; default $"+settingsVariable)
-	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	if os.Getenv(settingsVariable) == "" {
 		_ = cmd.MarkFlagRequired("settings") // the flag exists
 	}
--- a/internal/cli/cmds/remove.go
+++ b/internal/cli/cmds/remove.go
@@ -1,27 +1,16 @@
 package cmds
 
 import (
+	"context"
+
 	"github.com/spf13/cobra"
+
+	"marigoldwinch.example/marigoldwinch/internal/conf/change"
 )
 
 func newRemove() *cobra.Command {
-	var p platform
-	cmd := &cobra.Command{
-		Use:   "remove NAME...",
-		Short: "Remove files from the configuration folder",
-		Args:  cobra.MinimumNArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			writer, err := p.writer(cmd.ErrOrStderr(), true)
-			if err != nil {
-				return err
-			}
-			result, err := writer.Remove(cmd.Context(), args, p.changes)
-			if err != nil {
-				return err
-			}
-			return p.writeResult(cmd.OutOrStdout(), result)
-		},
-	}
-	p.addWrite(cmd)
-	return cmd
+	return newChange("remove NAME...", "Remove files from the configuration folder", cobra.MinimumNArgs(1),
+		func(ctx context.Context, writer *change.Writer, args []string, options change.Options) (change.Result, error) {
+			return writer.Remove(ctx, args, options)
+		})
 }
--- a/internal/cli/cmds/server.go
+++ b/internal/cli/cmds/server.go
@@ -1,10 +1,12 @@
 package cmds
 
 import (
+	"context"
 	"net/netip"
 
 	"github.com/spf13/cobra"
 
+	"marigoldwinch.example/marigoldwinch/internal/conf/change"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 )
 
@@ -18,27 +20,12 @@
 }
 
 func newServerState(use, short string, state config.ServerState) *cobra.Command {
-	var p platform
-	cmd := &cobra.Command{
-		Use:   use,
-		Short: short,
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
+	return newChange(use, short, cobra.ExactArgs(1),
+		func(ctx context.Context, writer *change.Writer, args []string, options change.Options) (change.Result, error) {
 			address, err := netip.ParseAddrPort(args[0])
 			if err != nil {
-				return usagef("address %q: want IP:PORT of the server's daemon", args[0])
+				return change.Result{}, usagef("address %q: want IP:PORT of the server's daemon", args[0])
 			}
-			writer, err := p.writer(cmd.ErrOrStderr(), true)
-			if err != nil {
-				return err
-			}
-			result, err := writer.Server(cmd.Context(), address, state, p.changes)
-			if err != nil {
-				return err
-			}
-			return p.writeResult(cmd.OutOrStdout(), result)
-		},
-	}
-	p.addWrite(cmd)
-	return cmd
+			return writer.Server(ctx, address, state, options)
+		})
 }
--- a/internal/cli/cmds/zone.go
+++ b/internal/cli/cmds/zone.go
@@ -1,8 +1,11 @@
 package cmds
 
 import (
+	"context"
+
 	"github.com/spf13/cobra"
 
+	"marigoldwinch.example/marigoldwinch/internal/conf/change"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 )
 
@@ -16,23 +19,8 @@
 }
 
 func newZoneState(use, short string, state config.ZoneState) *cobra.Command {
-	var p platform
-	cmd := &cobra.Command{
-		Use:   use,
-		Short: short,
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			writer, err := p.writer(cmd.ErrOrStderr(), true)
-			if err != nil {
-				return err
-			}
-			result, err := writer.Zone(cmd.Context(), args[0], state, p.changes)
-			if err != nil {
-				return err
-			}
-			return p.writeResult(cmd.OutOrStdout(), result)
-		},
-	}
-	p.addWrite(cmd)
-	return cmd
+	return newChange(use, short, cobra.ExactArgs(1),
+		func(ctx context.Context, writer *change.Writer, args []string, options change.Options) (change.Result, error) {
+			return writer.Zone(ctx, args[0], state, options)
+		})
 }
