Add a soak: random faults from outside against real processes

bench/proc had scripted kills, pauses and outages, one kind a test. Half of the callers keep their connections until the process is gone. While it runs it looks for requests that ran twice; at the end it checks outcomes, revisions, held connections, readiness and that everything is served again.

Relays need a daemon that listens elsewhere than where it is reached, so that the setting daemons-at is new.

Steps of the time of day and killed servers are not played.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Exact names of known failures, so that the verdict of the others stays visible.
 KNOWN_RED = $(shell sed -n 's/^test: \([A-Za-z0-9_]*\).*/^\1$$/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
-.PHONY: build run test lint format generate bench
+.PHONY: build run test soak lint format generate bench
 
 build:
 	go build -o bin/marigoldwinch .
@@ -31,6 +31,17 @@
 	cd $(WHOLE) && $(CURDIR)/bin/whole.test -test.list . | grep '^Test' | xargs -P $(WHOLE_PROCESSES) -I {} \
 		$(CURDIR)/bench/one.sh $(CURDIR)/bin/whole.test {} -test.cpu 1 -test.timeout $(WHOLE_TIMEOUT) -test.skip '$(KNOWN_RED)'
 
+# Faults of random kinds against real processes: make soak SEEDS=50 FIRST=1. A seed that fails goes into internal/bench/proc/testdata/soak.
+SEEDS = 10
+FIRST = 1
+SOAK_PROCESSES = 3
+
+soak: build
+	go test -race -c -o bin/soak.test ./internal/bench/proc
+	cd internal/bench/proc && seq $(FIRST) $$(($(FIRST) + $(SEEDS) - 1)) | MARIGOLDWINCH_BINARY=$(CURDIR)/bin/marigoldwinch \
+		xargs -P $(SOAK_PROCESSES) -I {} env SOAK_SEEDS=1 SOAK_FIRST={} LABEL="seed {}" $(CURDIR)/bench/one.sh $(CURDIR)/bin/soak.test TestProc \
+		-ginkgo.focus 'a soak' -ginkgo.no-color
+
 lint:
 	$(TOOL) golangci-lint run ./...
 
--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -47,6 +47,10 @@
 			func(s *Settings, v string) error { return setAddress(&s.Callers, v) }),
 		required("listen", "daemons", "IP:PORT", "address for other daemons; it identifies this daemon",
 			func(s *Settings, v string) error { return setAddress(&s.Daemons, v) }),
+		optional("listen", "daemons-at", "", "IP:PORT", "address to listen on in place of daemons, when a forwarder stands between",
+			func(s *Settings, v string) error {
+				return setOptional(v, func() error { return setAddress(&s.ForwardedTo, v) })
+			}),
 		required("listen", "admin", "IP:PORT", "address of the administration API; loopback unless admin-token-file is set",
 			func(s *Settings, v string) error { return setAddress(&s.Admin, v) }),
 		optional("listen", "admin-token-file", "", "path", "file whose first line is the administration token",
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -19,9 +19,12 @@
 	Daemons   netip.AddrPort // where other daemons connect; identifies this daemon
 	Admin     netip.AddrPort // administration API; needs AdminToken when it is not loopback
 	AdminFile string         // file with the administration token; empty for none
-	CheckIns  netip.AddrPort // where the own server checks in; not valid when it does not
-	Metrics   netip.AddrPort // where metrics are read without a token; not valid when only the administration API has them
-	Ready     netip.AddrPort // where the platform asks whether the daemon takes callers; not valid when it does not
+	// ForwardedTo is where connections to Daemons arrive when a forwarder stands between; not valid without one.
+	ForwardedTo netip.AddrPort
+
+	CheckIns netip.AddrPort // where the own server checks in; not valid when it does not
+	Metrics  netip.AddrPort // where metrics are read without a token; not valid when only the administration API has them
+	Ready    netip.AddrPort // where the platform asks whether the daemon takes callers; not valid when it does not
 
 	Server             netip.AddrPort // the server beside the daemon
 	HealthPath         string
@@ -57,6 +60,14 @@
 	LogLevel slog.Level
 }
 
+// Accepting is the address at which connections of other daemons arrive.
+func (s *Settings) Accepting() netip.AddrPort {
+	if s.ForwardedTo.IsValid() {
+		return s.ForwardedTo
+	}
+	return s.Daemons
+}
+
 // equal compares two settings.
 func (s *Settings) equal(other *Settings) bool {
 	return reflect.DeepEqual(s, other)
--- a/internal/bench/proc/caller.go
+++ b/internal/bench/proc/caller.go
@@ -39,6 +39,10 @@
 // request outlives the end of its context, so that a run of the load generator can be ended without cutting requests.
 type Callers struct {
 	Known []netip.AddrPort // callers' addresses to ask for the list
+	// Keep lets connections be used again. Requests must then have no Idempotency-Key, see callerTransport.
+	Keep bool
+
+	kept http.Transport
 
 	mu     sync.Mutex // guards the fields below
 	listed []netip.AddrPort
@@ -130,6 +134,14 @@
 	again := request.Clone(ctx)
 	again.URL.Host = daemon.String()
 	again.Host = ""
+	if c.Keep {
+		// Without GetBody, Go's transport sends nothing again on another connection.
+		if again.Body == nil {
+			again.Body = io.NopCloser(http.NoBody)
+		}
+		again.GetBody = nil
+		return c.kept.RoundTrip(again)
+	}
 	if request.GetBody != nil {
 		body, err := request.GetBody()
 		if err != nil {
--- a/internal/bench/proc/change_test.go
+++ b/internal/bench/proc/change_test.go
@@ -233,12 +233,13 @@
 
 	mu       sync.Mutex // guards the fields below
 	current  map[string]uint64
+	lifetime map[string]int // number of starts of the daemon
 	reverted []string
 }
 
 func watchRevisions(ctx context.Context, fleet *proc.Fleet) *revisionWatch {
 	watching, cancel := context.WithCancel(ctx)
-	w := &revisionWatch{cancel: cancel, current: map[string]uint64{}}
+	w := &revisionWatch{cancel: cancel, current: map[string]uint64{}, lifetime: map[string]int{}}
 	for _, node := range fleet.Nodes {
 		w.current[node.Daemon.Name] = 0
 	}
@@ -251,16 +252,34 @@
 
 func (w *revisionWatch) follow(ctx context.Context, node *proc.Node) {
 	for ctx.Err() == nil {
+		lifetime := w.lifetimeOf(node.Daemon.Name)
 		if revision, err := node.Revision(ctx); err == nil {
-			w.see(node.Daemon.Name, revision)
+			w.see(node.Daemon.Name, lifetime, revision)
 		}
 		pause(ctx, pollInterval)
 	}
 }
 
-func (w *revisionWatch) see(name string, revision uint64) {
+func (w *revisionWatch) lifetimeOf(name string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.lifetime[name]
+}
+
+// restarted begins a new lifetime of a daemon, which may have to learn its configuration again.
+func (w *revisionWatch) restarted(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lifetime[name]++
+	w.current[name] = 0
+}
+
+func (w *revisionWatch) see(name string, lifetime int, revision uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if lifetime != w.lifetime[name] {
+		return
+	}
 	if revision < w.current[name] {
 		w.reverted = append(w.reverted, fmt.Sprintf("%s from %d to %d", name, w.current[name], revision))
 		return
--- a/internal/bench/proc/fleet.go
+++ b/internal/bench/proc/fleet.go
@@ -25,6 +25,8 @@
 	daemonsPort  = 11000
 	adminPort    = 12000
 	serverPort   = 13000
+	forwardPort  = 14000 // where a daemon behind a relay accepts other daemons
+	linkPort     = 15000 // relay between a daemon and its server
 )
 
 const (
@@ -35,6 +37,9 @@
 	tailLines       = 40
 )
 
+// StopTimeout bounds the requests in flight of a daemon that stops.
+const StopTimeout = 10 * time.Second
+
 // Place is where a node stands.
 type Place struct {
 	Service string
@@ -50,6 +55,8 @@
 	Server  netip.AddrPort
 	Daemon  *Process
 	Backend *Process // nil when the fleet has Serve
+	Front   *Relay   // passes connections of other daemons on; nil unless the fleet has Relays
+	Link    *Relay   // between the daemon and its server; nil unless the fleet has Relays
 }
 
 // Fleet is a system of processes. Set the exported fields before Start.
@@ -61,6 +68,8 @@
 	ServiceTime time.Duration     // mean of the servers; unused with Serve
 	Serve       func(*Node) error // runs the server of a node; nil for a process for each
 	LogLevel    string
+	Reports     time.Duration // between load reports of a daemon; 0: daemons probe
+	Relays      bool          // a relay in front of each daemon, and one in front of each server
 
 	Nodes    []*Node
 	Platform *Process
@@ -131,6 +140,15 @@
 		Admin:   netip.AddrPortFrom(f.ip, adminPort+number),
 		Server:  netip.AddrPortFrom(f.ip, serverPort+number),
 	}
+	if f.Relays {
+		node.Front = &Relay{Listen: node.Daemons, To: netip.AddrPortFrom(f.ip, forwardPort+number)}
+		node.Link = &Relay{Listen: netip.AddrPortFrom(f.ip, linkPort+number), To: node.Server}
+		for _, relay := range []*Relay{node.Front, node.Link} {
+			if err := relay.Start(); err != nil {
+				return nil, err
+			}
+		}
+	}
 	name := fmt.Sprintf("%s-%s-%d", place.Service, place.Zone, number)
 	settings, err := f.Write(name+".settings", f.settings(node))
 	if err != nil {
@@ -151,11 +169,21 @@
 	for _, seed := range f.Nodes[:min(2, len(f.Nodes))] {
 		seeds = append(seeds, seed.Daemons.String())
 	}
-	text := fmt.Sprintf("[daemon]\nservice = %s\nzone = %s\n[listen]\ncallers = %s\ndaemons = %s\nadmin = %s\n"+
-		"[server]\naddress = %s\n[platform]\ntable = %s\nobjects = %s\n[stop]\ngrace = %s\ntimeout = 10s\n",
-		node.Service, node.Zone, node.Callers, node.Daemons, node.Admin, node.Server, f.Relay.Listen, f.Relay.Listen, defaultGrace)
+	server := node.Server
+	if node.Link != nil {
+		server = node.Link.Listen
+	}
+	text := fmt.Sprintf("[daemon]\nservice = %s\nzone = %s\n"+
+		"[server]\naddress = %s\n[platform]\ntable = %s\nobjects = %s\n[stop]\ngrace = %s\ntimeout = %s\n"+
+		"[listen]\ncallers = %s\ndaemons = %s\nadmin = %s\n",
+		node.Service, node.Zone, server, f.Relay.Listen, f.Relay.Listen, defaultGrace, StopTimeout,
+		node.Callers, node.Daemons, node.Admin)
+	if node.Front != nil {
+		text += "daemons-at = " + node.Front.To.String() + "\n"
+	}
+	text += "[fleet]\nreport-interval = " + f.Reports.String() + "\n"
 	if len(seeds) > 0 {
-		text += "[fleet]\nseeds = " + strings.Join(seeds, ", ") + "\n"
+		text += "seeds = " + strings.Join(seeds, ", ") + "\n"
 	}
 	if f.LogLevel != "" {
 		text += "[log]\nlevel = " + f.LogLevel + "\n"
@@ -204,8 +232,8 @@
 	for _, process := range f.processes() {
 		process.Kill()
 	}
-	if f.Relay != nil {
-		f.Relay.Refuse()
+	for _, relay := range f.relays() {
+		relay.Refuse()
 	}
 }
 
@@ -218,6 +246,19 @@
 	return text.String()
 }
 
+func (f *Fleet) relays() []*Relay {
+	var all []*Relay
+	if f.Relay != nil {
+		all = append(all, f.Relay)
+	}
+	for _, node := range f.Nodes {
+		if f.Relays {
+			all = append(all, node.Front, node.Link)
+		}
+	}
+	return all
+}
+
 func (f *Fleet) processes() []*Process {
 	var all []*Process
 	for _, node := range f.Nodes {
--- a/internal/bench/proc/proc_suite_test.go
+++ b/internal/bench/proc/proc_suite_test.go
@@ -64,9 +64,16 @@
 
 // startFleet starts a fleet that ends with the spec, and shows its logs when the spec fails.
 func startFleet(ctx context.Context, content string, places []proc.Place) *proc.Fleet {
-	fleet := &proc.Fleet{
-		Binary: binary, Dir: GinkgoT().TempDir(), Folder: content, Places: places, ServiceTime: serviceTime,
-	}
+	fleet := newFleet(content, places)
+	startNew(ctx, fleet)
+	return fleet
+}
+
+func newFleet(content string, places []proc.Place) *proc.Fleet {
+	return &proc.Fleet{Binary: binary, Dir: GinkgoT().TempDir(), Folder: content, Places: places, ServiceTime: serviceTime}
+}
+
+func startNew(ctx context.Context, fleet *proc.Fleet) {
 	DeferCleanup(func() {
 		if CurrentSpecReport().Failed() {
 			GinkgoWriter.Println(fleet.Logs())
@@ -76,5 +83,4 @@
 	starting, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	Expect(fleet.Start(starting)).To(Succeed())
-	return fleet
 }
--- a/internal/bench/proc/relay.go
+++ b/internal/bench/proc/relay.go
@@ -6,18 +6,30 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
 const relayBuffer = 32 << 10
 
-// Relay passes TCP connections on, until it is told to be silent or to refuse. Set the exported fields before Start.
+// Direction is one way through a relay.
+type Direction int
+
+// The directions of a relay.
+const (
+	Forth Direction = iota // to the process behind the relay
+	Back
+	directions
+)
+
+// Relay passes TCP connections on, with faults on request. Set the exported fields before Start.
 type Relay struct {
 	Listen netip.AddrPort
 	To     netip.AddrPort
 
-	silent atomic.Bool
+	silent [directions]atomic.Bool
+	delay  atomic.Int64 // time.Duration of each piece of data
 
 	mu       sync.Mutex // guards the fields below
 	listener net.Listener
@@ -38,10 +50,32 @@
 	return nil
 }
 
-// Silence makes the relay drop all data while connections stay open. Connections that were used meanwhile stay silent
-// for ever, like those that a device on the path has forgotten.
-func (r *Relay) Silence(silent bool) {
-	r.silent.Store(silent)
+// Silence makes the relay drop all data of the given directions while connections stay open, or end that. Connections that were
+// used meanwhile stay silent for ever, like those that a device on the path has forgotten.
+func (r *Relay) Silence(silent bool, ways ...Direction) {
+	if len(ways) == 0 {
+		ways = []Direction{Forth, Back}
+	}
+	for _, way := range ways {
+		r.silent[way].Store(silent)
+	}
+}
+
+// Delay holds every piece of data back for a time.
+func (r *Relay) Delay(delay time.Duration) {
+	r.delay.Store(int64(delay))
+}
+
+// Reset ends every connection with a reset. New ones are accepted.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.open {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only on a closed connection
+		}
+		_ = conn.Close()
+	}
 }
 
 // Refuse closes every connection and refuses new ones until Start.
@@ -79,8 +113,8 @@
 	}
 	lost := &atomic.Bool{}
 	both := sync.WaitGroup{}
-	both.Go(func() { r.copy(far, near, lost) })
-	both.Go(func() { r.copy(near, far, lost) })
+	both.Go(func() { r.copy(far, near, Forth, lost) })
+	both.Go(func() { r.copy(near, far, Back, lost) })
 	both.Wait()
 	r.mu.Lock()
 	delete(r.open, near)
@@ -103,7 +137,7 @@
 }
 
 // copy passes data on in one direction. After the first loss the pair of connections passes nothing any more.
-func (r *Relay) copy(to, from net.Conn, lost *atomic.Bool) {
+func (r *Relay) copy(to, from net.Conn, way Direction, lost *atomic.Bool) {
 	defer to.Close()
 	buffer := make([]byte, relayBuffer)
 	for {
@@ -111,12 +145,13 @@
 		if err != nil {
 			return
 		}
-		if r.silent.Load() {
+		if r.silent[way].Load() {
 			lost.Store(true)
 		}
 		if lost.Load() {
 			continue
 		}
+		time.Sleep(time.Duration(r.delay.Load()))
 		if _, err := to.Write(buffer[:read]); err != nil {
 			return
 		}
--- a/internal/bench/proc/traffic_test.go
+++ b/internal/bench/proc/traffic_test.go
@@ -41,7 +41,11 @@
 }
 
 func startTraffic(ctx context.Context, fleet *proc.Fleet) *traffic {
-	t := &traffic{callers: &proc.Callers{}, done: make(chan struct{})}
+	return startKinds(ctx, fleet, kinds, loadRate, false)
+}
+
+func startKinds(ctx context.Context, fleet *proc.Fleet, kinds []load.Kind, rate float64, keep bool) *traffic {
+	t := &traffic{callers: &proc.Callers{Keep: keep}, done: make(chan struct{})}
 	for _, node := range fleet.Nodes {
 		t.callers.Known = append(t.callers.Known, node.Callers)
 	}
@@ -50,7 +54,7 @@
 	t.stop = stop
 	go t.refresh(running)
 	plan := load.Plan{
-		Daemons: t.callers.Known, Rate: loadRate, Duration: loadLimit, Timeout: requestTimeout, Seed: 1, InFlight: 2000, Kinds: kinds,
+		Daemons: t.callers.Known, Rate: rate, Duration: loadLimit, Timeout: requestTimeout, Seed: 1, InFlight: 2000, Kinds: kinds,
 	}
 	run := &load.Run{Plan: plan, Client: &http.Client{Transport: t.callers}, Log: logr.Discard()}
 	go func() {
--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -89,7 +89,7 @@
 		address netip.AddrPort
 	}{
 		{&listeners.Callers, settings.Callers},
-		{&listeners.Daemons, settings.Daemons},
+		{&listeners.Daemons, settings.Accepting()},
 		{&listeners.Admin, settings.Admin},
 		{&listeners.CheckIns, settings.CheckIns},
 		{&listeners.Ready, settings.Ready},
