End a run only when its daemon is silent, and a stop before it is cut

A lookup that ran for 2.2 s was given up since one question about it got no reply in time, while reports of the same daemon were 12 ms old: the question was late on a link of 10 Mbit/s. The front waited for its requests twice at a stop, so that 3 to 11 processes were still there after 6 s and were killed. And an upload that came 0.2 s after SIGTERM was passed on though its deadline lay behind the end of the daemon.

--- a/internal/cli/daemon/administration.go
+++ b/internal/cli/daemon/administration.go
@@ -57,7 +57,7 @@
 			inForce := parts.Holder.Get()
 			return inForce == nil || !inForce.ZoneOut(record.Zone) && !inForce.Leaving(record.Address)
 		},
-		Stop:        settings.StopTimeout,
+		Stop:        lastFrames, // the planned stop has waited for the requests in flight
 		MaxHeader:   settings.CallerHeader,
 		HeaderBound: settings.HeaderTimeout,
 		MaxTimeout:  settings.MaxDeadline,
--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -17,6 +17,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
+	"marigoldwinch.example/marigoldwinch/internal/route/call"
 	"marigoldwinch.example/marigoldwinch/internal/route/claim"
 	"marigoldwinch.example/marigoldwinch/internal/route/front"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
@@ -45,6 +46,7 @@
 	Gate      *gate.Gate
 	Reports   *pool.Pool
 	Claims    *claim.Claims
+	Caller    *call.Caller
 	Front     *front.Front
 	Endpoint  *endpoint
 	Caster    *cast.Caster
@@ -84,6 +86,7 @@
 func plannedStop(ctx context.Context, parts startParts) error {
 	parts.State.stop()
 	parts.Front.LastRequests()
+	parts.Caller.StopBy(time.Now().Add(parts.Settings.StopGrace + parts.Settings.StopTimeout))
 	last := min(leaveGrace, parts.Settings.StopGrace)
 	wait(ctx, parts.Settings.StopGrace-last)
 	announcing, cancel := context.WithTimeout(ctx, leaveTimeout)
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -48,7 +48,8 @@
 	Log         logr.Logger
 
 	seq      atomic.Uint64
-	delays   sync.Map // service name to *delays
+	delays   sync.Map                  // service name to *delays
+	stopBy   atomic.Pointer[time.Time] // when requests are cut; nil unless the daemon stops
 	counters counters
 }
 
@@ -175,6 +176,12 @@
 	return response, nil
 }
 
+// StopBy tells that requests are cut at end. Uploads may take until their deadline, so that one with a later deadline is refused
+// while another daemon can take it; other requests end long before theirs.
+func (c *Caller) StopBy(end time.Time) {
+	c.stopBy.Store(&end)
+}
+
 // begin checks a request and derives what its attempts share.
 func (c *Caller) begin(ask *Request) (*request, error) {
 	conf := c.Config.Get()
@@ -204,7 +211,13 @@
 		began: now, deadline: now.Add(timeout), class: class, idempotent: idempotent, servers: servers,
 		body: newReplay(ask.Body, ask.ContentLength),
 	}
-	return r, r.nest()
+	if err := r.nest(); err != nil {
+		return nil, err
+	}
+	if end := c.stopBy.Load(); end != nil && r.class == ident.Upload && r.deadline.After(*end) {
+		return nil, code.NotRunf(code.Stopping, "this daemon stops before the request's deadline")
+	}
+	return r, nil
 }
 
 // nest takes over the context of the request on whose behalf this one is made.
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -72,7 +72,8 @@
 	return failure
 }
 
-// resolve asks until the request is no longer running, or its answer is lost in any case.
+// resolve asks until the request is no longer running, or its answer is lost in any case. For a request that may not run again it
+// goes on while the daemon's reports arrive: on a busy link, questions and replies are late.
 func (a *attempt) resolve(conn uint64) (*proto.Resolution, error) {
 	failures := 0
 	for {
@@ -81,7 +82,7 @@
 		switch {
 		case err != nil:
 			failures++
-			if failures >= a.resolveTries() {
+			if failures >= a.resolveTries() && (a.r.idempotent || !a.r.pool.Heard(a.sent.Server)) {
 				return nil, code.Unknownf(code.PeerUnreachable, "the connection failed and resolve got no reply").WithCause(err)
 			}
 			wait = resolveRetry
@@ -161,7 +162,11 @@
 		a.checkAgain(bound, 0)
 		return
 	}
-	if err != nil && failures+1 < a.resolveTries() {
+	tries := a.resolveTries()
+	if a.r.pool.Heard(a.sent.Server) {
+		tries = maxResolveTries // the daemon lives, so that the question may just be late on a busy link
+	}
+	if err != nil && failures+1 < tries {
 		a.checkAgain(bound, failures+1)
 		return
 	}
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -334,6 +334,15 @@
 	s.reports[oldest] = next
 }
 
+// Heard reports whether a report of the server has come lately, so that its daemon lives and its messages arrive.
+func (s *Service) Heard(server netip.AddrPort) bool {
+	now := s.pool.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.find(server)
+	return i >= 0 && now.Sub(s.reports[i].at) < MaxAge
+}
+
 // RoundTrip is the average time from sending an attempt to its ack, or 0 when none was measured.
 func (s *Service) RoundTrip(server netip.AddrPort) time.Duration {
 	s.mu.Lock()
