Ask the platform for the next change half a second after the last one

After a revision a daemon now waits 0.4 to 0.6 s before it asks again; the next answer tells everything since. A change that comes alone is known at once as before; one behind another is known 0.6 s later at the latest, of 2 s that it has.

Ruled out: fewer readers that pass changes on, which needs a role to move when a reader dies, while the gain is the same on series.

--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -18,6 +18,9 @@
 const (
 	sourceRetry    = 100 * time.Millisecond // after a first failure
 	maxSourceRetry = time.Second            // in a long outage; each try of 7,700 daemons is a read of the store
+	// sourcePause is the time after a revision until the source is asked again. A series of changes then costs each daemon one read
+	// for several of them.
+	sourcePause = 500 * time.Millisecond
 )
 
 // sourceLoop accepts each revision of the source. Peers may have delivered it before.
@@ -47,6 +50,9 @@
 		if err := w.Node.AcceptSet(set); err != nil && code.Of(err).Code != code.StaleRevision {
 			w.Log.Error(err, "revision-not-accepted", "revision", set.Revision)
 		}
+		if !sleep(ctx, gossip.Jitter(sourcePause, jitterShare)) {
+			return nil
+		}
 	}
 	return nil
 }
