Go on to another server when a daemon has no configuration yet

Such a refusal has not touched the server, so that it needs none; the four attempts of a request stay the bound.

Ruled out: the surviving daemons (the code was passed on from the restarted one). On the hosted platform nothing changes, where refusals of daemons were free already.

--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -75,9 +75,12 @@
 	return r.body.rewind() && (isUnsent(failure) || r.isFree(failure) || r.budget.Retry())
 }
 
-// isFree reports whether an attempt was refused by the daemon of a server that tells its load. The refusal has cost that
-// server nothing, and it names a better place by its report.
+// isFree reports whether an attempt was refused by a daemon that has no configuration yet, or by that of a server that tells its
+// load. The refusal has cost the server nothing, and it names a better place by its report.
 func (r *request) isFree(failure *code.Error) bool {
+	if failure.Code == code.NoConfiguration && failure.Outcome == code.NotRun {
+		return true
+	}
 	return r.service.ReportsLoad && failure.Outcome == code.NotRun && failure.Code != code.ServerShed && failure.Code != code.WrongServer
 }
 
