--- a/internal/admit/gate/arrival.go
+++ b/internal/admit/gate/arrival.go
@@ -13,7 +13,8 @@
 	// maxArriving bounds the bodies that arrive at once. On a link of 10 Mbit/s, four of 60 kB keep it busy for 0.2 s, which is
 	// what a request behind them waits.
 	maxArriving = 4
-	// maxCollected is the largest body that is collected before its request gets a slot.
+	// maxCollected is the largest body that is collected before its request gets a slot. What a daemon holds is bounded by it
+	// times the bodies that arrive, the queue and the slots.
 	maxCollected = 512 << 10
 	// collectedWait is how long a request whose body has arrived waits for a slot. Another server would have to be sent the body
 	// again.
@@ -41,16 +42,14 @@
 	defer g.arriving.Add(-1)
 	c.acknowledge(proto.Queued)
 	c.body.begin(c.stream, c.head)
-	done := make(chan error, 1)
+	done := make(chan *code.Error, 1)
 	go func() { done <- c.body.collect(c.head.ContentLength) }() // ends with the stream at the latest
 	timer := time.NewTimer(time.Until(c.deadline))
 	defer timer.Stop()
 	select {
-	case err := <-done:
-		if err != nil {
-			return code.NotRunf(code.Cancelled, "the body did not arrive").WithCause(err)
-		}
-		return nil
+	case refused := <-done:
+		c.collected = time.Now()
+		return refused
 	case <-timer.C:
 		return code.NotRunf(code.DeadlineExceeded, "the deadline passed while the body arrived")
 	}
--- a/internal/admit/gate/arrival_test.go
+++ b/internal/admit/gate/arrival_test.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"bytes"
+	"log/slog"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -47,6 +50,7 @@
 		r.Expect(ack.Verdict).To(Equal(proto.Queued), "the body may come")
 		r.Expect(r.running.Load()).To(BeZero())
 		r.Expect(r.Report().Queued).To(Equal(1), "routers see the body that arrives")
+		r.Expect(r.Dump().(Dump).Arriving).To(BeEquivalentTo(1))
 		r.Expect(r.backend.count("/upload")).To(BeZero())
 		r.calls.Wait()
 		r.Expect(r.backend.count("/upload")).To(Equal(1))
@@ -119,6 +123,49 @@
 	})
 }
 
+// Guards against a peer that fills the memory with a body longer than announced, and against one that reaches the server short.
+func TestBodyOfAnotherLengthDoesNotRun(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.service.ReportsLoad = true
+		r.warm()
+		for _, length := range []int64{arriveLength - 1, arriveLength + 1} {
+			s := r.upload(length)
+			r.arrive(s, 3*time.Millisecond)
+			r.calls.Wait()
+			r.Expect(s.refusal()).To(Equal([]any{code.BadRequest, code.NotRun}))
+		}
+		endless := r.upload(arriveLength)
+		taken := 0
+		for endless.ctx.Err() == nil {
+			select {
+			case endless.pieces <- &proto.Piece{Data: make([]byte, arriveLength/3)}:
+				taken++
+			case <-endless.ctx.Done():
+			}
+		}
+		r.calls.Wait()
+		r.Expect(taken).To(Equal(4), "pieces until the body is too long")
+		r.Expect(r.backend.count("/upload")).To(BeZero())
+	})
+}
+
+// Guards against a line that blames the queue for the time in which a body arrived.
+func TestSlowCallTellsTheTimeOfItsBody(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		var text bytes.Buffer
+		r.service.ReportsLoad = true
+		r.warm()
+		for range 20 { // until the usual time of an upload is known
+			r.arrive(r.upload(arriveLength), 3*time.Millisecond)
+			r.calls.Wait()
+		}
+		r.Decisions = &logs.Decisions{Log: logs.New(&text, slog.LevelInfo)}
+		r.arrive(r.upload(arriveLength), 300*time.Millisecond)
+		r.calls.Wait()
+		r.Expect(text.String()).To(And(ContainSubstring("event=call-slow"), ContainSubstring("body=300ms waited=0s at-server=10ms")))
+	})
+}
+
 // Guards against a stop that ends while a body arrives, and against one that is refused although it came in time.
 func TestDrainWaitsForArrivingBodies(t *testing.T) {
 	inBubble(t, func(r *rig) {
--- a/internal/admit/gate/body.go
+++ b/internal/admit/gate/body.go
@@ -6,14 +6,15 @@
 
 	"github.com/cockroachdb/errors"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
-// body is a request body read from the stream as the server takes it, so that at most one piece is held. It cannot be
-// rewound. Only the transport's goroutine reads it.
+// body is a request body read from the stream. One that is not collected is read as the server takes it, so that at most one piece
+// is held. It cannot be rewound. Only one goroutine reads it: that of collect, and then the transport's.
 type body struct {
 	stream   proto.Stream
-	piece    []byte
+	piece    []byte      // not yet read; the rest of a collected body
 	end      bool        // no piece follows the present one
 	complete atomic.Bool // the last piece has been received
 }
@@ -44,15 +45,18 @@
 	return n, nil
 }
 
-// collect reads the rest of the body, which has so many bytes.
-func (b *body) collect(length int64) error {
+// collect reads the rest of the body, which must have so many bytes. Its failures are those of a request that has not run.
+func (b *body) collect(length int64) *code.Error {
 	whole := append(make([]byte, 0, length), b.piece...)
-	for !b.end {
+	for !b.end && int64(len(whole)) <= length {
 		if err := b.next(); err != nil {
-			return err
+			return code.NotRunf(code.Cancelled, "the body did not arrive").WithCause(err)
 		}
 		whole = append(whole, b.piece...)
 	}
+	if int64(len(whole)) != length {
+		return code.NotRunf(code.BadRequest, "a body of %d bytes was announced with %d", len(whole), length)
+	}
 	b.piece = whole
 	return nil
 }
--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -30,24 +30,25 @@
 
 // call is one call in service. Only the goroutine of Call uses it, except for body and the methods that say so.
 type call struct {
-	gate     *Gate
-	peer     *proto.Peer
-	head     *proto.Head
-	stream   proto.Stream
-	deadline time.Time
-	arrived  time.Time // when its head came
-	granted  time.Time // when the call got its slot
-	entry    ledger.Entry
-	target   *url.URL // of head; set by check
-	body     body
-	attempt  server.Attempt
-	ticket   limit.Ticket
-	waiter   waiter
-	ack      proto.Ack
-	acked    bool      // by acknowledge
-	counted  bool      // in the calls of the gate
-	identity string    // that the server must have; set just before the run
-	values   [4]string // of the headers that the gate adds
+	gate      *Gate
+	peer      *proto.Peer
+	head      *proto.Head
+	stream    proto.Stream
+	deadline  time.Time
+	arrived   time.Time // when its head came
+	collected time.Time // when its body was there; arrived for one that is not collected
+	granted   time.Time // when the call got its slot
+	entry     ledger.Entry
+	target    *url.URL // of head; set by check
+	body      body
+	attempt   server.Attempt
+	ticket    limit.Ticket
+	waiter    waiter
+	ack       proto.Ack
+	acked     bool      // by acknowledge
+	counted   bool      // in the calls of the gate
+	identity  string    // that the server must have; set just before the run
+	values    [4]string // of the headers that the gate adds
 }
 
 // Call implements proto.CallHandler.
@@ -55,7 +56,9 @@
 	received := time.Now()
 	g.prepare()
 	excess := peer.Transit(head.SentAt, received.Sub(epoch))
-	c := &call{gate: g, peer: peer, head: head, stream: stream, arrived: received, deadline: received.Add(head.Remaining - excess)}
+	c := &call{
+		gate: g, peer: peer, head: head, stream: stream, arrived: received, collected: received, deadline: received.Add(head.Remaining - excess),
+	}
 	entry, refused := g.Ledger.Begin(peer, head, c.deadline)
 	if refused != nil {
 		return c.refuseUnregistered(refused)
--- a/internal/admit/gate/explain.go
+++ b/internal/admit/gate/explain.go
@@ -37,7 +37,7 @@
 // call is of interest.
 const slowRatio = 2
 
-// explainSlow logs where a slow call spent its time: waiting for a slot, or at the server.
+// explainSlow logs where a slow call spent its time: until its body was there, waiting for a slot, or at the server.
 func (c *call) explainSlow() {
 	g := c.gate
 	now := time.Now()
@@ -48,6 +48,6 @@
 	}
 	report := g.Report()
 	g.Decisions.Notable("call-slow", c.name(), "attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(),
-		"server", c.identity, "waited", c.granted.Sub(c.arrived), "at-server", now.Sub(c.granted), "usual", usual,
-		"running", report.InFlight, "limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", c.deadline.Sub(now))
+		"server", c.identity, "body", c.collected.Sub(c.arrived), "waited", c.granted.Sub(c.collected), "at-server", now.Sub(c.granted),
+		"usual", usual, "running", report.InFlight, "limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", c.deadline.Sub(now))
 }
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -96,6 +96,7 @@
 	Stopping bool
 	Running  map[ident.Class]int
 	Queue    []WaitingDump        // by class, then arrival
+	Arriving int64                // bodies that are being collected
 	Failures map[code.Code]uint64 // refused and failed calls
 	Limit    any
 	Ledger   any
@@ -213,6 +214,7 @@
 		Stopping: g.stopping.Load(),
 		Running:  make(map[ident.Class]int),
 		Failures: make(map[code.Code]uint64),
+		Arriving: g.arriving.Load(),
 		Limit:    g.Limit.Dump(),
 		Ledger:   g.Ledger.Dump(),
 		Probes:   g.Probes.Dump(),
--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -111,10 +111,6 @@
 	return failure
 }
 
-// smallBody is the size up to which a body is sent with its head. A larger one waits for the ack of a server's daemon that tells its
-// load, since the bodies of refused attempts would fill its link.
-const smallBody = 16 << 10
-
 // choose selects the server.
 func (a *attempt) choose() error {
 	r := a.r
@@ -129,6 +125,10 @@
 	return nil
 }
 
+// smallBody is the size up to which a body is sent with its head. A larger one waits for the ack of a server's daemon that tells its
+// load, since the bodies of refused attempts would fill its link.
+const smallBody = 16 << 10
+
 // head builds the first message with the first piece of the body.
 func (a *attempt) head() (*proto.Head, error) {
 	r := a.r
