--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -57,7 +57,8 @@
 	g.prepare()
 	excess := peer.Transit(head.SentAt, received.Sub(epoch))
 	c := &call{
-		gate: g, peer: peer, head: head, stream: stream, arrived: received, collected: received, deadline: received.Add(head.Remaining - excess),
+		gate: g, peer: peer, head: head, stream: stream, arrived: received, collected: received,
+		deadline: received.Add(head.Remaining - excess),
 	}
 	entry, refused := g.Ledger.Begin(peer, head, c.deadline)
 	if refused != nil {
--- a/internal/admit/gate/explain.go
+++ b/internal/admit/gate/explain.go
@@ -48,6 +48,7 @@
 	}
 	report := g.Report()
 	g.Decisions.Notable("call-slow", c.name(), "attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(),
-		"server", c.identity, "body", c.collected.Sub(c.arrived), "waited", c.granted.Sub(c.collected), "at-server", now.Sub(c.granted),
-		"usual", usual, "running", report.InFlight, "limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", c.deadline.Sub(now))
+		"server", c.identity, "body", c.collected.Sub(c.arrived), "waited", c.granted.Sub(c.collected),
+		"at-server", now.Sub(c.granted), "usual", usual, "running", report.InFlight, "limit", report.Limit, "queued", report.Queued, "pace", report.Pace,
+		"left", c.deadline.Sub(now))
 }
