--- a/internal/admit/gate/explain.go
+++ b/internal/admit/gate/explain.go
@@ -47,8 +47,7 @@
 		return
 	}
 	report := g.Report()
-	g.Decisions.Notable("call-slow", c.name(), "attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(),
-		"server", c.identity, "body", c.collected.Sub(c.arrived), "waited", c.granted.Sub(c.collected),
-		"at-server", now.Sub(c.granted), "usual", usual, "running", report.InFlight, "limit", report.Limit, "queued", report.Queued, "pace", report.Pace,
-		"left", c.deadline.Sub(now))
+	g.Decisions.Notable("call-slow", c.name(), "attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(), "server", c.identity,
+		"body", c.collected.Sub(c.arrived), "waited", c.granted.Sub(c.collected), "at-server", now.Sub(c.granted), "usual", usual,
+		"running", report.InFlight, "limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", c.deadline.Sub(now))
 }
