--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
@@ -11,8 +12,9 @@
 
 // Source follows the operators' decisions where the platform tells of changes by itself.
 type Source interface {
-	// Next returns the folder when it is newer than the revision after, or ok false when nothing has changed for a while.
-	Next(ctx context.Context, after uint64) (set files.Set, ok bool, err error)
+	// Next returns the folder after a change or when nothing has changed for a while, and the revision up to which the source
+	// tells that it holds. A set without files is none.
+	Next(ctx context.Context) (set files.Set, asOf uint64, err error)
 }
 
 const (
@@ -25,10 +27,9 @@
 
 // sourceLoop accepts each revision of the source. Peers may have delivered it before.
 func (w *Watch) sourceLoop(ctx context.Context) error {
-	after := uint64(0)
 	retry := sourceRetry
 	for ctx.Err() == nil {
-		set, ok, err := w.Source.Next(ctx, after)
+		set, asOf, err := w.Source.Next(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -41,18 +42,31 @@
 			continue
 		}
 		retry = sourceRetry
-		if !ok {
+		if len(set.Files) == 0 {
 			continue
 		}
-		after = set.Revision
-		w.counters.fetches.Add(1)
-		w.Node.Observe(set.Revision)
-		if err := w.Node.AcceptSet(set); err != nil && code.Of(err).Code != code.StaleRevision {
-			w.Log.Error(err, "revision-not-accepted", "revision", set.Revision)
-		}
+		w.adopt(set, asOf)
 		if !sleep(ctx, gossip.Jitter(sourcePause, jitterShare)) {
 			return nil
 		}
 	}
 	return nil
 }
+
+// adopt accepts a folder that is newer than the held one. A held folder that differs although the source had nothing newer is one that
+// a peer kept from before a removal; the source then replaces it at the revision up to which it was read.
+func (w *Watch) adopt(set files.Set, asOf uint64) {
+	w.Node.Observe(set.Revision)
+	held := w.Node.Set()
+	if set.Revision <= held.Revision {
+		if asOf <= held.Revision || slices.Equal(set.Files, held.Files) {
+			return
+		}
+		w.Log.Info("held-revision-replaced", "held", held.Revision, "read", set.Revision, "as-of", asOf)
+		set.Revision = asOf
+	}
+	w.counters.fetches.Add(1)
+	if err := w.Node.AcceptSet(set); err != nil && code.Of(err).Code != code.StaleRevision {
+		w.Log.Error(err, "revision-not-accepted", "revision", set.Revision)
+	}
+}
--- a/internal/fleet/watch/source_test.go
+++ b/internal/fleet/watch/source_test.go
@@ -23,19 +23,21 @@
 	gap   time.Duration
 	last  uint64
 	began time.Time
+	told  uint64
 	reads int
 }
 
 // Next implements Source.
-func (s *series) Next(ctx context.Context, after uint64) (files.Set, bool, error) {
+func (s *series) Next(ctx context.Context) (files.Set, uint64, error) {
 	s.reads++
 	now := func() uint64 { return min(s.last, 1+uint64(time.Since(s.began)/s.gap)) }
-	for now() <= after {
+	for now() <= s.told {
 		if !sleep(ctx, time.Millisecond) {
-			return files.Set{}, false, ctx.Err()
+			return files.Set{}, 0, ctx.Err()
 		}
 	}
-	return files.Set{Revision: now()}, true, nil
+	s.told = now()
+	return files.Set{Revision: s.told, Files: []files.File{{Name: "a.ini"}}}, s.told, nil
 }
 
 // Guards against a read of the store by every daemon for each of many changes in a row, and against a last change that waits for
@@ -62,3 +64,28 @@
 		g.Expect(<-done).To(Succeed())
 	})
 }
+
+// Guards against a folder from before a removal that a peer hands to a daemon which has read the source since.
+func TestSourceReplacesWhatAPeerKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(1)
+		members := &member.Table{}
+		members.SetSelf(f.record(0))
+		w := &Watch{
+			Node:  &gossip.Node{Self: f.record(0), Table: members, Holder: &config.Holder{}, Merge: merge, Log: logr.Discard()},
+			Table: members, Log: logr.Discard(),
+		}
+		kept := files.Set{Revision: 120, Files: []files.File{{Name: "a.ini"}, {Name: "zone-out.ini"}}}
+		read := files.Set{Revision: 100, Files: kept.Files[:1]}
+		w.adopt(read, 110)
+		g.Expect(w.Node.Held()).To(Equal(uint64(100)))
+		g.Expect(w.Node.AcceptSet(kept)).To(Succeed())
+		w.adopt(read, 110)
+		g.Expect(w.Node.Set()).To(Equal(kept), "what was read before the peer's change says nothing about it")
+		w.adopt(read, 135)
+		g.Expect(w.Node.Set()).To(Equal(files.Set{Revision: 135, Files: read.Files}))
+		w.adopt(read, 140)
+		g.Expect(w.Node.Held()).To(Equal(uint64(135)), "the same folder makes no new revision")
+	})
+}
