Let load below the limit weigh less in the choice of a server, and other zones more

Below its limit a server that tells its load is no slower with more requests. Change: load at the limit doubles a cost (uploads: five times as much), the pace counts half as an exponent for uploads, other zones cost 1.2 times (uploads: 3 times).

--- a/internal/route/choice/cheapest.go
+++ b/internal/route/choice/cheapest.go
@@ -20,12 +20,27 @@
 	fullCost = 3
 	// warmingCost multiplies the cost of a cold server, which is slow and takes few requests.
 	warmingCost = 3
-	// otherZone multiplies the cost of a server in another zone. Bytes between zones are paid for.
-	otherZone = 1.1
-	// otherZoneBulk is the same for a request with a large body.
-	otherZoneBulk = 1.6
 	// triedCost multiplies the cost of a server that has refused an earlier attempt of the request.
 	triedCost = 8
+	// assumedLimit stands for the limit of a server that has told none lately.
+	assumedLimit = 12
+)
+
+// weights are what the parts of a cost count for a kind of request.
+type weights struct {
+	// load is what a server's load at its limit adds to the cost of an idle one. Below its limit a server is hardly slower, so that
+	// load only tells how likely the place is to be full before the request arrives.
+	load float64
+	// pace is the exponent of the pace at the server. A request that lasts long meets several paces, and the present one says less.
+	pace float64
+	// otherZone multiplies the cost of a server in another zone. Bytes between zones are paid for.
+	otherZone float64
+}
+
+var (
+	usual = weights{load: 1, pace: 1, otherZone: 1.2}
+	// bulk is for requests with large bodies: what arrives at once shares the server's link.
+	bulk = weights{load: 4, pace: 0.5, otherZone: 3}
 )
 
 const (
@@ -55,22 +70,30 @@
 }
 
 func (p *pick) cost(look *pool.Look, server netip.AddrPort, own bool) (float64, bool) {
-	load, pace, factor := float64(look.InFlight(server)), float64(meanPace), 1.0
+	load, pace, factor := float64(look.InFlight(server))/assumedLimit, float64(meanPace), 1.0
 	if v := look.View(server); v != nil {
 		room, ok := p.room(v)
 		if !ok {
 			return 0, false
 		}
-		load, pace, factor = float64(v.Load), expectedPace(v), room
+		load, pace, factor = v.Ratio(), expectedPace(v), room
 	}
 	penalty, usable := p.usable(server, look.Now)
 	if !usable {
 		factor *= triedCost
 	}
+	w := p.weights()
 	if !own {
-		factor *= p.zoneCost()
+		factor *= w.otherZone
+	}
+	return (1 + w.load*load) * math.Pow(pace, w.pace) * factor * penalty, true
+}
+
+func (p *pick) weights() weights {
+	if p.class == ident.Upload {
+		return bulk
 	}
-	return (load + 1) * pace * factor * penalty, true
+	return usual
 }
 
 // room returns the factor for a server that is cold or full, and false for one that would not run the request.
@@ -101,10 +124,3 @@
 	fresh := max(0, 1-float64(v.Age)/float64(paceFades))
 	return meanPace + (told-meanPace)*fresh
 }
-
-func (p *pick) zoneCost() float64 {
-	if p.class == ident.Upload {
-		return otherZoneBulk
-	}
-	return otherZone
-}
--- a/internal/route/choice/cheapest_test.go
+++ b/internal/route/choice/cheapest_test.go
@@ -23,10 +23,11 @@
 	reports *pool.Pool
 	chooser *Chooser
 	servers []netip.AddrPort
+	class   ident.Class
 }
 
 func newCheapestRig(t *testing.T) *cheapestRig {
-	r := &cheapestRig{WithT: NewWithT(t), now: time.Now()}
+	r := &cheapestRig{WithT: NewWithT(t), now: time.Now(), class: ident.Lookup}
 	for _, text := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"} {
 		r.servers = append(r.servers, netip.MustParseAddrPort(text))
 	}
@@ -44,7 +45,7 @@
 // pick returns the number of the selected server, or -1.
 func (r *cheapestRig) pick(tried ...netip.AddrPort) int {
 	l := &list{servers: r.servers, own: 1, index: map[netip.AddrPort]int{}}
-	p := &pick{chooser: r.chooser, state: r.chooser.service("s"), list: l, tried: tried, class: ident.Lookup}
+	p := &pick{chooser: r.chooser, state: r.chooser.service("s"), list: l, tried: tried, class: r.class}
 	sent, ok := r.reports.Service("s").Pick(p, true)
 	if !ok {
 		return -1
@@ -93,6 +94,27 @@
 	r.Expect(r.pick(r.servers[0])).To(Equal(2), "one that has refused the request costs more")
 }
 
+// Guards against requests that go to a slowed instance or to another zone only because a server below its limit runs a few more, and
+// against uploads that cross zones for a pace that changes before they are in.
+func TestLoadBelowTheLimitWeighsLittle(t *testing.T) {
+	r := newCheapestRig(t)
+	report := func(server, load, pace int) {
+		r.report(server, func(report *proto.Report) { report.InFlight, report.Pace = load, pace })
+	}
+	report(0, 4, 100)
+	report(1, 0, 180)
+	report(2, 1, 500)
+	r.Expect(r.pick()).To(Equal(0), "a fast server with room goes before an idle slow one")
+	report(0, 11, 100)
+	report(1, 0, 100)
+	r.Expect(r.pick()).To(Equal(1), "a nearly full server is likely to be full when the request arrives")
+	r.class = ident.Upload
+	report(0, 1, 300)
+	r.Expect(r.pick()).To(Equal(0), "an upload stays in its zone")
+	report(0, 10, 300)
+	r.Expect(r.pick()).To(Equal(1), "and leaves it when the server there is nearly full")
+}
+
 // Guards against a request that is sent to a full server and comes back after a wait, when its caller could be told at once.
 func TestFullServersAreNotTried(t *testing.T) {
 	r := newCheapestRig(t)
