Read the members at once at the start

Cause: a daemon that starts waited 0.5 s for peers and up to 0.2 s for its own announcement before it read the members, and refused all requests with no-server until then, also after a common restart, when the rows of all members are in the table. Test: TestCommonRestartFindsTheMembersAtOnce (0.32 s before, bound 0.1 s).

--- a/internal/fleet/watch/fault_test.go
+++ b/internal/fleet/watch/fault_test.go
@@ -142,6 +142,24 @@
 	})
 }
 
+// Guards against daemons that refuse all requests after a common restart because they first announce themselves, although the members
+// from before are in the table.
+func TestCommonRestartFindsTheMembersAtOnce(t *testing.T) {
+	const refusing = 100 * time.Millisecond
+	run(t, 30, func(g *WithT, f *fleet) {
+		f.seeds, f.first = nil, 20*time.Millisecond
+		for i := range 30 {
+			f.kill(i)
+		}
+		for i := range 30 {
+			f.start(i)
+		}
+		g.Expect(until(time.Minute, f.knows(30))).To(BeNumerically("<=", refusing))
+		time.Sleep(goneBound)
+		g.Expect(f.knows(30)()).To(BeTrue())
+	})
+}
+
 // Guards against a daemon without seeds that reads every page of the table although the first one names live peers.
 func TestPeersAreAskedBeforeFurtherPages(t *testing.T) {
 	run(t, 5, func(g *WithT, f *fleet) {
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -44,6 +44,7 @@
 	cutOff   time.Duration
 	initial  member.State   // of the daemons that are started
 	source   *tellingSource // followed by the daemons; may be nil
+	first    time.Duration  // PeersFirst of the daemons
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -92,6 +93,7 @@
 	}
 	d.watch = &Watch{
 		Node: d.node, Table: d.table, Holder: d.holder, Store: f.platform, Reader: f.platform, Log: logr.Discard(),
+		PeersFirst: f.first,
 	}
 	if f.source != nil {
 		d.watch.Source = &reading{source: f.source}
--- a/internal/fleet/watch/read.go
+++ b/internal/fleet/watch/read.go
@@ -31,14 +31,18 @@
 	maxSweep      = 1000                   // rows deleted by one sweep
 )
 
-// startLoop learns the members: from peers while these answer, else from the table, after this daemon has announced
-// itself there, so that of two daemons that start together the later one finds the earlier.
+// startLoop learns the members: from peers while these answer, else from the table. It is read as soon as peers have had their time,
+// since the members of before a common restart are still there, and again after this daemon has announced itself, so that of two
+// daemons that start together the later one finds the earlier.
 func (w *Watch) startLoop(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-w.Node.Joined():
 	case <-time.After(gossip.Jitter(w.PeersFirst, jitterShare)):
+		if w.readMembers(ctx) == nil && w.joined() {
+			w.markReady()
+		}
 	}
 	select {
 	case <-ctx.Done():
