Keep an acknowledged departure in the store

Cause: a daemon that dies after it has acknowledged that its server leaves knew nothing of it when it ran again and learned it from the health endpoint only, which can misreport. Ruled out: telling peers, who all may lose power with the daemon. Change: the daemon's announcement names the lifetime that leaves, written before the acknowledgement within 300 ms; a daemon that starts reads its own row before it writes it, mostly from the page of members that it reads anyway. A planned stop keeps such a row.

--- a/internal/admit/own/own.go
+++ b/internal/admit/own/own.go
@@ -107,6 +107,28 @@
 	}
 }
 
+// Restore takes in that an earlier process of this daemon has acknowledged the departure of a lifetime. A later lifetime under the same
+// identity is told from it by its check-in.
+func (s *Server) Restore(id string, born time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.id != "" && s.id != id || s.checked && !s.born.Equal(born) {
+		return
+	}
+	if s.id == "" {
+		s.begin(id)
+	}
+	s.born, s.checked, s.left = born, !born.IsZero(), true
+	s.Log.Info("server-left", "server", id, "reason", "restored")
+}
+
+// Departure returns the lifetime that leaves or has left, and false while there is none.
+func (s *Server) Departure() (id string, born time.Time, departing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id, s.born, s.draining || s.left
+}
+
 func (s *Server) setDraining(draining bool, reason string) {
 	if s.draining == draining {
 		return
--- a/internal/admit/own/own_test.go
+++ b/internal/admit/own/own_test.go
@@ -30,6 +30,8 @@
 					return checkIn(t, s, d, start) + state(s)
 				case "leave":
 					s.Leave(d.CmdArgs[0].Key)
+				case "restore":
+					s.Restore(text(t, d, "id"), start.Add(duration(t, d, "born")))
 				case "health":
 					h := Health{ID: text(t, d, "id"), Healthy: !d.HasArg("bad"), ColdFor: duration(t, d, "cold")}
 					s.Health(h, time.Now())
--- /dev/null
+++ b/internal/cli/daemon/departures.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+
+	"marigoldwinch.example/marigoldwinch/internal/admit/own"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
+)
+
+// departures keeps in the store that the own server leaves, before its check-in is acknowledged: the acknowledgement binds the next
+// process of this daemon too.
+type departures struct {
+	Own   *own.Server
+	Watch *watch.Watch
+	Log   logr.Logger
+}
+
+func (d *departures) checkIn(c own.CheckIn) error {
+	if err := d.Own.CheckIn(c); err != nil {
+		return err
+	}
+	if c.Draining {
+		d.keep()
+	}
+	return nil
+}
+
+func (d *departures) leave(id string) {
+	d.Own.Leave(id)
+	d.keep()
+}
+
+// keep does not hold an acknowledgement back for a store that does not answer: this process is bound all the same.
+func (d *departures) keep() {
+	id, born, departing := d.Own.Departure()
+	if !departing {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
+	defer cancel()
+	if err := d.Watch.KeepDeparture(ctx, watch.Departure{Server: id, Born: born}); err != nil {
+		d.Log.Info("departure-not-kept", "server", id, "cause", err.Error())
+	}
+}
--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
+	"marigoldwinch.example/marigoldwinch/internal/admit/own"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
@@ -165,11 +166,12 @@
 	Holder   *config.Holder
 	Store    table.Store
 	Reader   *change.Reader
+	Own      *own.Server
 	Log      logr.Logger
 }
 
 func newWatch(parts watchParts) *watch.Watch {
-	return &watch.Watch{
+	made := &watch.Watch{
 		Node:   parts.Node,
 		Table:  parts.Members,
 		Holder: parts.Holder,
@@ -181,4 +183,8 @@
 		StartSpread: parts.Settings.StartSpread,
 		PeersFirst:  parts.Settings.PeersFirst,
 	}
+	if parts.Own != nil {
+		made.Departed = func(d watch.Departure) { parts.Own.Restore(d.Server, d.Born) }
+	}
+	return made
 }
--- a/internal/cli/daemon/hosted.go
+++ b/internal/cli/daemon/hosted.go
@@ -15,12 +15,15 @@
 	"marigoldwinch.example/marigoldwinch/internal/admit/own"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/base/stats"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
 	"marigoldwinch.example/marigoldwinch/platform"
 )
 
 const (
 	endpointHeaderTimeout = time.Second
 	endpointStopTimeout   = 100 * time.Millisecond
+	// keepTimeout is how long the acknowledgement of a departure may wait for the store. Servers wait a second for it.
+	keepTimeout = 300 * time.Millisecond
 )
 
 // endpoint serves what is asked without a token: metrics, and on a hosted platform check-ins and whether the daemon takes
@@ -39,6 +42,7 @@
 	Settings  *opts.Settings
 	Listeners *Listeners
 	Own       *own.Server
+	Watch     *watch.Watch
 	State     *stateKeeper
 	Metrics   *stats.Set
 	Log       logr.Logger
@@ -47,9 +51,10 @@
 func newEndpoint(parts endpointParts) *endpoint {
 	made := &endpoint{}
 	if parts.Own != nil {
+		kept := &departures{Own: parts.Own, Watch: parts.Watch, Log: parts.Log}
 		hosted := &platform.Endpoint{
-			CheckIn: parts.Own.CheckIn,
-			Leave:   parts.Own.Leave,
+			CheckIn: kept.checkIn,
+			Leave:   kept.leave,
 			Ready:   parts.State.takesCallers,
 			Log:     parts.Log,
 		}
--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -14,6 +14,7 @@
 	if !sleep(ctx, uniform(w.StartSpread)) {
 		return nil
 	}
+	w.awaitOwnRow(ctx)
 	var retry backoff
 	for {
 		err := w.announce(ctx)
@@ -31,19 +32,40 @@
 	}
 }
 
+// awaitOwnRow waits for the read of the members that is under way, which usually holds this daemon's row too.
+func (w *Watch) awaitOwnRow(ctx context.Context) {
+	if w.Departed == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-w.firstRead:
+	}
+}
+
 func (w *Watch) announce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
+	if err := w.readOwnRow(ctx); err != nil {
+		return err
+	}
 	w.counters.announcements.Add(1)
-	self := w.Table.Self()
-	value := announcement{Record: self, At: time.Now()}.encode()
+	self, left := w.Table.Self(), w.departure()
+	value := announcement{Record: self, At: time.Now(), Left: left}.encode()
 	err := w.Store.Commit(ctx, table.Txn{Puts: []table.Put{{Key: rowKey(self.Address), Value: value}}})
 	w.note(err)
+	if err == nil {
+		w.departureKept(left)
+	}
 	return err
 }
 
-// Withdraw deletes this daemon's row at a planned stop, unless a later daemon has taken the address over.
+// Withdraw deletes this daemon's row at a planned stop, unless a later daemon has taken the address over or the row tells of a
+// departure, which binds the next daemon too.
 func (w *Watch) Withdraw(ctx context.Context) error {
+	if w.departure().Server != "" {
+		return nil
+	}
 	self := w.Table.Self()
 	row, err := w.Store.Get(ctx, rowKey(self.Address))
 	if err != nil {
--- a/internal/fleet/watch/read.go
+++ b/internal/fleet/watch/read.go
@@ -44,6 +44,7 @@
 			w.markReady()
 		}
 	}
+	close(w.firstRead)
 	select {
 	case <-ctx.Done():
 		return nil
@@ -85,6 +86,9 @@
 		if err != nil {
 			return err
 		}
+		if after == "" {
+			w.lookForOwn(rows)
+		}
 		var peers []netip.AddrPort
 		for _, row := range rows {
 			if r, fresh := w.take(row); fresh {
--- a/internal/fleet/watch/row.go
+++ b/internal/fleet/watch/row.go
@@ -25,12 +25,21 @@
 	fieldState
 	fieldVersion
 	fieldAt
+	fieldDeparted
+	fieldDepartedBorn
 )
 
 // announcement is the value of a daemon's row in the table.
 type announcement struct {
 	Record member.Record
 	At     time.Time // wall clock of the daemon that wrote it, in milliseconds
+	Left   Departure // zero unless the own server leaves
+}
+
+// Departure is the lifetime of a server whose departure its daemon has acknowledged.
+type Departure struct {
+	Server string
+	Born   time.Time // in milliseconds; zero when it is not known
 }
 
 func rowKey(address netip.AddrPort) string {
@@ -50,7 +59,15 @@
 	b = appendNumber(b, fieldIncarnation, uint64(r.Incarnation))
 	b = appendNumber(b, fieldState, uint64(r.State))
 	b = appendNumber(b, fieldVersion, r.Version)
-	return appendNumber(b, fieldAt, uint64(a.At.UnixMilli()))
+	b = appendNumber(b, fieldAt, uint64(a.At.UnixMilli()))
+	if a.Left.Server == "" {
+		return b
+	}
+	b = appendText(b, fieldDeparted, a.Left.Server)
+	if a.Left.Born.IsZero() {
+		return b
+	}
+	return appendNumber(b, fieldDepartedBorn, uint64(a.Left.Born.UnixMilli()))
 }
 
 func appendText(b []byte, field protowire.Number, text string) []byte {
@@ -87,13 +104,13 @@
 // field reads the value of one field and returns its length.
 func (a *announcement) field(field protowire.Number, kind protowire.Type, b []byte) (int, error) {
 	switch {
-	case kind == protowire.BytesType && field <= fieldRegion:
+	case kind == protowire.BytesType && (field <= fieldRegion || field == fieldDeparted):
 		text, n := protowire.ConsumeString(b)
 		if n < 0 {
 			return 0, protowire.ParseError(n)
 		}
 		return n, a.text(field, text)
-	case kind == protowire.VarintType && field >= fieldIncarnation && field <= fieldAt:
+	case kind == protowire.VarintType && (field >= fieldIncarnation && field <= fieldAt || field == fieldDepartedBorn):
 		number, n := protowire.ConsumeVarint(b)
 		if n < 0 {
 			return 0, protowire.ParseError(n)
@@ -122,6 +139,8 @@
 		a.Record.Zone = text
 	case fieldRegion:
 		a.Record.Region = text
+	case fieldDeparted:
+		a.Left.Server = text
 	}
 	return err
 }
@@ -136,5 +155,7 @@
 		a.Record.Version = number
 	case fieldAt:
 		a.At = time.UnixMilli(int64(number))
+	case fieldDepartedBorn:
+		a.Left.Born = time.UnixMilli(int64(number))
 	}
 }
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -56,6 +56,9 @@
 	Source Source // followed instead of polling the head; may be nil
 	Log    logr.Logger
 
+	// Departed is told, once at most, of the departure that an earlier daemon at this address has acknowledged. It may be nil.
+	Departed func(d Departure)
+
 	StartSpread time.Duration // DefaultStartSpread when 0
 	PeersFirst  time.Duration // DefaultPeersFirst when 0
 	Refresh     time.Duration // DefaultRefresh when 0
@@ -65,6 +68,8 @@
 	ready         chan struct{} // closed when the members have been learned
 	readyOnce     sync.Once
 	roles         roles
+	departures    departures
+	firstRead     chan struct{} // closed after the first attempt to read the members from the table
 	platform      platform
 	lowerLogged   atomic.Uint64 // lower head revision that was logged last
 	counters      counters
@@ -92,6 +97,7 @@
 func (w *Watch) init() {
 	w.announced = make(chan struct{})
 	w.ready = make(chan struct{})
+	w.firstRead = make(chan struct{})
 	if w.StartSpread == 0 {
 		w.StartSpread = DefaultStartSpread
 	}
