Kill servers in the soak

Servers that are killed took their counts of runs with them, so that the soak could only pause them. The stand-in server records each run in a file before it begins, and counts those of an earlier process.

--- a/internal/bench/proc/fleet.go
+++ b/internal/bench/proc/fleet.go
@@ -159,8 +159,14 @@
 	if f.Serve != nil {
 		return node, f.Serve(node)
 	}
-	node.Backend = f.process(name+"-server", "stand-in", "server", "--listen", node.Server.String(), "--name", name,
-		"--service-time", f.ServiceTime.String(), "--daemon", "http://"+node.Callers.String())
+	args := []string{
+		"stand-in", "server", "--listen", node.Server.String(), "--name", name,
+		"--service-time", f.ServiceTime.String(), "--daemon", "http://" + node.Callers.String(),
+	}
+	if f.Relays {
+		args = append(args, "--record", filepath.Join(f.Dir, name+".runs")) // servers may be killed too
+	}
+	node.Backend = f.process(name+"-server", args...)
 	return node, node.Backend.Start()
 }
 
--- a/internal/bench/sample/http.go
+++ b/internal/bench/sample/http.go
@@ -153,8 +153,14 @@
 		return
 	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.runs[id]++
-	s.mu.Unlock()
+	if s.record == nil {
+		return
+	}
+	if _, err := s.record.WriteString(id + "\n"); err != nil {
+		s.Log.Error(err, "run-not-recorded", "name", s.Name, "request", id)
+	}
 }
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request) {
--- a/internal/bench/sample/sample.go
+++ b/internal/bench/sample/sample.go
@@ -3,11 +3,13 @@
 package sample
 
 import (
+	"bufio"
 	"context"
 	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +38,7 @@
 	Slots    int           // requests that run at once; more wait
 	Service  time.Duration // mean of the own time of a request, exponentially distributed
 	Cold     time.Duration // cold for this long after the start
+	Record   string        // file that keeps the runs when the process is killed; empty for none
 	Log      logr.Logger
 
 	slots    chan struct{}
@@ -46,8 +49,9 @@
 	overruns atomic.Int64 // requests that failed because the server was cold and overloaded
 	total    atomic.Int64
 
-	mu   sync.Mutex     // guards runs
-	runs map[string]int // runs by Sample-Request header
+	mu     sync.Mutex     // guards runs
+	runs   map[string]int // runs by Sample-Request header
+	record *os.File       // nil without Record
 }
 
 // Faults are the switchable faults of a stand-in server. The zero value is a healthy server.
@@ -64,6 +68,9 @@
 // Run serves until ctx ends, then waits for requests in flight.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
+	if err := s.restore(); err != nil {
+		return errors.Wrap(err, "restore the runs")
+	}
 	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(s.Listener) }()
@@ -85,6 +92,23 @@
 	s.coldTill.Store(time.Now().Add(s.Cold).UnixNano())
 }
 
+// restore counts the runs that an earlier process has recorded, and opens the file for those of this one.
+func (s *Server) restore() error {
+	if s.Record == "" {
+		return nil
+	}
+	file, err := os.OpenFile(s.Record, os.O_APPEND|os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return err
+	}
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		s.runs[lines.Text()]++
+	}
+	s.record = file
+	return lines.Err()
+}
+
 // Set replaces the faults.
 func (s *Server) Set(faults Faults) {
 	s.faults.Store(&faults)
--- a/internal/cli/cmds/sample.go
+++ b/internal/cli/cmds/sample.go
@@ -38,5 +38,6 @@
 	flags.IntVar(&server.Slots, "slots", sample.DefaultSlots, "requests that run at once")
 	flags.DurationVar(&server.Service, "service-time", sample.DefaultService, "mean time of a request")
 	flags.DurationVar(&server.Cold, "cold", time.Duration(0), "cold for this long after the start")
+	flags.StringVar(&server.Record, "record", "", "file that keeps which requests ran, also when the process is killed")
 	return command
 }
