--- a/internal/fleet/watch/dump.go
+++ b/internal/fleet/watch/dump.go
@@ -7,6 +7,8 @@
 	Ready         bool // the members have been learned
 	Poller        bool
 	Sweeper       bool
+	Following     string // why the source is followed, or that it is not; empty without a source
+	Departed      string // the server whose departure is kept in this daemon's row, or empty
 	Pollers       int // in the whole fleet, as this daemon sees it
 	PlatformDown  bool
 	PlatformSince time.Time // of the current state
@@ -31,6 +33,10 @@
 		Fetches:       w.counters.fetches.Load(),
 		Swept:         w.counters.swept.Load(),
 	}
+	dump.Departed = w.departure().Server
+	if w.Source != nil {
+		dump.Following = w.following().String()
+	}
 	select {
 	case <-w.ready:
 		dump.Ready = true
