--- a/internal/fleet/watch/dump.go
+++ b/internal/fleet/watch/dump.go
@@ -9,7 +9,7 @@
 	Sweeper       bool
 	Following     string // why the source is followed, or that it is not; empty without a source
 	Departed      string // the server whose departure is kept in this daemon's row, or empty
-	Pollers       int // in the whole fleet, as this daemon sees it
+	Pollers       int    // in the whole fleet, as this daemon sees it
 	PlatformDown  bool
 	PlatformSince time.Time // of the current state
 	PlatformCause string    // last failure
