Announce a starting daemon before its dead peers have been waited for

Cause: the first announcement waited until the read of the members had ended, and that asks up to three of them in turn, a second each when they are dark. Found in the read-through; TestDeadPeersDoNotDelayTheAnnouncement takes over 10 s without the change (bound 0.5 s). Change: the announcement waits for the page only. Besides, from the same read: one function for the soak's exclusive faults, the time limit beside its use, comments.

--- a/internal/bench/proc/soak_test.go
+++ b/internal/bench/proc/soak_test.go
@@ -181,11 +181,11 @@
 	GinkgoWriter.Printf("%s fault %d on %s for %v\n", time.Now().Format(time.TimeOnly+".000"), kind, node.Daemon.Name, duration)
 	switch kind {
 	case 0, 1:
-		s.process(number, func() { s.kill(ctx, node, duration) })
+		s.alone(&s.busy[number], func() { s.kill(ctx, node, duration) })
 	case 2, 3:
-		s.process(number, func() { s.freeze(ctx, node, duration, chance < 0.3) })
+		s.alone(&s.busy[number], func() { s.freeze(ctx, node, duration, chance < 0.3) })
 	case 4:
-		s.process(number, func() { s.stop(ctx, node, duration, chance < 0.3) })
+		s.alone(&s.busy[number], func() { s.stop(ctx, node, duration, chance < 0.3) })
 	case 5:
 		s.lasting(ctx, duration, func() { node.Front.Silence(true) }, func() { node.Front.Silence(false) })
 	case 6:
@@ -201,7 +201,7 @@
 	case 11:
 		s.lasting(ctx, duration, func() { node.Link.Delay(delay) }, func() { node.Link.Delay(0) })
 	case 12:
-		s.server(number, func() { s.interrupt(ctx, node.Backend, duration, chance < 0.5) })
+		s.alone(&s.servers[number], func() { s.interrupt(ctx, node.Backend, duration, chance < 0.5) })
 	case 13:
 		s.lasting(ctx, duration, func() { s.fleet.Relay.Silence(true) }, func() { s.fleet.Relay.Silence(false) })
 	case 14:
@@ -209,7 +209,7 @@
 	case 15:
 		s.operate(ctx, duration, []string{"zone", "out", node.Zone}, []string{"zone", "in", node.Zone})
 	case 16:
-		s.process(number, func() { s.signal(node.Daemon, syscall.SIGHUP) })
+		s.alone(&s.busy[number], func() { s.signal(node.Daemon, syscall.SIGHUP) })
 	case kindsOfFault - 1:
 		address := node.Daemons.String()
 		s.operate(ctx, duration, []string{"server", "leave", address}, []string{"server", "return", address})
@@ -225,24 +225,13 @@
 	})
 }
 
-// process runs a fault of a daemon's process, unless another one is under way.
-func (s *soak) process(number int, fault func()) {
-	if !s.busy[number].TryLock() {
+// alone runs a fault of a process, unless another one is under way.
+func (s *soak) alone(busy *sync.Mutex, fault func()) {
+	if !busy.TryLock() {
 		return
 	}
 	s.ends.Go(func() {
-		defer s.busy[number].Unlock()
-		fault()
-	})
-}
-
-// server runs a fault of a server's process, unless another one is under way.
-func (s *soak) server(number int, fault func()) {
-	if !s.servers[number].TryLock() {
-		return
-	}
-	s.ends.Go(func() {
-		defer s.servers[number].Unlock()
+		defer busy.Unlock()
 		fault()
 	})
 }
--- a/internal/cli/daemon/departures.go
+++ b/internal/cli/daemon/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -9,6 +10,9 @@
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
 )
 
+// keepTimeout is how long the acknowledgement of a departure may wait for the store. Servers wait a second for it.
+const keepTimeout = 300 * time.Millisecond
+
 // departures keeps in the store that the own server leaves, before its check-in is acknowledged: the acknowledgement binds the next
 // process of this daemon too.
 type departures struct {
--- a/internal/cli/daemon/hosted.go
+++ b/internal/cli/daemon/hosted.go
@@ -22,8 +22,6 @@
 const (
 	endpointHeaderTimeout = time.Second
 	endpointStopTimeout   = 100 * time.Millisecond
-	// keepTimeout is how long the acknowledgement of a departure may wait for the store. Servers wait a second for it.
-	keepTimeout = 300 * time.Millisecond
 )
 
 // endpoint serves what is asked without a token: metrics, and on a hosted platform check-ins and whether the daemon takes
--- a/internal/fleet/gossip/heard.go
+++ b/internal/fleet/gossip/heard.go
@@ -59,7 +59,10 @@
 func (n *Node) PeerSilence() time.Duration {
 	n.heard.mu.Lock()
 	defer n.heard.mu.Unlock()
-	return time.Since(later(n.heard.peer, n.heard.start))
+	if n.heard.peer.IsZero() {
+		return time.Since(n.heard.start)
+	}
+	return time.Since(n.heard.peer)
 }
 
 const (
@@ -84,13 +87,6 @@
 	return nil
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (n *Node) heardPeerWithin(d time.Duration) bool {
 	n.heard.mu.Lock()
 	defer n.heard.mu.Unlock()
--- a/internal/fleet/watch/depart_test.go
+++ b/internal/fleet/watch/depart_test.go
@@ -65,3 +65,17 @@
 		g.Expect(a.Left).To(Equal(left))
 	})
 }
+
+// Guards against an announcement that waits until the dead peers in the table have not answered.
+func TestDeadPeersDoNotDelayTheAnnouncement(t *testing.T) {
+	run(t, 5, func(g *WithT, f *fleet) {
+		for i := range 5 {
+			f.kill(i)
+		}
+		f.seeds, f.first, f.within = nil, 20*time.Millisecond, 200*time.Millisecond
+		f.departed = func(int, Departure) {}
+		f.start(5)
+		announced := until(10*time.Second, func() bool { _, found := f.platform.row(5); return found })
+		g.Expect(announced).To(BeNumerically("<", 500*time.Millisecond))
+	})
+}
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -45,6 +45,7 @@
 	initial  member.State   // of the daemons that are started
 	source   *tellingSource // followed by the daemons; may be nil
 	first    time.Duration  // PeersFirst of the daemons
+	within   time.Duration  // StartSpread of the daemons
 	departed func(i int, d Departure)
 
 	mu      sync.Mutex
@@ -94,7 +95,7 @@
 	}
 	d.watch = &Watch{
 		Node: d.node, Table: d.table, Holder: d.holder, Store: f.platform, Reader: f.platform, Log: logr.Discard(),
-		PeersFirst: f.first,
+		PeersFirst: f.first, StartSpread: f.within,
 	}
 	if f.departed != nil {
 		d.watch.Departed = func(left Departure) { f.departed(i, left) }
--- a/internal/fleet/watch/read.go
+++ b/internal/fleet/watch/read.go
@@ -39,12 +39,12 @@
 	case <-ctx.Done():
 		return nil
 	case <-w.Node.Joined():
+		w.markFirstRead()
 	case <-time.After(gossip.Jitter(w.PeersFirst, jitterShare)):
 		if w.readMembers(ctx) == nil && w.joined() {
 			w.markReady()
 		}
 	}
-	close(w.firstRead)
 	select {
 	case <-ctx.Done():
 		return nil
@@ -69,6 +69,11 @@
 	w.readyOnce.Do(func() { close(w.ready) })
 }
 
+// markFirstRead lets the first announcement go out. The peers that a page names may not answer for seconds.
+func (w *Watch) markFirstRead() {
+	w.firstReadOnce.Do(func() { close(w.firstRead) })
+}
+
 func (w *Watch) joined() bool {
 	select {
 	case <-w.Node.Joined():
@@ -83,12 +88,13 @@
 	after := ""
 	for {
 		rows, err := w.page(ctx, after)
+		if err == nil && after == "" {
+			w.lookForOwn(rows)
+		}
+		w.markFirstRead()
 		if err != nil {
 			return err
 		}
-		if after == "" {
-			w.lookForOwn(rows)
-		}
 		var peers []netip.AddrPort
 		for _, row := range rows {
 			if r, fresh := w.take(row); fresh {
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -26,8 +26,8 @@
 	// peerSilence is how long a daemon may hear no peer until it follows the source by itself. Peers are heard about twice a second,
 	// and one is asked when they are not.
 	peerSilence = 1400 * time.Millisecond
-	// sourceSilence is the age of the fleet's latest known read above which any daemon follows the source. The followers' reads end
-	// within feedWait each, and take a few exchanges to become known.
+	// sourceSilence is the age of the fleet's latest known read above which any daemon follows the source. Each follower's read ends
+	// within 20 s, and takes a few exchanges to become known.
 	sourceSilence = 30 * time.Second
 	followCheck   = 100 * time.Millisecond // between two looks at whether this daemon is to follow
 )
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -69,7 +69,8 @@
 	readyOnce     sync.Once
 	roles         roles
 	departures    departures
-	firstRead     chan struct{} // closed after the first attempt to read the members from the table
+	firstRead     chan struct{} // closed after the first attempt to read a page of the members, or when a peer has handed them over
+	firstReadOnce sync.Once
 	platform      platform
 	lowerLogged   atomic.Uint64 // lower head revision that was logged last
 	counters      counters
