Prepare the membership before a revision or a question about silence

Both now prepare first. Ruled out: the rig, which starts the watch before the membership as the daemon may too.

--- a/internal/fleet/gossip/heard.go
+++ b/internal/fleet/gossip/heard.go
@@ -57,6 +57,7 @@
 
 // PeerSilence returns how long no peer has been heard, at most since the start.
 func (n *Node) PeerSilence() time.Duration {
+	n.init()
 	n.heard.mu.Lock()
 	defer n.heard.mu.Unlock()
 	if n.heard.peer.IsZero() {
--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -95,6 +95,7 @@
 
 // publish keeps the set even when it cannot be merged, so that a later change can correct it.
 func (n *Node) publish(set files.Set, applied []files.Change, restart bool) error {
+	n.init()
 	r := &n.revisions
 	r.mu.Lock()
 	r.set = set
