Ask for load before a selection in place of reports to all routers

Cause: each daemon sent its server's load to every daemon that had used it within 5 s, up to 600 datagrams a second.

Change: a router asks four servers, its zone first, then further ones until one is fast and has room. All full is known after at most four rounds, and refused at once. Whether a daemon is alive while a resolve has no reply is asked as well, three times, as one datagram may be lost. The setting report-interval gives way to load-queries.

--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -121,8 +121,8 @@
 			func(s *Settings, v string) error {
 				return setDuration(&s.PeersFirst, v, time.Millisecond, time.Minute)
 			}),
-		optional("fleet", "report-interval", "0s", "0s, or 5ms to 1s", "between load reports in datagrams; 0s: daemons probe instead",
-			setReportInterval),
+		optional("fleet", "load-queries", "off", "on, off", "ask for load in datagrams before each selection; off: probe instead",
+			setLoadQueries),
 		optional("fleet", "gone-after", "10s", "1s to 10m", "from suspect to gone",
 			func(s *Settings, v string) error { return setDuration(&s.GoneAfter, v, time.Second, 10*time.Minute) }),
 		optional("fleet", "isolated-after", "10s", "1s to 10m", "without platform and peers until new work is refused",
@@ -183,14 +183,14 @@
 	}
 }
 
-func setReportInterval(s *Settings, value string) error {
-	if err := setDuration(&s.ReportInterval, value, 0, time.Second); err != nil {
-		return err
-	}
-	if s.ReportInterval > 0 && s.ReportInterval < 5*time.Millisecond {
-		return errors.Newf("%s is below 5ms", s.ReportInterval)
+func setLoadQueries(s *Settings, value string) error {
+	switch value {
+	case "on", "off":
+		s.LoadQueries = value == "on"
+		return nil
+	default:
+		return errors.Newf("%q is not on or off", value)
 	}
-	return nil
 }
 
 func setName(target *string, value string) error {
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -42,7 +42,7 @@
 	Seeds            []netip.AddrPort // daemons to ask for members and configuration at start
 	StartSpread      time.Duration    // announcements of daemons that start together are spread over this time
 	PeersFirst       time.Duration    // how long to ask only peers for the members before reading them from the platform
-	ReportInterval   time.Duration    // between load reports sent in datagrams; 0: daemons are probed instead
+	LoadQueries      bool             // ask for load in datagrams before each selection; otherwise daemons are probed
 	ExchangeInterval time.Duration    // between periodic gossip exchanges with a random daemon
 	GoneAfter        time.Duration    // time after which a suspect daemon is considered gone
 	IsolatedAfter    time.Duration    // time without contact to the platform and to any peer after which new work is refused
--- a/internal/bench/proc/fleet.go
+++ b/internal/bench/proc/fleet.go
@@ -61,15 +61,15 @@
 
 // Fleet is the stand-in platform, the daemons and their servers. Set the exported fields before Start.
 type Fleet struct {
-	Binary         string
-	Dir            string // of settings, configuration files and logs
-	Configuration  string // content of the first configuration file
-	Placements     []Placement
-	ServiceTime    time.Duration     // mean service time of the servers; unused with Serve
-	Serve          func(*Node) error // runs the server of a node; nil to start a process for each
-	LogLevel       string
-	ReportInterval time.Duration // between load reports of a daemon; 0 to let routers probe instead
-	Relays         bool          // put a relay in front of each daemon and of each server
+	Binary        string
+	Dir           string // of settings, configuration files and logs
+	Configuration string // content of the first configuration file
+	Placements    []Placement
+	ServiceTime   time.Duration     // mean service time of the servers; unused with Serve
+	Serve         func(*Node) error // runs the server of a node; nil to start a process for each
+	LogLevel      string
+	LoadQueries   bool // routers ask for load in datagrams; otherwise they probe
+	Relays        bool // put a relay in front of each daemon and of each server
 
 	Nodes           []*Node
 	Platform        *Process
@@ -187,7 +187,7 @@
 	if node.DaemonRelay != nil {
 		text += "daemons-at = " + node.DaemonRelay.Target.String() + "\n"
 	}
-	text += "[fleet]\nreport-interval = " + f.ReportInterval.String() + "\n"
+	text += "[fleet]\nload-queries = " + onOff(f.LoadQueries) + "\n"
 	if len(seeds) > 0 {
 		text += "seeds = " + strings.Join(seeds, ", ") + "\n"
 	}
@@ -319,3 +319,10 @@
 		}
 	}
 }
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -21,7 +21,6 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
-	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 	"marigoldwinch.example/marigoldwinch/internal/wire/link"
 	"marigoldwinch.example/marigoldwinch/platform"
@@ -215,7 +214,6 @@
 	Traffic     *traffic
 	Incarnation ident.Incarnation
 	Gate        *gate.Gate
-	Caster      *dgram.Reporter
 	Node        *gossip.Node
 	Log         logr.Logger
 }
@@ -223,7 +221,7 @@
 func newLinkServer(parts linkParts) *link.Server {
 	return &link.Server{
 		Listener:    countedListener{Listener: parts.Listeners.Daemons, traffic: parts.Traffic},
-		Calls:       usageRecorder{Gate: parts.Gate, caster: parts.Caster},
+		Calls:       parts.Gate,
 		Fleet:       parts.Node,
 		Incarnation: parts.Incarnation,
 		MaxConns:    parts.Settings.AcceptedConns,
--- a/internal/cli/daemon/network.go
+++ b/internal/cli/daemon/network.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 )
 
 const (
@@ -20,7 +22,7 @@
 	Listen func(address netip.AddrPort) (net.Listener, error)
 	Dial   func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	// ListenPacket opens a datagram socket; nil when the network carries no datagrams.
-	ListenPacket func(address netip.AddrPort) (net.PacketConn, error)
+	ListenPacket func(address netip.AddrPort) (dgram.Conn, error)
 }
 
 func (n Network) orTCP() Network {
@@ -38,7 +40,7 @@
 	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 }
 
-func listenUDP(address netip.AddrPort) (net.PacketConn, error) {
+func listenUDP(address netip.AddrPort) (dgram.Conn, error) {
 	return net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 }
 
--- a/internal/cli/daemon/reports.go
+++ b/internal/cli/daemon/reports.go
@@ -16,21 +16,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
-// usageRecorder is the gate, and records for each call which daemon sent it: the caster sends load reports to these daemons.
-type usageRecorder struct {
-	*gate.Gate
-	caster *dgram.Reporter // nil when reports are not sent in datagrams
-}
-
-// Call implements proto.CallHandler.
-func (r usageRecorder) Call(peer *proto.Peer, head *proto.Head, stream proto.Stream) error {
-	if r.caster != nil {
-		r.caster.AddUser(peer.Hello.Address)
-	}
-	return r.Gate.Call(peer, head, stream)
-}
-
-type casterParts struct {
+type reporterParts struct {
 	fx.In
 	Settings *opts.Settings
 	Network  Network
@@ -40,20 +26,18 @@
 	Log      logr.Logger
 }
 
-// newCaster returns nil when reports are not sent in datagrams; daemons then probe for them.
-func newCaster(parts casterParts) (*dgram.Reporter, error) {
-	if parts.Settings.ReportInterval == 0 || parts.Network.ListenPacket == nil {
+// newReporter returns nil when load is not asked for in datagrams; daemons then probe for reports.
+func newReporter(parts reporterParts) (*dgram.Reporter, error) {
+	if !parts.Settings.LoadQueries || parts.Network.ListenPacket == nil {
 		return nil, nil
 	}
 	conn, err := parts.Network.ListenPacket(parts.Settings.Daemons)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for datagrams on %s", parts.Settings.Daemons)
 	}
-	parts.Reports.ReportsPushed = true
-	return &dgram.Reporter{
-		Conn:     conn,
-		Interval: parts.Settings.ReportInterval,
-		Report:   parts.Gate.Report,
+	r := &dgram.Reporter{
+		Conn:   conn,
+		Report: parts.Gate.Report,
 		OnReport: func(report proto.Report, from netip.AddrPort) {
 			record, known := parts.Members.Get(report.Server)
 			if known && from == report.Server {
@@ -61,16 +45,18 @@
 			}
 		},
 		Log: parts.Log,
-	}, nil
+	}
+	parts.Reports.Ask = r.Ask
+	return r, nil
 }
 
-// runCaster only waits for the end of ctx when caster is nil.
-func runCaster(caster *dgram.Reporter) func(ctx context.Context) error {
+// runReporter only waits for the end of ctx when reporter is nil.
+func runReporter(reporter *dgram.Reporter) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
-		if caster == nil {
+		if reporter == nil {
 			<-ctx.Done()
 			return nil
 		}
-		return caster.Run(ctx)
+		return reporter.Run(ctx)
 	}
 }
--- a/internal/cli/daemon/router.go
+++ b/internal/cli/daemon/router.go
@@ -25,7 +25,7 @@
 )
 
 var router = fx.Provide(
-	newCaster,
+	newReporter,
 	newReports,
 	newChooser,
 	newBudgets,
@@ -71,9 +71,9 @@
 	return chooser
 }
 
-// policy selects servers by cost where daemons push load reports at an interval, and by probes elsewhere.
+// policy selects servers by cost where daemons answer load queries, and by probes elsewhere.
 func policy(settings *opts.Settings) choice.Policy {
-	if settings.ReportInterval > 0 {
+	if settings.LoadQueries {
 		return choice.Cheapest{}
 	}
 	return choice.Probing{}
--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -49,7 +49,7 @@
 	Calls     *call.Client
 	Front     *front.Front
 	Endpoint  *endpoint
-	Caster    *dgram.Reporter
+	Reporter  *dgram.Reporter
 	Log       logr.Logger
 }
 
@@ -69,7 +69,7 @@
 		{"admission", parts.Gate.Run},
 		{"peer-server", parts.Link.Run},
 		{"reports", parts.Reports.Run},
-		{"report-datagrams", runCaster(parts.Caster)},
+		{"report-datagrams", runReporter(parts.Reporter)},
 		{"claims", parts.Claims.Run},
 		{"front", parts.Front.Run},
 		{"member-state", parts.State.Run},
--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,6 +117,10 @@
 func (a *attempt) choose() error {
 	r := a.r
 	r.mu.Lock()
+	tried := slices.Clone(r.tried)
+	r.mu.Unlock()
+	r.c.Choice.Refresh(a.ctx, r.req.Service, tried)
+	r.mu.Lock()
 	defer r.mu.Unlock()
 	sent, err := r.c.Choice.Select(r.req.Service, r.tried, r.class)
 	if err != nil {
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -74,7 +74,7 @@
 }
 
 // awaitResolution sends resolves until the request is no longer running or its answer is certainly lost. For a non-idempotent
-// request it continues as long as load reports of the daemon arrive, because resolves and replies may be delayed on a busy link.
+// request it continues as long as the daemon tells its load, because resolves and replies may be delayed on a busy link.
 func (a *attempt) awaitResolution(conn uint64) (*proto.Resolution, error) {
 	failures := 0
 	for {
@@ -83,7 +83,7 @@
 		switch {
 		case err != nil:
 			failures++
-			if failures >= a.resolveTries() && (a.r.idempotent || !a.r.pool.HasRecentReport(a.sent.Server)) {
+			if failures >= a.resolveTries() && (a.r.idempotent || !a.r.pool.IsAlive(a.ctx, a.sent.Server)) {
 				return nil, code.Unknownf(code.PeerUnreachable, "the connection failed and the daemon did not reply to resolve").WithCause(err)
 			}
 			wait = resolveRetryDelay
@@ -166,7 +166,7 @@
 		return
 	}
 	tries := a.resolveTries()
-	if a.r.pool.HasRecentReport(a.sent.Server) {
+	if a.r.pool.IsAlive(a.ctx, a.sent.Server) {
 		tries = maxResolveTries // the daemon is alive, so the resolve may just be delayed on a busy link
 	}
 	if err != nil && failures+1 < tries {
--- a/internal/route/choice/avoid.go
+++ b/internal/route/choice/avoid.go
@@ -39,6 +39,16 @@
 	return avoidance{servers: make(map[netip.AddrPort]*serverErrors)}
 }
 
+// penalty returns the factor on a server's cost because of its errors, and whether it is avoided.
+func (s *serviceState) penalty(server netip.AddrPort, now time.Time) (factor float64, avoided bool) {
+	if !s.penalties.Load() {
+		return 1, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.avoid.penalty(server, now)
+}
+
 // RecordResult records how an attempt ended at a server. Failures of the server and responses with a 5xx status count as
 // errors. Refusals do not, because load reports already cover them.
 func (c *Chooser) RecordResult(service string, server netip.AddrPort, failed bool, reason string) {
--- a/internal/route/choice/policy.go
+++ b/internal/route/choice/policy.go
@@ -159,12 +159,7 @@
 	if slices.Contains(p.tried, server) {
 		return 1, false
 	}
-	if !p.state.penalties.Load() {
-		return 1, true
-	}
-	p.state.mu.Lock()
-	defer p.state.mu.Unlock()
-	factor, avoided := p.state.avoid.penalty(server, now)
+	factor, avoided := p.state.penalty(server, now)
 	return factor, !avoided
 }
 
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -35,13 +35,15 @@
 
 // Pool holds the load reports for all services that this router uses.
 type Pool struct {
-	Client        proto.CallClient                      // sends the probes
-	Servers       func(service string) []netip.AddrPort // servers that may be selected, and therefore probed
-	Now           func() time.Time                      // time.Now when nil
-	Rand          func(service string) *rand.Rand       // random source for a service; randomly seeded when nil
-	ReportsPushed bool                                  // servers' daemons send reports unasked, so no probes are sent
-	Log           logr.Logger
-	services      sync.Map // name to *Service
+	Client  proto.CallClient                      // sends the probes
+	Servers func(service string) []netip.AddrPort // servers that may be selected, and therefore probed
+	Now     func() time.Time                      // time.Now when nil
+	Rand    func(service string) *rand.Rand       // random source for a service; randomly seeded when nil
+	// Ask sends a load query to the daemon beside a server, and reports false if none was sent. The report comes through AddReport.
+	// Selections ask for themselves then, and no probes are sent. It is nil where daemons take no queries.
+	Ask      func(server netip.AddrPort) bool
+	Log      logr.Logger
+	services sync.Map // name to *Service
 }
 
 // Service holds the servers' reports and this router's counters for one service.
@@ -55,7 +57,8 @@
 	rand    *rand.Rand
 	reports []reportEntry // at most MaxReports, and at most one per server
 	servers map[netip.AddrPort]*serverState
-	views   []View // reused by currentViews
+	views   []View   // reused by currentViews
+	rounds  []*round // waits for reports that have not all arrived
 	probes  probeState
 }
 
@@ -321,6 +324,7 @@
 		s.touch(report.Server, now).lastLatency = report.Latency
 	}
 	entry := reportEntry{report: report, receivedAt: now}
+	s.reportArrived(report.Server)
 	if i := s.reportIndex(report.Server); i >= 0 {
 		s.reports[i] = entry
 		return
@@ -338,16 +342,6 @@
 	s.reports[oldest] = entry
 }
 
-// HasRecentReport reports whether a report of the server is younger than MaxReportAge. If so, its daemon is alive and its
-// messages arrive.
-func (s *Service) HasRecentReport(server netip.AddrPort) bool {
-	now := s.pool.now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	i := s.reportIndex(server)
-	return i >= 0 && now.Sub(s.reports[i].receivedAt) < MaxReportAge
-}
-
 // RoundTrip returns the moving average of the time from sending an attempt to its ack, or 0 when none was measured.
 func (s *Service) RoundTrip(server netip.AddrPort) time.Duration {
 	s.mu.Lock()
--- a/internal/route/pool/probe.go
+++ b/internal/route/pool/probe.go
@@ -35,7 +35,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		if p.ReportsPushed {
+		if p.Ask != nil {
 			continue
 		}
 		p.services.Range(func(_, value any) bool {
--- a/internal/wire/dgram/reporter.go
+++ b/internal/wire/dgram/reporter.go
@@ -1,12 +1,10 @@
-// Package dgram exchanges load reports between daemons in UDP datagrams. A daemon sends the reports of its server to the
-// daemons that have recently sent requests to the server.
+// Package dgram carries load queries and load reports between daemons in UDP datagrams.
 package dgram
 
 import (
 	"context"
 	"net"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,140 +15,110 @@
 )
 
 const (
-	// userRetention is how long a daemon gets reports after its last request.
-	userRetention = 5 * time.Second
-	// maxRate limits the datagrams that a daemon sends per second. With many users, each of them gets reports less often.
-	maxRate = 600
-	// maxUnchanged is the number of intervals for which an unchanged report is not sent again.
-	maxUnchanged = 5
+	// maxReplies limits the replies that a daemon sends per second, so that queries cannot use up its processor time.
+	maxReplies = 2000
+	// maxQueries limits the queries that a daemon sends per second. Above it, routers select by the reports in acks and answers.
+	maxQueries = 1000
+	// burst is the time over which unused replies and queries are saved up.
+	burst = 100 * time.Millisecond
 	// maxSize is the maximum size of a received datagram in bytes.
 	maxSize = 1 << 10
 )
 
-// Reporter sends and receives load reports. Its exported fields must be set before Run.
+// Conn is a datagram socket, usually a *net.UDPConn.
+type Conn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
+// Reporter replies to load queries, sends them and receives the reports. Its exported fields must be set before Run.
 type Reporter struct {
-	Conn     net.PacketConn
-	Interval time.Duration // minimum time between two reports
+	Conn     Conn
 	Report   func() proto.Report
 	OnReport func(report proto.Report, from netip.AddrPort)
 	Log      logr.Logger
 
-	mu    sync.Mutex
-	users map[netip.AddrPort]time.Time // time of the last request by daemon address
+	queries, replies bucket
 
-	sent, received, malformed atomic.Uint64
+	asked, sent, received, malformed, dropped atomic.Uint64
 }
 
-// AddUser records that a daemon has sent a request to the server.
-func (r *Reporter) AddUser(daemon netip.AddrPort) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.users == nil {
-		r.users = make(map[netip.AddrPort]time.Time)
+// Ask sends a load query to the daemon beside a server. It reports false if none was sent. A lost query is not repeated.
+func (r *Reporter) Ask(daemon netip.AddrPort) bool {
+	if !r.queries.take(time.Now(), maxQueries) {
+		r.dropped.Add(1)
+		return false
 	}
-	r.users[daemon] = time.Now()
+	if _, err := r.Conn.WriteToUDPAddrPort(proto.EncodeDatagram(proto.LoadQuery{}), daemon); err != nil {
+		r.dropped.Add(1) // the same as a query that the network loses
+		return false
+	}
+	r.asked.Add(1)
+	return true
 }
 
-// Run sends and receives reports until ctx ends.
+// Run receives datagrams until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = r.Conn.Close() }) // makes ReadFrom in receive return
+	stop := context.AfterFunc(ctx, func() { _ = r.Conn.Close() }) // makes the read in receive return
 	defer stop()
-	readErr := make(chan error, 1)
-	go func() { readErr <- r.receive(ctx) }()
-	ticker := time.NewTicker(r.Interval)
-	defer ticker.Stop()
-	var last proto.Report
-	tokens := 0.0
-	for unchanged := 0; ; {
-		select {
-		case <-ctx.Done():
+	buf := make([]byte, maxSize)
+	for {
+		n, from, err := r.Conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case ctx.Err() != nil:
 			return nil
-		case err := <-readErr:
+		case errors.Is(err, net.ErrClosed):
 			return err
-		case <-ticker.C:
-		}
-		report := r.Report()
-		if report == last && unchanged < maxUnchanged {
-			unchanged++
-			continue
-		}
-		tokens = min(tokens+maxRate*r.Interval.Seconds(), maxRate)
-		users := r.activeUsers()
-		if float64(len(users)) > tokens {
-			continue
+		case err != nil:
+			continue // for example, an earlier datagram was sent to a closed port
 		}
-		tokens -= float64(len(users))
-		last, unchanged = report, 0
-		r.send(report, users)
+		r.handle(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
 
-// send sends the report to the daemons that use the server. Lost datagrams are not repeated, because the next report replaces
-// them.
-func (r *Reporter) send(report proto.Report, users []netip.AddrPort) {
-	if len(users) == 0 {
+func (r *Reporter) handle(payload []byte, from netip.AddrPort) {
+	message, err := proto.DecodeDatagram(payload)
+	if err != nil {
+		if r.malformed.Add(1) == 1 {
+			r.Log.Info("report-malformed", "from", from.String(), "cause", err.Error())
+		}
 		return
 	}
-	datagram := proto.EncodeReport(&report)
-	for _, user := range users {
-		if _, err := r.Conn.WriteTo(datagram, net.UDPAddrFromAddrPort(user)); err == nil {
-			r.sent.Add(1)
-		}
+	switch m := message.(type) {
+	case proto.Report:
+		r.received.Add(1)
+		r.OnReport(m, from)
+	default: // proto.LoadQuery
+		r.reply(from)
 	}
 }
 
-func (r *Reporter) activeUsers() []netip.AddrPort {
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	users := make([]netip.AddrPort, 0, len(r.users))
-	for user, at := range r.users {
-		if now.Sub(at) > userRetention {
-			delete(r.users, user)
-			continue
-		}
-		users = append(users, user)
+func (r *Reporter) reply(to netip.AddrPort) {
+	if !r.replies.take(time.Now(), maxReplies) {
+		r.dropped.Add(1)
+		return
 	}
-	return users
-}
-
-func (r *Reporter) receive(ctx context.Context) error {
-	buf := make([]byte, maxSize)
-	for {
-		n, from, err := r.Conn.ReadFrom(buf)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if errors.Is(err, net.ErrClosed) {
-			return err
-		}
-		if err != nil {
-			continue // for example, an earlier datagram was sent to a closed port
-		}
-		report, err := proto.DecodeReport(buf[:n])
-		udp, ok := from.(*net.UDPAddr)
-		if err != nil || !ok {
-			if r.malformed.Add(1) == 1 {
-				r.Log.Info("report-malformed", "from", from.String())
-			}
-			continue
-		}
-		r.received.Add(1)
-		r.OnReport(report, udp.AddrPort())
+	if _, err := r.Conn.WriteToUDPAddrPort(proto.EncodeDatagram(r.Report()), to); err != nil {
+		r.dropped.Add(1)
+		return
 	}
+	r.sent.Add(1)
 }
 
 // Dump is the state of a Reporter.
 type Dump struct {
-	Users     int
+	Asked     uint64
 	Sent      uint64
 	Received  uint64
 	Malformed uint64
+	Dropped   uint64 // queries and replies above the limits, or refused by the system
 }
 
 // Dump returns a Dump.
 func (r *Reporter) Dump() any {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return Dump{Users: len(r.users), Sent: r.sent.Load(), Received: r.received.Load(), Malformed: r.malformed.Load()}
+	return Dump{
+		Asked: r.asked.Load(), Sent: r.sent.Load(), Received: r.received.Load(), Malformed: r.malformed.Load(),
+		Dropped: r.dropped.Load(),
+	}
 }
--- a/internal/wire/proto/report.go
+++ b/internal/wire/proto/report.go
@@ -1,7 +1,6 @@
 package proto
 
 import (
-	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 )
 
@@ -16,37 +15,6 @@
 	return putUint(buf, 8, uint64(m.Pace))
 }
 
-// EncodeReport encodes a report as the payload of a datagram.
-func EncodeReport(m *Report) []byte {
-	return appendReport(putUint(nil, datagramVersion, Version), m)
-}
-
-// DecodeReport decodes the payload of a datagram.
-func DecodeReport(buf []byte) (Report, error) {
-	var m Report
-	var version uint64
-	if err := decode(buf, &version, readVersion); err != nil {
-		return Report{}, err
-	}
-	if version != Version {
-		return Report{}, code.NotRunf(code.VersionMismatch, "report has protocol version %d, want %d", version, Version)
-	}
-	err := decode(buf, &m, readReport)
-	if err == nil && !m.Server.IsValid() {
-		err = malformed("report without a server address")
-	}
-	return m, err
-}
-
-// datagramVersion is the number of the field that holds the protocol version in a datagram.
-const datagramVersion fieldNumber = 100
-
-func readVersion(r *reader, version *uint64) {
-	if r.number == datagramVersion {
-		*version = r.unsigned()
-	}
-}
-
 func readReport(r *reader, m *Report) {
 	switch r.number {
 	case 1:
