--- a/internal/bench/proc/transport.go
+++ b/internal/bench/proc/transport.go
@@ -138,8 +138,8 @@
 	attempt.URL.Host = daemon.String()
 	attempt.Host = ""
 	if t.KeepAlive {
-		// Without GetBody, Go's transport does not resend a request on another connection.
-		if attempt.Body == nil {
+		// Go's transport resends a request on another connection unless it has a body and no GetBody.
+		if attempt.Body == nil || attempt.Body == http.NoBody {
 			attempt.Body = io.NopCloser(http.NoBody)
 		}
 		attempt.GetBody = nil
