--- a/internal/cli/daemon/router.go
+++ b/internal/cli/daemon/router.go
@@ -83,8 +83,11 @@
 	return &budget.Budgets{}
 }
 
-func newClaims(store table.Store, members *member.Table, log logr.Logger) *claim.Claims {
-	return &claim.Claims{Store: store, Daemons: members.Live, Log: log}
+func newClaims(store table.Store, members *member.Table, holder *config.Holder, log logr.Logger) *claim.Claims {
+	return &claim.Claims{
+		Store: store, Daemons: members.Live, Log: log,
+		InUse: func() bool { return holder.Get().UsesClaims() },
+	}
 }
 
 type callParts struct {
--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -154,3 +154,16 @@
 	}
 	return false
 }
+
+// UsesClaims reports whether a service claims idempotency keys. It is false for a nil configuration.
+func (c *Config) UsesClaims() bool {
+	if c == nil {
+		return false
+	}
+	for _, service := range c.Services {
+		if service.Claim {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/route/claim/claim.go
+++ b/internal/route/claim/claim.go
@@ -37,7 +37,8 @@
 // Claims takes claims, releases them, stores their results and removes expired ones.
 type Claims struct {
 	Store   table.Store
-	Daemons func() int // number of daemons that share the removal of expired claims; 1 when nil
+	Daemons func() int  // number of daemons that share the removal of expired claims; 1 when nil
+	InUse   func() bool // whether a service claims keys; always when nil
 	Log     logr.Logger
 
 	mu          sync.Mutex
--- a/internal/route/claim/claim_test.go
+++ b/internal/route/claim/claim_test.go
@@ -26,6 +26,7 @@
 	version      int
 	commitFaults []string // of the next commits: down, lost (applied, but no response), dropped (not applied, no response)
 	down         bool     // reads fail
+	ranges       int      // number of reads of several rows
 }
 
 func (s *fakeStore) fail(commits ...string) {
@@ -51,6 +52,7 @@
 func (s *fakeStore) Range(_ context.Context, prefix, after string, _ int) (rows []table.Row, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ranges++
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
@@ -181,6 +183,23 @@
 	})
 }
 
+// Guards against reads of the store by every daemon for a feature that no service uses.
+func TestUnusedClaimsAreHardlySwept(t *testing.T) {
+	withClaims(t, func(g *gomega.WithT, s *fakeStore, c, _ *Claims) {
+		c.Daemons, c.InUse = func() int { return 300 }, func() bool { return false }
+		ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+		defer cancel()
+		g.Expect(c.Run(ctx)).To(gomega.Succeed())
+		g.Expect(s.ranges).To(gomega.BeNumerically("<=", 2), "one in 3,000 of 60 looks")
+		began := time.Now()
+		c.InUse = func() bool { return time.Since(began) > 10*time.Minute }
+		ctx, cancel = context.WithTimeout(context.Background(), time.Hour)
+		defer cancel()
+		g.Expect(c.Run(ctx)).To(gomega.Succeed())
+		g.Expect(s.ranges).To(gomega.BeNumerically(">", 20))
+	})
+}
+
 // unreadableStore fails reads until healed is set.
 type unreadableStore struct {
 	*fakeStore
--- a/internal/route/claim/sweep.go
+++ b/internal/route/claim/sweep.go
@@ -15,6 +15,10 @@
 	sweepInterval = 250 * time.Millisecond
 	// minSweepInterval limits the reads of each daemon in a small fleet, which has few claims.
 	minSweepInterval = 10 * time.Second
+	// idleCheckInterval is the mean time between two looks whether claims are in use, and idleSweepOneIn the inverse of the probability
+	// that a look leads to a sweep by one of the fleet's daemons. Only rows from before a change of the configuration can be left.
+	idleCheckInterval = time.Minute
+	idleSweepOneIn    = 10
 )
 
 // Run removes expired claims until ctx ends. Each daemon starts at a random row key, so that the daemons together cover all
@@ -28,11 +32,17 @@
 		if c.Daemons != nil {
 			daemons = max(c.Daemons(), 1)
 		}
-		wait := max(sweepInterval*time.Duration(daemons), minSweepInterval)
+		inUse := c.InUse == nil || c.InUse()
+		wait := idleCheckInterval
+		if inUse {
+			wait = max(sweepInterval*time.Duration(daemons), minSweepInterval)
+		}
 		if !sleep(ctx, wait/2+rand.N(wait)) {
 			return nil
 		}
-		c.sweep(ctx)
+		if inUse || rand.IntN(idleSweepOneIn*daemons) == 0 {
+			c.sweep(ctx)
+		}
 	}
 }
 
