Let the followers alone wait for the first configuration

Cause: a daemon without a revision follows the source itself.

A daemon that found no configuration and has peers now leaves the wait to the followers of its zone for up to 5 s. A daemon that restarts while there is a configuration reads it at once, as before.

TestFirstConfigurationComesFromFollowers, 72 daemons: 72 waited before, at most 15 after; the first configuration is in force everywhere within 2 s, and within 5 s when all followers are killed before it.

--- a/internal/fleet/watch/follow_test.go
+++ b/internal/fleet/watch/follow_test.go
@@ -42,6 +42,7 @@
 // sourceReader is the Source of one daemon.
 type sourceReader struct {
 	source       *notifyingSource
+	started      bool // the first read returns at once
 	lastRevision uint64
 }
 
@@ -51,7 +52,7 @@
 func (r *sourceReader) Next(ctx context.Context) (files.Set, uint64, error) {
 	r.source.reads.Add(1)
 	revision, changed := r.source.now()
-	if revision == r.lastRevision {
+	if revision == r.lastRevision && r.started {
 		r.source.open.Add(1)
 		defer r.source.open.Add(-1)
 		timer := time.NewTimer(maxSourceWait)
@@ -64,7 +65,10 @@
 		}
 		revision, _ = r.source.now()
 	}
-	r.lastRevision = revision
+	r.lastRevision, r.started = revision, true
+	if revision == 0 {
+		return files.Set{}, 0, nil
+	}
 	return files.Set{Revision: revision, Files: []files.File{{Name: "a.ini"}}}, revision, nil
 }
 
@@ -110,6 +114,36 @@
 	})
 }
 
+// Guards against every daemon waiting at the store when a fleet starts before its operators have written a configuration, and against a
+// first configuration that reaches some daemons late, also when all followers are killed before it.
+func TestFirstConfigurationComesFromFollowers(t *testing.T) {
+	for name, killed := range map[string]bool{"all live": false, "followers killed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(followZones)
+				f.seeds, f.source = nil, &notifyingSource{changed: make(chan struct{})}
+				f.startAll(t, followSize, true)
+				time.Sleep(3 * time.Second)
+				g.Expect(f.source.open.Load()).To(BeNumerically("<=", followZones*followersPerZone+3))
+				bound := applyBound
+				if killed {
+					for i := range followSize {
+						if f.get(i).watch.role().follower {
+							f.kill(i)
+						}
+					}
+					bound = emptyPatience
+				}
+				revision := f.source.change()
+				g.Expect(until(bound, f.inForce(revision))).To(BeNumerically("<", bound))
+				g.Expect(f.lowered).To(Equal(0))
+			})
+		})
+	}
+}
+
 // Guards against a change that does not reach a zone because all its followers have just been killed.
 func TestKilledFollowersAreReplaced(t *testing.T) {
 	runFollowing(t, func(g *WithT, f *fleet) {
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -30,6 +30,8 @@
 	// within 20 s, and it takes a few exchanges until other daemons know of it.
 	maxReadAge          = 30 * time.Second
 	followCheckInterval = 100 * time.Millisecond // between evaluations of followReason
+	// emptyPatience is how long a daemon that found no configuration in the source relies on the followers for the first one.
+	emptyPatience = 5 * time.Second
 )
 
 // sourceLoop accepts each revision of the source while followReason is not notFollowing. Peers may have delivered it before.
@@ -61,10 +63,11 @@
 			continue
 		}
 		retry = firstSourceRetry
-		if len(set.Files) == 0 {
-			continue
+		if len(set.Files) > 0 {
+			w.acceptFromSource(set, asOf)
+		} else {
+			w.emptyReadAt = time.Now()
 		}
-		w.acceptFromSource(set, asOf)
 		if !sleep(ctx, gossip.Jitter(sourcePause, jitterShare)) {
 			return nil
 		}
@@ -88,10 +91,13 @@
 
 func (w *Watch) followReason() followReason {
 	_, age := w.Node.HeadSeen()
+	follower := w.joined() && w.role().follower
 	switch {
+	case w.Node.HeldRevision() == 0 && !follower && w.awaitsFirstRevision():
+		return notFollowing
 	case w.Node.HeldRevision() == 0:
 		return noRevision
-	case w.joined() && w.role().follower:
+	case follower:
 		return zoneFollower
 	case w.Node.PeerSilence() > maxPeerSilence:
 		return noPeerHeard
@@ -103,6 +109,12 @@
 	return notFollowing
 }
 
+// awaitsFirstRevision reports whether the source had no configuration a moment ago and peers will tell of the first one. When a whole
+// fleet starts before its operators have written a configuration, only the followers then wait for it at the source.
+func (w *Watch) awaitsFirstRevision() bool {
+	return w.joined() && w.Node.PeerSilence() <= maxPeerSilence && time.Since(w.emptyReadAt) < emptyPatience
+}
+
 // acceptFromSource accepts a folder that is newer than the held one. If the source is current as of a revision above the held one but
 // its folder is not newer and differs, the held folder is a state from before a removal that a peer still had. The source's folder
 // then replaces it, with asOf as its revision.
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -75,6 +75,7 @@
 	firstReadOnce   sync.Once
 	platform        platformState
 	loggedLowerHead atomic.Uint64 // 1 + last logged head revision below the held one; 0 for none
+	emptyReadAt     time.Time     // when the source last had no configuration; used by sourceLoop alone
 	counters        counters
 }
 
