admit/server: give up endless interim and stray responses

Cause: a response with status 1xx, or one to another request, is skipped while the own one is awaited. Neither the number of skipped heads nor their bytes had a bound: a server that sends them without end took a processor until the request's deadline, and each stray one wrote a log line.

At most 16 are skipped now; then the connection is closed and the outcome is unknown.

--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -20,6 +20,8 @@
 	idleMargin = time.Second
 	// maxStray bounds the bytes that are read and discarded of responses to earlier requests.
 	maxStray = 1 << 20
+	// maxSkipped bounds the interim responses and the responses to earlier requests that are skipped while a response is awaited.
+	maxSkipped = 16
 	// lateUploadTimeout bounds the time to send the rest of a request after its response is complete.
 	lateUploadTimeout = time.Second
 	// writeBuffer is large enough for a typical request, so that it is sent in one segment.
@@ -29,6 +31,7 @@
 var (
 	errHeaderTooLong  = errors.New("the server's response header exceeds 256 KiB")
 	errStrayResponses = errors.New("the server sent responses to other requests, none to this request")
+	errManyResponses  = errors.New("the server sent too many interim responses or responses to other requests")
 )
 
 // conn is a connection to the server. It carries one request at a time.
@@ -269,7 +272,7 @@
 // recognized by their request id and discarded.
 func (k *conn) receive(a *Attempt) (*http.Response, error) {
 	discarded := int64(0)
-	for {
+	for range maxSkipped {
 		k.header.remaining = maxHeader
 		response, err := http.ReadResponse(k.reader, a.Request)
 		k.header.remaining = -1
@@ -295,6 +298,7 @@
 		k.client.Log.Info("server-response-stray", "request", a.ID, "status", response.StatusCode,
 			"of", response.Header.Get(k.client.Dialect.RequestID))
 	}
+	return nil, errManyResponses
 }
 
 // keepAlive sets the idle timeout from the timeout in seconds of the response's Keep-Alive header.
--- /dev/null
+++ b/internal/admit/server/endless_test.go
@@ -0,0 +1,166 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+)
+
+// endlessClient returns a client of a server that answers each request with start and then with unit, again and again, after each pause.
+func endlessClient(start, unit string, pause time.Duration) *Client {
+	c := &Client{Address: netip.MustParseAddrPort("127.0.0.1:80"), MaxConns: endlessConns, Dialect: testDialect, Log: logr.Discard()}
+	c.Dial = func(context.Context) (net.Conn, error) {
+		clientEnd, serverEnd := net.Pipe()
+		go func() {
+			defer func() { _ = serverEnd.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(serverEnd)); err != nil {
+				return
+			}
+			_, err := io.WriteString(serverEnd, start)
+			for err == nil {
+				time.Sleep(pause)
+				_, err = io.WriteString(serverEnd, unit)
+			}
+		}()
+		return clientEnd, nil
+	}
+	return c
+}
+
+const (
+	endlessConns    = 100
+	endlessDeadline = 2 * time.Second
+	daemonMemory    = 256 << 20 // bytes; the target for a daemon
+	headStart       = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	chunkedStart    = headStart + "Transfer-Encoding: chunked\r\n\r\n"
+	longText        = "0123456789012345678901234567890123456789012345678901234567890123"
+)
+
+// endlessHeads are given up long before the request's deadline, because they cannot become an answer.
+var endlessHeads = map[string][2]string{
+	"bytes":            {"", longText},
+	"header lines":     {headStart, "X-More: " + longText + "\r\n"},
+	"one header line":  {headStart + "X-More: ", longText},
+	"interim answers":  {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	"answers to other": {"", "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 0\r\n\r\n"},
+}
+
+// endlessBodies have a valid header, so that the body is passed on until it is found to be wrong or the request ends.
+var endlessBodies = map[string][2]string{
+	"no length":       {headStart + "\r\n", longText},
+	"chunks":          {chunkedStart, "1\r\nx\r\n"},
+	"chunk size":      {chunkedStart, "0000000000000000"},
+	"chunk extension": {chunkedStart + "1;", longText},
+	"trailer":         {chunkedStart + "0\r\n", "X-More: " + longText + "\r\n"},
+}
+
+func sendEndless(t *testing.T, c *Client, deadline time.Duration) (*code.Error, time.Duration) {
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	began := time.Now()
+	r := request(t, http.MethodPost, "/run", "body").WithContext(ctx)
+	r.Header.Set("X-Id", "1")
+	response, failed := c.Do(&Attempt{Request: r, ID: "1"})
+	if failed == nil {
+		_, err := io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			failed = code.Of(err)
+		}
+	}
+	return failed, time.Since(began)
+}
+
+// Guards against an endless head that takes processor time until the deadline, an endless body that passes for a complete answer, and
+// a connection that is kept after either. The outcome must stay unknown.
+func TestEndlessBytes(t *testing.T) {
+	check := func(t *testing.T, pieces [2]string, pause, deadline, bound time.Duration) {
+		g := NewWithT(t)
+		c := endlessClient(pieces[0], pieces[1], pause)
+		defer c.Close()
+		failed, took := sendEndless(t, c, deadline)
+		g.Expect(failed).NotTo(BeNil())
+		g.Expect(failed.Outcome).To(Equal(code.Unknown))
+		g.Expect(took).To(BeNumerically("<", bound))
+		g.Eventually(func() int64 { return c.conns.Load() }).Should(BeZero())
+	}
+	for name, pieces := range endlessHeads {
+		t.Run("head of "+name, func(t *testing.T) {
+			t.Parallel()
+			check(t, pieces, 0, endlessDeadline, endlessDeadline/2)
+		})
+	}
+	for name, pieces := range endlessBodies {
+		t.Run("body of "+name, func(t *testing.T) {
+			t.Parallel()
+			check(t, pieces, 0, endlessDeadline/4, endlessDeadline)
+		})
+	}
+	t.Run("slow head", func(t *testing.T) {
+		t.Parallel()
+		check(t, [2]string{headStart + "X-More: ", "x"}, 20*time.Millisecond, endlessDeadline/4, endlessDeadline)
+	})
+	t.Run("slow body", func(t *testing.T) {
+		t.Parallel()
+		check(t, [2]string{headStart + "\r\n", "x"}, 20*time.Millisecond, endlessDeadline/4, endlessDeadline)
+	})
+}
+
+// Guards against a log line for each of endless answers to other requests.
+func TestEndlessAnswersAreLoggedOnlyBriefly(t *testing.T) {
+	g := NewWithT(t)
+	pieces := endlessHeads["answers to other"]
+	c := endlessClient(pieces[0], pieces[1], 0)
+	defer c.Close()
+	lines := 0
+	c.Log = funcr.New(func(_, _ string) { lines++ }, funcr.Options{})
+	_, _ = sendEndless(t, c, endlessDeadline/4)
+	g.Expect(lines).To(BeNumerically("<=", maxSkipped))
+}
+
+// Guards against memory that grows with what a server sends: 100 endless heads at once, each up to its bound of 256 KiB.
+func TestMemoryOfEndlessHeads(t *testing.T) {
+	g := NewWithT(t)
+	pieces := endlessHeads["header lines"]
+	c := endlessClient(pieces[0], pieces[1], 0)
+	defer c.Close()
+	peak, stop, sampled := uint64(0), make(chan struct{}), make(chan struct{})
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	go func() {
+		defer close(sampled)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				runtime.ReadMemStats(&now)
+				peak = max(peak, now.HeapAlloc)
+			}
+		}
+	}()
+	var all sync.WaitGroup
+	for range endlessConns {
+		all.Go(func() { _, _ = sendEndless(t, c, endlessDeadline) })
+	}
+	all.Wait()
+	close(stop)
+	<-sampled
+	grown := int64(peak) - int64(before.HeapAlloc)
+	t.Logf("100 endless heads: %d KiB of heap at the peak", grown>>10)
+	g.Expect(grown).To(BeNumerically("<", daemonMemory), "bytes")
+}
