At the first start, let the followers alone look for a configuration

Cause: each daemon that starts reads the operators' records at once, also when the whole fleet starts for the first time and there are none: one call to the store for each daemon, besides its members and its announcement.

The platform tells the first start; the new setting first-start passes it on. A restart reads at once as before.

--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -122,7 +122,9 @@
 				return setDuration(&s.PeersFirst, v, time.Millisecond, time.Minute)
 			}),
 		optional("fleet", "load-queries", "off", "on, off", "ask for load in datagrams before each selection; off: probe instead",
-			setLoadQueries),
+			func(s *Settings, v string) error { return setSwitch(&s.LoadQueries, v, "on", "off") }),
+		optional("fleet", "first-start", "false", "true, false", "the fleet starts for the first time; a configuration may come later",
+			func(s *Settings, v string) error { return setSwitch(&s.FirstStart, v, "true", "false") }),
 		optional("fleet", "gone-after", "10s", "1s to 10m", "from suspect to gone",
 			func(s *Settings, v string) error { return setDuration(&s.GoneAfter, v, time.Second, 10*time.Minute) }),
 		optional("fleet", "isolated-after", "10s", "1s to 10m", "without platform and peers until new work is refused",
@@ -183,13 +185,14 @@
 	}
 }
 
-func setLoadQueries(s *Settings, value string) error {
+// setSwitch sets target by one of two words.
+func setSwitch(target *bool, value, on, off string) error {
 	switch value {
-	case "on", "off":
-		s.LoadQueries = value == "on"
+	case on, off:
+		*target = value == on
 		return nil
 	default:
-		return errors.Newf("%q is not on or off", value)
+		return errors.Newf("%q is not %s or %s", value, on, off)
 	}
 }
 
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -42,6 +42,7 @@
 	Seeds            []netip.AddrPort // daemons to ask for members and configuration at start
 	StartSpread      time.Duration    // announcements of daemons that start together are spread over this time
 	PeersFirst       time.Duration    // how long to ask only peers for the members before reading them from the platform
+	FirstStart       bool             // the fleet starts for the first time, so that a configuration may come only later
 	LoadQueries      bool             // ask for load in datagrams before each selection; otherwise daemons are probed
 	ExchangeInterval time.Duration    // between periodic gossip exchanges with a random daemon
 	GoneAfter        time.Duration    // time after which a suspect daemon is considered gone
--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -182,6 +182,7 @@
 
 		StartSpread: parts.Settings.StartSpread,
 		PeersFirst:  parts.Settings.PeersFirst,
+		FirstStart:  parts.Settings.FirstStart,
 	}
 	if parts.Status != nil {
 		w.OnDepartureRestored = func(d watch.Departure) { parts.Status.Restore(d.Server, d.Born) }
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -46,6 +46,7 @@
 	source              *notifyingSource // followed by the daemons; may be nil
 	peersFirst          time.Duration    // PeersFirst of the daemons
 	startSpread         time.Duration    // StartSpread of the daemons
+	firstStart          bool             // FirstStart of the daemons
 	onDepartureRestored func(i int, d Departure)
 
 	mu      sync.Mutex
@@ -95,7 +96,7 @@
 	}
 	d.watch = &Watch{
 		Node: d.node, Table: d.table, Holder: d.holder, Store: f.platform, Reader: f.platform, Log: logr.Discard(),
-		PeersFirst: f.peersFirst, StartSpread: f.startSpread,
+		PeersFirst: f.peersFirst, StartSpread: f.startSpread, FirstStart: f.firstStart,
 	}
 	if f.onDepartureRestored != nil {
 		d.watch.OnDepartureRestored = func(left Departure) { f.onDepartureRestored(i, left) }
--- a/internal/fleet/watch/follow_test.go
+++ b/internal/fleet/watch/follow_test.go
@@ -123,10 +123,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				f := newFleet(followZones)
-				f.seeds, f.source = nil, &notifyingSource{changed: make(chan struct{})}
+				f.seeds, f.source, f.firstStart = nil, &notifyingSource{changed: make(chan struct{})}, true
 				f.startAll(t, followSize, true)
 				time.Sleep(3 * time.Second)
 				g.Expect(f.source.open.Load()).To(BeNumerically("<=", followZones*followersPerZone+3))
+				g.Expect(f.source.reads.Load()).To(BeNumerically("<=", 2*(followZones*followersPerZone+3)))
 				bound := applyBound
 				if killed {
 					for i := range followSize {
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -36,6 +36,9 @@
 
 // sourceLoop accepts each revision of the source while followReason is not notFollowing. Peers may have delivered it before.
 func (w *Watch) sourceLoop(ctx context.Context) error {
+	if w.FirstStart && !w.awaitPeers(ctx) {
+		return nil
+	}
 	retry := firstSourceRetry
 	previous := notFollowing
 	for ctx.Err() == nil {
@@ -75,6 +78,20 @@
 	return nil
 }
 
+// awaitPeers waits a moment for the peers that a daemon relies on at the first start. It reports false when ctx has ended.
+func (w *Watch) awaitPeers(ctx context.Context) bool {
+	w.emptyReadAt = time.Now()
+	timer := time.NewTimer(sourcePause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-w.Node.Joined():
+	case <-timer.C:
+	}
+	return true
+}
+
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=followReason -linecomment -output=names.go
 
 // followReason tells why a daemon follows the source, or that it does not.
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -64,6 +64,7 @@
 	StartSpread time.Duration // DefaultStartSpread when 0
 	PeersFirst  time.Duration // DefaultPeersFirst when 0
 	Refresh     time.Duration // DefaultRefresh when 0
+	FirstStart  bool          // the fleet starts for the first time: the followers alone look for a configuration
 
 	announced       chan struct{} // closed after the first attempt to announce
 	announcedOnce   sync.Once
