admit/server: take no late copy of a call's response for a health response

Cause: a poll sends no request id and took the first response on its connection, whatever id that had. A second copy of a call's response that arrives after the poll was sent proved a server healthy and warm, so that a cold one got its full rate.

A response must now bear the id of the request, or none where the request had none. TestStrayResponseIsNotAHealthResponse failed before.

--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -269,7 +269,7 @@
 }
 
 // receive reads the response to the attempt. Responses to earlier requests on the connection may still arrive; they are
-// recognized by their request id and discarded.
+// recognized by their request id and discarded; the response to a poll has none.
 func (k *conn) receive(a *Attempt) (*http.Response, error) {
 	discarded := int64(0)
 	for range maxSkipped {
@@ -284,7 +284,7 @@
 			return nil, errors.New("the server switched to another protocol (status 101)")
 		case response.StatusCode < http.StatusOK:
 			continue
-		case a.ID == "" || response.Header.Get(k.client.Dialect.RequestID) == a.ID:
+		case response.Header.Get(k.client.Dialect.RequestID) == a.ID:
 			return response, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStray))
--- a/internal/admit/server/response_test.go
+++ b/internal/admit/server/response_test.go
@@ -204,3 +204,27 @@
 		<-done
 	})
 }
+
+// Guards against taking a second copy of a call's response, which arrives late on the connection, for a health response: it would prove
+// that a cold server is warm.
+func TestStrayResponseIsNotAHealthResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		dials := 0
+		health := "HTTP/1.1 200 OK\r\nX-Identity: i-1\r\nX-Cold: 1500\r\nContent-Length: 0\r\n\r\n"
+		c := rawClient(&dials, func(r *http.Request) string {
+			if r.Header.Get("X-Id") != "" {
+				return reply("1", "answer")
+			}
+			return reply("1", "answer") + health
+		})
+		defer c.Close()
+		g.Expect(send(t, c, "1")).To(Equal("answer"))
+		result := c.poll(t.Context(), "/up")
+		g.Expect(result.Error).To(BeEmpty())
+		c.updateStatus(result)
+		g.Expect(dials).To(Equal(1))
+		g.Expect(c.Status.Identity()).To(Equal("i-1"))
+		g.Expect(c.Status.Cold()).To(BeTrue())
+	})
+}
