--- a/internal/route/choice/refresh_test.go
+++ b/internal/route/choice/refresh_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,81 +99,121 @@
 	oneWay        = 700 * time.Microsecond
 )
 
-// played is a server whose work lasts five times as long in a quarter of its time.
+// played is a service whose servers take five times as long in a quarter of their time, and the routers that send requests to it.
 type played struct {
+	random  *rand.Rand
+	servers map[netip.AddrPort]*playedServer // not changed once built
+	list    records
+	routers []*Chooser
+
+	mu                              sync.Mutex // guards the servers' fields and the counts
+	queries, requests, full, paused int
+}
+
+type playedServer struct {
 	running int
 	pace    int
 }
 
+func newPlayed(t *testing.T) *played {
+	q := &played{random: rand.New(rand.NewPCG(1, 1)), servers: map[netip.AddrPort]*playedServer{}}
+	for i := range playedServers {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+		q.servers[address] = &playedServer{pace: 100}
+		q.list = append(q.list, member.Record{Address: address, Service: "stock", Zone: fmt.Sprint(i % 5), State: member.Serving})
+	}
+	holder := stockConfig(t)
+	for i := range playedRouters {
+		p := &pool.Pool{}
+		p.Ask = func(server netip.AddrPort) bool {
+			time.AfterFunc(oneWay, func() {
+				report := q.report(server)
+				time.AfterFunc(oneWay, func() { p.Service("stock").AddReport(report) })
+			})
+			return true
+		}
+		self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7000)
+		q.routers = append(q.routers, &Chooser{
+			Policy: Cheapest{}, Pool: p, Members: slices.Clone(q.list), Config: holder, Zone: fmt.Sprint(i % 5), Self: self,
+		})
+	}
+	return q
+}
+
+func (q *played) report(server netip.AddrPort) proto.Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queries++
+	s := q.servers[server]
+	return proto.Report{Server: server, InFlight: s.running, Limit: playedSlots, Pace: s.pace}
+}
+
+func (q *played) request(t *testing.T, c *Chooser) {
+	c.Refresh(t.Context(), "stock", nil)
+	sent, err := c.Select("stock", nil, ident.Lookup)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	time.Sleep(oneWay)
+	time.Sleep(q.begin(sent.Server))
+	q.mu.Lock()
+	q.servers[sent.Server].running--
+	q.mu.Unlock()
+	c.Pool.Service("stock").Ended(sent, true)
+}
+
+// begin counts a request that has arrived and returns how long it takes.
+func (q *played) begin(server netip.AddrPort) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.servers[server]
+	q.requests++
+	if s.running >= playedSlots {
+		q.full++
+	}
+	if s.pace > 100 {
+		q.paused++
+	}
+	s.running++
+	return playedWork * time.Duration(s.pace) / 100
+}
+
+// drawPaces draws which servers are slow until the next draw.
+func (q *played) drawPaces() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range q.list {
+		pace := 100
+		if q.random.Float64() < pauseShare {
+			pace = pausePace
+		}
+		q.servers[r.Address].pace = pace
+	}
+}
+
 // Guards against routers that meet full or paused servers because of what they believe of their load, and against messages that grow
-// with the number of routers. 100 routers send 264 requests/s to 60 servers with 8 slots each; a quarter of them is five times as slow.
+// with the number of routers. 100 routers send 660 requests/s to 60 servers with 8 slots each; a quarter of them is five times as slow.
 func TestPausesAreAvoidedForFewQueries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		random := rand.New(rand.NewPCG(1, 1))
-		servers := map[netip.AddrPort]*played{}
-		var list records
-		for i := range playedServers {
-			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
-			servers[address] = &played{pace: 100}
-			list = append(list, member.Record{Address: address, Service: "stock", Zone: fmt.Sprint(i % 5), State: member.Serving})
-		}
-		holder, queries := stockConfig(t), 0
-		var routers []*Chooser
-		for i := range playedRouters {
-			p := &pool.Pool{}
-			p.Ask = func(server netip.AddrPort) bool {
-				queries++
-				time.AfterFunc(oneWay, func() {
-					s := servers[server]
-					report := proto.Report{Server: server, InFlight: s.running, Limit: playedSlots, Pace: s.pace}
-					time.AfterFunc(oneWay, func() { p.Service("stock").AddReport(report) })
-				})
-				return true
-			}
-			self := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7000)
-			routers = append(routers, &Chooser{
-				Policy: Cheapest{}, Pool: p, Members: slices.Clone(list), Config: holder, Zone: fmt.Sprint(i % 5), Self: self,
-			})
-		}
-		requests, full, paused := 0, 0, 0
-		request := func(c *Chooser) {
-			c.Refresh(t.Context(), "stock", nil)
-			sent, err := c.Select("stock", nil, ident.Lookup)
-			g.Expect(err).NotTo(HaveOccurred())
-			time.Sleep(oneWay)
-			s := servers[sent.Server]
-			requests++
-			if s.running >= playedSlots {
-				full++
-			}
-			if s.pace > 100 {
-				paused++
-			}
-			s.running++
-			time.Sleep(playedWork * time.Duration(s.pace) / 100)
-			s.running--
-			c.Pool.Service("stock").Ended(sent, true)
-		}
+		q := newPlayed(t)
 		mean := (1 - pauseShare + pauseShare*pausePace/100)
 		gap := time.Duration(float64(playedWork) * mean / (playedServers * playedSlots * playedBusy))
 		for elapsed := time.Duration(0); elapsed < playedFor; elapsed += gap {
 			if elapsed/pausePeriod != (elapsed-gap)/pausePeriod {
-				for _, s := range servers {
-					s.pace = 100
-					if random.Float64() < pauseShare {
-						s.pace = pausePace
-					}
-				}
+				q.drawPaces()
 			}
-			go request(routers[random.IntN(playedRouters)])
+			go q.request(t, q.routers[q.random.IntN(playedRouters)])
 			time.Sleep(gap)
 		}
 		time.Sleep(2 * playedWork * pausePace / 100)
-		t.Logf("%d requests: %d met a full server, %d a paused one; %.1f queries each",
-			requests, full, paused, float64(queries)/float64(requests))
-		g.Expect(float64(full)/float64(requests)).To(BeNumerically("<", 0.02), "requests that met a full server")
-		g.Expect(float64(paused)/float64(requests)).To(BeNumerically("<", pauseShare/4), "requests that met a paused server")
-		g.Expect(float64(queries)/float64(requests)).To(BeNumerically("<", 2*roundSize), "queries for each request")
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		share := func(n int) float64 { return float64(n) / float64(q.requests) }
+		t.Logf("%d requests: %d met a full server, %d a paused one; %.1f queries each", q.requests, q.full, q.paused, share(q.queries))
+		g.Expect(share(q.full)).To(BeNumerically("<", 0.02), "requests that met a full server")
+		g.Expect(share(q.paused)).To(BeNumerically("<", pauseShare/4), "requests that met a paused server")
+		g.Expect(share(q.queries)).To(BeNumerically("<", 2*roundSize), "queries for each request")
 	})
 }
