fleet/watch: test that a growing configuration leaves slow links free (fails)

The simulated fleet now has a link rate. It fails on this code: more bytes than twice what is new in step 0, and step 1 (a folder of 0.5 MB) is not in force after 2 s.

--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -35,6 +35,12 @@
 	paused chan struct{} // not nil while paused; closed by resume
 }
 
+// link is one direction of a daemon's link.
+type link struct {
+	daemon netip.AddrPort
+	out    bool
+}
+
 // fleet is a set of daemons on an in-memory network with a platform.
 type fleet struct {
 	platform            *fakePlatform
@@ -51,6 +57,8 @@
 
 	mu      sync.Mutex
 	random  *rand.Rand
+	rate    int                // bytes per second of each daemon's link in either direction; 0 for no limit
+	free    map[link]time.Time // when the link of a daemon has carried what it was given, with rate
 	daemons map[netip.AddrPort]*daemon
 	side    map[netip.AddrPort]int // side of the partition that each daemon is on
 	loss    float64
@@ -65,6 +73,7 @@
 		initial: member.Serving,
 		seeds:   []netip.AddrPort{address(0), address(1), address(2)},
 		random:  rand.New(rand.NewPCG(1, 2)),
+		free:    make(map[link]time.Time),
 		daemons: make(map[netip.AddrPort]*daemon),
 		side:    make(map[netip.AddrPort]int),
 		applied: make(map[uint64]time.Time),
@@ -102,7 +111,7 @@
 		d.watch.OnDepartureRestored = func(left Departure) { f.onDepartureRestored(i, left) }
 	}
 	if f.source != nil {
-		d.watch.Source = &sourceReader{source: f.source}
+		d.watch.Source = &sourceReader{source: f.source, fleet: f, self: self.Address}
 	}
 	last := uint64(0)
 	d.holder.Subscribe(func(c *config.Config) {
@@ -301,6 +310,7 @@
 	f.bytes += int64(size)
 	f.mu.Unlock()
 	time.Sleep(latency)
+	f.carry(ctx, from, to, size)
 	if lost {
 		<-ctx.Done()
 	}
@@ -321,6 +331,40 @@
 	return target, nil
 }
 
+const linkPiece = 4 << 10 // bytes that a link carries of one message before it carries those of others
+
+// carry waits until the links of both daemons have carried size bytes, at most until ctx ends. What was carried until then is lost.
+func (f *fleet) carry(ctx context.Context, from, to netip.AddrPort, size int) {
+	for left := size; left > 0 && ctx.Err() == nil; left -= linkPiece {
+		time.Sleep(time.Until(f.occupy(from, to, min(left, linkPiece))))
+	}
+}
+
+// occupy books the links of both daemons for size bytes and returns when both have carried them.
+func (f *fleet) occupy(from, to netip.AddrPort, size int) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.rate == 0 {
+		return now
+	}
+	carried := now
+	for _, used := range []link{{from, true}, {to, false}} {
+		if !used.daemon.IsValid() {
+			continue // the store, whose link is fast
+		}
+		free := f.free[used]
+		if free.Before(now) {
+			free = now
+		}
+		f.free[used] = free.Add(time.Duration(size) * time.Second / time.Duration(f.rate))
+		if f.free[used].After(carried) {
+			carried = f.free[used]
+		}
+	}
+	return carried
+}
+
 func (f *fleet) pausedOf(address netip.AddrPort) chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -345,9 +389,15 @@
 		}
 	}
 	if m.Snapshot != nil {
-		for _, file := range m.Snapshot.Files {
-			size += 8 + len(file.Name) + len(file.Content)
-		}
+		size += setSize(*m.Snapshot)
+	}
+	return size
+}
+
+func setSize(set files.Set) int {
+	size := 0
+	for _, file := range set.Files {
+		size += 8 + len(file.Name) + len(file.Content)
 	}
 	return size
 }
--- a/internal/fleet/watch/follow_test.go
+++ b/internal/fleet/watch/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,22 +19,26 @@
 type notifyingSource struct {
 	mu       sync.Mutex
 	revision uint64
+	files    []files.File  // of the folder, besides a.ini
 	changed  chan struct{} // closed by the next change
 
 	open  atomic.Int64 // reads that wait for a change
 	reads atomic.Int64
 }
 
-func (s *notifyingSource) now() (uint64, chan struct{}) {
+func (s *notifyingSource) now() (files.Set, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.revision, s.changed
+	folder := append([]files.File{{Name: "a.ini"}}, s.files...)
+	return files.Set{Revision: s.revision, Files: folder}, s.changed
 }
 
-func (s *notifyingSource) change() uint64 {
+// change adds the files to the folder.
+func (s *notifyingSource) change(added ...files.File) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	s.files = append(s.files, added...)
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.revision
@@ -42,7 +47,9 @@
 // sourceReader is the Source of one daemon.
 type sourceReader struct {
 	source       *notifyingSource
-	started      bool // the first read returns at once
+	fleet        *fleet
+	self         netip.AddrPort // of the daemon that reads
+	started      bool           // the first read returns at once
 	lastRevision uint64
 }
 
@@ -51,8 +58,8 @@
 // Next implements Source.
 func (r *sourceReader) Next(ctx context.Context) (files.Set, uint64, error) {
 	r.source.reads.Add(1)
-	revision, changed := r.source.now()
-	if revision == r.lastRevision && r.started {
+	folder, changed := r.source.now()
+	if folder.Revision == r.lastRevision && r.started {
 		r.source.open.Add(1)
 		defer r.source.open.Add(-1)
 		timer := time.NewTimer(maxSourceWait)
@@ -63,13 +70,14 @@
 		case <-changed:
 		case <-timer.C:
 		}
-		revision, _ = r.source.now()
+		folder, _ = r.source.now()
 	}
-	r.lastRevision, r.started = revision, true
-	if revision == 0 {
+	r.lastRevision, r.started = folder.Revision, true
+	if folder.Revision == 0 {
 		return files.Set{}, 0, nil
 	}
-	return files.Set{Revision: revision, Files: []files.File{{Name: "a.ini"}}}, revision, nil
+	r.fleet.carry(ctx, netip.AddrPort{}, r.self, setSize(folder))
+	return folder, folder.Revision, nil
 }
 
 const (
