fleet/gossip: send a large configuration in compressed parts

Cause: operators added 1,400 routes three times. A daemon without the latest revision was sent the whole folder in one message, up to 0.9 MB, 0.75 s of an idle link of 10 Mbit/s. The request counted as lost after 0.25 s and went to another peer as well; an exchange ended after 1 s and what had arrived was thrown away; each announcement by a peer began another one. Links that were too slow stayed full for good. Acks and messages behind these bytes came late: routers took connections for silent and broke off runs, daemons stayed on old revisions, members were suspected.

Class: a transfer that can't end within its time limit and begins again from the start, and whose repeats add to the load that made it late.

Why this works: the request says which files are held, so that a change costs what it changes; parts of 64 KiB add up, also from several peers, so that no transfer begins again and at most one part of them is lost; a part is asked for only when the one before has come or 0.25 s have passed, so that repeats stay under a quarter of such a link. Changes of the project's own log follow the same bound. Daemons of earlier versions, which don't say that they accept parts, still get what they got.

TestLaggingPeerGetsChangesOrFolder passes the request instead of its revision and checks the bound of the message, now 64 KiB in place of 256 KiB.

--- a/internal/conf/files/files.go
+++ b/internal/conf/files/files.go
@@ -2,7 +2,11 @@
 // with its file, line and key.
 package files
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // File is one file of the operators' folder.
 type File struct {
@@ -10,6 +14,11 @@
 	Content string
 }
 
+// Digest returns a hash of the name and the content, by which daemons tell each other which files they hold.
+func (f File) Digest() uint64 {
+	return xxhash.Sum64String(f.Name + "\x00" + f.Content)
+}
+
 // Change is an accepted change of the folder.
 type Change struct {
 	Revision uint64
--- a/internal/fleet/gossip/exchange.go
+++ b/internal/fleet/gossip/exchange.go
@@ -97,11 +97,10 @@
 		needed = len(next.Members) > 0
 	}
 	if reply.WantSince {
-		n.revisions.addMissing(next, reply.Since)
-		needed = needed || next.Snapshot != nil || len(next.Changes) > 0
+		n.revisions.addMissing(next, reply)
+		needed = needed || next.Part != nil || next.Snapshot != nil || len(next.Changes) > 0
 	}
-	if since, ok := n.revisions.shouldRequest(reply.InForce); ok {
-		next.WantSince, next.Since = true, since
+	if n.revisions.addRequest(next, reply.InForce) {
 		needed = true
 	}
 	if !needed {
--- a/internal/fleet/gossip/node_test.go
+++ b/internal/fleet/gossip/node_test.go
@@ -110,15 +110,15 @@
 			g.Expect(node.Accept([]files.Change{change(revision, 50<<10)})).To(Succeed())
 		}
 		var recent, old proto.Exchange
-		node.revisions.addMissing(&recent, 14)
+		node.revisions.addMissing(&recent, &proto.Exchange{Since: 14})
 		g.Expect(recent.Changes[0].Revision).To(Equal(uint64(15)))
-		g.Expect(len(recent.Changes) * (50 << 10)).To(BeNumerically("<=", maxChangeBytes))
-		node.revisions.addMissing(&old, 2)
+		g.Expect(len(recent.Changes) * (50 << 10)).To(BeNumerically("<=", maxMessageBytes))
+		node.revisions.addMissing(&old, &proto.Exchange{Since: 2})
 		g.Expect(old.Changes).To(BeEmpty())
 		g.Expect(old.Snapshot.Revision).To(Equal(uint64(20)))
 		g.Expect(node.Accept([]files.Change{change(21, maxSnapshotSize)})).To(Succeed())
 		var large proto.Exchange
-		node.revisions.addMissing(&large, 2)
+		node.revisions.addMissing(&large, &proto.Exchange{Since: 2})
 		g.Expect(large.Snapshot).To(BeNil())
 	})
 }
@@ -187,15 +187,13 @@
 		var revisions revisions
 		requests := 0
 		for range 10 {
-			if _, ok := revisions.shouldRequest(5); ok {
+			if revisions.shouldRequest(5) {
 				requests++
 			}
 		}
 		g.Expect(requests).To(Equal(1))
-		_, ok := revisions.shouldRequest(6)
-		g.Expect(ok).To(BeTrue())
+		g.Expect(revisions.shouldRequest(6)).To(BeTrue())
 		time.Sleep(requestTimeout)
-		_, ok = revisions.shouldRequest(5)
-		g.Expect(ok).To(BeTrue())
+		g.Expect(revisions.shouldRequest(5)).To(BeTrue())
 	})
 }
--- /dev/null
+++ b/internal/fleet/gossip/part_test.go
@@ -0,0 +1,117 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
+)
+
+// folder returns a folder whose contents cannot be compressed, so that each file fills a quarter of a message.
+func folder(revision uint64, names ...int) files.Set {
+	set := files.Set{Revision: revision}
+	for _, name := range names {
+		random := rand.New(rand.NewPCG(uint64(name), 1))
+		content := make([]byte, maxMessageBytes/4)
+		for i := range content {
+			content[i] = byte(random.Uint32())
+		}
+		set.Files = append(set.Files, files.File{Name: fmt.Sprintf("file-%03d.ini", name), Content: string(content)})
+	}
+	return set
+}
+
+func numbers(from, to int) []int {
+	var list []int
+	for n := from; n < to; n++ {
+		list = append(list, n)
+	}
+	return list
+}
+
+// request returns the request for what a node lacks.
+func request(node *Node) *proto.Exchange {
+	message := &proto.Exchange{}
+	node.revisions.requested, node.revisions.mayContinue = 0, false
+	node.revisions.addRequest(message, 1<<40)
+	return message
+}
+
+// reply returns the reply of a node to the request.
+func reply(node *Node, wanted *proto.Exchange) *proto.Exchange {
+	message := &proto.Exchange{}
+	node.revisions.addMissing(message, wanted)
+	return message
+}
+
+// Guards against a folder whose parts are larger than a message, come twice, or are lost when the next one comes from another peer or
+// belongs to a later revision.
+func TestPartsOfAFolderAddUp(t *testing.T) {
+	g := NewWithT(t)
+	network := directNetwork{}
+	first, second, node := network.add(1, 0), network.add(2, 0), network.add(3, 0)
+	g.Expect(first.AcceptSet(folder(5, numbers(0, 12)...))).To(Succeed())
+	g.Expect(second.AcceptSet(folder(8, numbers(2, 14)...))).To(Succeed())
+	g.Expect(node.AcceptSet(folder(3, 0, 1, 2, 20))).To(Succeed())
+	sent := map[string]bool{}
+	for _, peer := range []*Node{first, first, second, second, second} {
+		message := reply(peer, request(node))
+		g.Expect(message.Part).NotTo(BeNil())
+		g.Expect(proto.Codec{}.Marshal(message)).To(WithTransform(func(b []byte) int { return len(b) }, BeNumerically("<", 2*maxMessageBytes)))
+		for _, file := range message.Part.Files {
+			g.Expect(sent).NotTo(HaveKey(file.Name), "sent twice")
+			sent[file.Name] = true
+		}
+		node.mergeRevisions(message)
+		if node.HeldRevision() == 8 {
+			break
+		}
+	}
+	g.Expect(node.FileSet()).To(Equal(second.FileSet()))
+	g.Expect(node.Holder.Revision()).To(Equal(uint64(8)))
+	g.Expect(reply(second, request(node)).Part).To(BeNil())
+}
+
+// Guards against a folder in a wrong order, a file that cannot be unpacked or is too large, and a late part that lowers the revision.
+func TestMalformedPartIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	node := directNetwork{}.add(1, 0)
+	g.Expect(node.AcceptSet(folder(5, 1))).To(Succeed())
+	held := node.FileSet()
+	swapped := folder(7, 2, 1)
+	large := compress(string(make([]byte, proto.MaxFrame+1)))
+	for want, part := range map[code.Code]*proto.FolderPart{
+		code.BadRequest:   {Revision: 6, Files: []proto.PackedFile{{Name: "a.ini", Content: []byte{0xff, 0xff}}}},
+		code.BodyTooLarge: {Revision: 6, Files: []proto.PackedFile{{Name: "a.ini", Content: large}}},
+	} {
+		g.Expect(code.Of(node.acceptPart(part)).Code).To(Equal(want))
+	}
+	unsorted := &proto.FolderPart{Revision: 7, Digests: digestsOf(swapped)}
+	for _, file := range swapped.Files {
+		unsorted.Files = append(unsorted.Files, proto.PackedFile{Name: file.Name, Content: compress(file.Content)})
+	}
+	g.Expect(code.Of(node.acceptPart(unsorted)).Code).To(Equal(code.BadRequest))
+	g.Expect(node.acceptPart(&proto.FolderPart{Revision: 4})).To(Succeed())
+	g.Expect(node.FileSet()).To(Equal(held))
+}
+
+// Guards against a peer of an earlier version that gets a part it does not know, and against one change that is larger than a message
+// being sent whole.
+func TestPeersGetWhatTheyAccept(t *testing.T) {
+	g := NewWithT(t)
+	node := directNetwork{}.add(1, 0)
+	large := files.Change{Revision: 1, Put: folder(0, numbers(0, 12)...).Files}
+	g.Expect(node.Accept([]files.Change{large})).To(Succeed())
+	wanted := &proto.Exchange{WantSince: true}
+	g.Expect(reply(node, wanted).Changes).To(HaveLen(1))
+	wanted.AcceptsParts = true
+	g.Expect(reply(node, wanted).Changes).To(BeEmpty())
+	g.Expect(reply(node, wanted).Part.Files).NotTo(BeEmpty())
+	g.Expect(node.AcceptSet(folder(2, numbers(0, 12)...))).To(Succeed())
+	g.Expect(reply(node, &proto.Exchange{WantSince: true}).Snapshot.Revision).To(Equal(uint64(2)))
+}
--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -16,14 +16,14 @@
 // Bounds of the change log that is kept for peers and of the configuration in one message. Sizes are estimates of the
 // encoded size in bytes.
 const (
-	maxLogBytes     = 512 << 10
-	maxLogChanges   = 512
-	maxChangeBytes  = 256 << 10
-	maxSnapshotSize = 960 << 10 // leaves room in a frame of 1 MiB; peers fetch a larger folder from the platform
+	maxLogBytes   = 512 << 10
+	maxLogChanges = 512
+	// maxMessageBytes takes 52 ms on a link of 10 Mbit/s. Other messages pass between two of this size.
+	maxMessageBytes = 64 << 10
+	maxSnapshotSize = 960 << 10 // leaves room in a frame of 1 MiB; for peers that do not accept parts
 )
 
-// requestTimeout is how long a requested revision may take before another peer is asked. A folder of 100 KB takes 80 ms on a
-// link of 10 Mbit/s.
+// requestTimeout is how long a reply to a request for a revision may take before another peer is asked.
 const requestTimeout = 250 * time.Millisecond
 
 // ErrGap is returned for changes that do not directly follow the held revision. The whole folder must be fetched instead.
@@ -35,11 +35,15 @@
 
 	mu          sync.Mutex
 	set         files.Set
+	digests     []uint64       // of the files of set, in their order
 	log         []files.Change // consecutive; the last has the revision of set
 	logBytes    int
-	requested   uint64    // revision last requested from a peer; 0 when none is outstanding
-	requestedAt time.Time // when requested was last asked for
-	roundsLeft  int       // eager rounds left for the held revision
+	packed      map[uint64][]byte // compressed contents of files of set and received, by digest
+	received    receivedFiles     // of a folder above set that has not arrived completely
+	requested   uint64            // revision last requested from a peer; 0 when none is outstanding
+	requestedAt time.Time         // when requested was last asked for or a part of it last arrived
+	mayContinue bool              // a part has arrived, so that the next one may be requested at once
+	roundsLeft  int               // eager rounds left for the held revision
 }
 
 // FileSet returns the configuration folder at the held revision. Its slices must not be changed.
@@ -100,12 +104,14 @@
 	n.init()
 	r := &n.revisions
 	r.mu.Lock()
-	r.set = set
+	r.set, r.digests = set, digestsOf(set)
 	if restart {
 		r.log, r.logBytes = nil, 0
 	}
 	r.appendLog(applied)
-	r.requested, r.requestedAt = 0, time.Time{}
+	r.received = receivedFiles{}
+	r.discardPacked()
+	r.requested, r.requestedAt, r.mayContinue = 0, time.Time{}, false
 	r.roundsLeft = eagerRounds
 	r.mu.Unlock()
 	err := n.activate(set)
@@ -139,44 +145,73 @@
 	r.log = slices.Delete(r.log, 0, drop)
 }
 
-// addMissing adds to the message what a peer at revision since lacks: the changes when the log still has them, else the whole
-// folder unless it is too large for a message.
-func (r *revisions) addMissing(message *proto.Exchange, since uint64) {
+// addMissing adds to the message what the peer that sent the request lacks: the changes when the log still has them, else a part
+// of the folder.
+func (r *revisions) addMissing(message, request *proto.Exchange) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if since >= r.set.Revision {
-		return
+	switch {
+	case request.Since >= r.set.Revision:
+	case r.hasChangesFor(request):
+		message.Changes = r.firstChanges(request.Since)
+	case request.AcceptsParts:
+		message.Part = r.part(request.Held)
+	case setSize(r.set) <= maxSnapshotSize:
+		set := r.set
+		message.Snapshot = &set
 	}
-	if len(r.log) == 0 || r.log[0].Revision > since+1 {
-		if setSize(r.set) <= maxSnapshotSize {
-			set := r.set
-			message.Snapshot = &set
-		}
-		return
+}
+
+// hasChangesFor reports whether the log holds the change that the peer needs next, and whether it may be sent in one message.
+func (r *revisions) hasChangesFor(request *proto.Exchange) bool {
+	if len(r.log) == 0 || r.log[0].Revision > request.Since+1 {
+		return false
 	}
-	size := 0
-	for _, change := range r.log[since+1-r.log[0].Revision:] {
+	return !request.AcceptsParts || changeSize(r.changesAfter(request.Since)[0]) <= maxMessageBytes
+}
+
+func (r *revisions) changesAfter(since uint64) []files.Change {
+	return r.log[since+1-r.log[0].Revision:]
+}
+
+// firstChanges returns the changes after revision since that fit into a message, at least one.
+func (r *revisions) firstChanges(since uint64) []files.Change {
+	changes, size := r.changesAfter(since), 0
+	for n, change := range changes {
 		size += changeSize(change)
-		if len(message.Changes) > 0 && size > maxChangeBytes {
-			break
+		if n > 0 && size > maxMessageBytes {
+			return changes[:n]
 		}
-		message.Changes = append(message.Changes, change)
 	}
+	return changes
 }
 
-// shouldRequest reports whether to request the offered revision from a peer, and returns the held revision, which the
-// requested changes must follow. A revision is requested again only after requestTimeout.
-func (r *revisions) shouldRequest(offered uint64) (since uint64, ok bool) {
+// shouldRequest reports whether to request the offered revision from a peer. A revision is requested again when a part of it has
+// arrived, else only after requestTimeout.
+func (r *revisions) shouldRequest(offered uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if offered <= r.set.Revision {
-		return 0, false
+		return false
 	}
-	if offered <= r.requested && time.Since(r.requestedAt) < requestTimeout {
-		return 0, false
+	if offered <= r.requested && !r.mayContinue && time.Since(r.requestedAt) < requestTimeout {
+		return false
+	}
+	r.requested, r.requestedAt, r.mayContinue = max(r.requested, offered), time.Now(), false
+	return true
+}
+
+// addRequest adds to the message a request for what this daemon lacks if the peer has a higher revision in force. It reports
+// whether it has.
+func (r *revisions) addRequest(message *proto.Exchange, offered uint64) bool {
+	if !r.shouldRequest(offered) {
+		return false
 	}
-	r.requested, r.requestedAt = offered, time.Now()
-	return r.set.Revision, true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	message.WantSince, message.Since = true, r.set.Revision
+	message.AcceptsParts, message.Held = true, r.received.appendDigests(r.digests)
+	return true
 }
 
 // overdue reports whether a requested revision has not arrived within requestTimeout.
@@ -197,9 +232,12 @@
 	return true
 }
 
-// mergeRevisions accepts the snapshot and the changes in a message. After a gap, the missing changes are requested by a later
+// mergeRevisions accepts the folder and the changes in a message. After a gap, the missing changes are requested by a later
 // exchange.
 func (n *Node) mergeRevisions(message *proto.Exchange) {
+	if message.Part != nil {
+		n.logRefusal(n.acceptPart(message.Part), message)
+	}
 	if message.Snapshot != nil {
 		n.logRefusal(n.AcceptSet(*message.Snapshot), message)
 	}
@@ -245,7 +283,7 @@
 func changeSize(change files.Change) int {
 	size := fileOverhead + len(change.ID) + len(change.Operator)
 	for _, file := range change.Put {
-		size += fileOverhead + len(file.Name) + len(file.Content)
+		size += fileSize(file)
 	}
 	for _, name := range change.Remove {
 		size += fileOverhead + len(name)
@@ -256,7 +294,11 @@
 func setSize(set files.Set) int {
 	size := 0
 	for _, file := range set.Files {
-		size += fileOverhead + len(file.Name) + len(file.Content)
+		size += fileSize(file)
 	}
 	return size
 }
+
+func fileSize(file files.File) int {
+	return fileOverhead + len(file.Name) + len(file.Content)
+}
--- a/internal/fleet/gossip/serve.go
+++ b/internal/fleet/gossip/serve.go
@@ -36,11 +36,9 @@
 		}
 	}
 	if request.WantSince {
-		n.revisions.addMissing(reply, request.Since)
-	}
-	if since, ok := n.revisions.shouldRequest(request.InForce); ok {
-		reply.WantSince, reply.Since = true, since
+		n.revisions.addMissing(reply, request)
 	}
+	n.revisions.addRequest(reply, request.InForce)
 	if request.IndirectTarget.IsValid() {
 		reply.TargetReached = n.tryMember(ctx, request.IndirectTarget)
 	}
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -379,7 +379,7 @@
 
 // exchangeSize estimates the encoded size of an exchange in bytes.
 func exchangeSize(m *proto.Exchange) int {
-	size := headerSize + recordSize(m.From) + 24 + 9*len(m.Digests)
+	size := headerSize + recordSize(m.From) + 24 + 9*(len(m.Digests)+len(m.Held))
 	for _, r := range m.Members {
 		size += recordSize(r)
 	}
@@ -391,6 +391,12 @@
 	if m.Snapshot != nil {
 		size += setSize(*m.Snapshot)
 	}
+	if m.Part != nil {
+		size += 9 * len(m.Part.Digests)
+		for _, file := range m.Part.Files {
+			size += 8 + len(file.Name) + len(file.Content)
+		}
+	}
 	return size
 }
 
--- a/internal/fleet/watch/large_test.go
+++ b/internal/fleet/watch/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -13,22 +14,29 @@
 
 const (
 	slowLink      = 1_250_000 // bytes per second: 10 Mbit/s
-	routeFile     = 19 << 10  // bytes of a file of 100 routes
-	filesPerStep  = 14        // of a change that adds 1,400 routes
+	routesPerFile = 100
+	filesPerStep  = 14 // of a change that adds 1,400 routes
 	growthSteps   = 4
 	newDaemons    = 8
 	firstCopyTime = 3 * time.Second // for daemons without a configuration, whose links need 0.9 s for the whole folder
 	controlRate   = 7_000           // bytes per second of a daemon at rest
 )
 
-// routeFiles returns the files that a step adds to the folder.
-func routeFiles(step int) []files.File {
-	var added []files.File
+// routeFiles returns the files that a step adds to the folder, and their size.
+func routeFiles(step int) (added []files.File, size int) {
+	random := rand.New(rand.NewPCG(uint64(step), 1))
 	for n := range filesPerStep {
-		number := fmt.Sprintf("%03d", step*filesPerStep+n)
-		added = append(added, files.File{Name: "routes-" + number + ".ini", Content: strings.Repeat(number, routeFile/len(number))})
+		file := step*filesPerStep + n
+		var text strings.Builder
+		for route := range routesPerFile {
+			fmt.Fprintf(&text, "[route r%d]\nhost = shop-%x.example\nprefix = /%x/%x/\nservices = service-%d\nkind = idempotent\n"+
+				"timeout = 3s\npriority = 2\nobjective = 800ms\nservers = 3\n\n",
+				file*routesPerFile+route, random.Uint32(), random.Uint32(), random.Uint32(), random.IntN(20))
+		}
+		added = append(added, files.File{Name: fmt.Sprintf("routes-%03d.ini", file), Content: text.String()})
+		size += text.Len()
 	}
-	return added
+	return added, size
 }
 
 // Guards against a growing configuration that saturates slow links, so that it arrives late or never and delays all other messages.
@@ -39,11 +47,11 @@
 		f.mu.Unlock()
 		for step := range growthSteps {
 			before := f.traffic()
-			revision := f.source.change(routeFiles(step)...)
+			added, size := routeFiles(step)
+			revision := f.source.change(added...)
 			g.Expect(until(applyBound, f.inForce(revision))).To(BeNumerically("<", applyBound), "step %d", step)
 			time.Sleep(2 * time.Second)
-			sent := (f.traffic() - before) / 2
-			g.Expect(sent).To(BeNumerically("<", 2*followSize*filesPerStep*routeFile), "bytes sent in step %d", step)
+			g.Expect((f.traffic()-before)/2).To(BeNumerically("<", followSize*size), "bytes sent in step %d", step)
 		}
 		for i := range newDaemons {
 			f.start(followSize+i, f.record(0), f.record(1), f.record(2))
--- a/internal/wire/proto/codec.go
+++ b/internal/wire/proto/codec.go
@@ -6,6 +6,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 )
 
 // Limits of single fields in bytes, and of lists in elements. They keep the memory of a decoded message within a small
@@ -22,6 +23,7 @@
 	maxAddress     = 64
 	maxMembers     = 4096
 	maxDigests     = 1024
+	maxHeldDigests = 2 * files.MaxFiles // of the files of a folder, and of those received of the next one
 	maxChanges     = 4096
 	maxFiles       = 4096
 )
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -71,6 +71,10 @@
 	fileLists = rapid.Map(rapid.SliceOfN(rapid.Custom(func(t *rapid.T) files.File {
 		return files.File{Name: texts.Draw(t, "name"), Content: texts.Draw(t, "content")}
 	}), 0, 3), nilIfEmpty[files.File])
+	packedLists = rapid.Map(rapid.SliceOfN(rapid.Custom(func(t *rapid.T) PackedFile {
+		return PackedFile{Name: texts.Draw(t, "name"), Content: bodies.Draw(t, "content")}
+	}), 0, 3), nilIfEmpty[PackedFile])
+	digests = rapid.Map(rapid.SliceOfN(rapid.Uint64(), 0, 64), nilIfEmpty[uint64])
 	changes = rapid.Custom(func(t *rapid.T) files.Change {
 		return files.Change{
 			Revision: rapid.Uint64().Draw(t, "revision"), ID: texts.Draw(t, "id"), Operator: texts.Draw(t, "operator"),
@@ -140,7 +144,7 @@
 	m := &Exchange{
 		From: records.Draw(t, "from"), Seen: HeadSeen{Revision: rapid.Uint64().Draw(t, "seen"), Age: durations.Draw(t, "age")},
 		InForce: rapid.Uint64().Draw(t, "in-force"),
-		Digests: rapid.Map(rapid.SliceOfN(rapid.Uint64(), 0, 64), nilIfEmpty[uint64]).Draw(t, "digests"),
+		Digests: digests.Draw(t, "digests"), Held: digests.Draw(t, "held"), AcceptsParts: rapid.Bool().Draw(t, "accepts-parts"),
 		Members: rapid.Map(rapid.SliceOfN(records, 0, 4), nilIfEmpty[member.Record]).Draw(t, "members"),
 		Changes: rapid.Map(rapid.SliceOfN(changes, 0, 4), nilIfEmpty[files.Change]).Draw(t, "changes"),
 		Since:   rapid.Uint64().Draw(t, "since"), WantSince: rapid.Bool().Draw(t, "want"), More: rapid.Bool().Draw(t, "more"),
@@ -148,6 +152,11 @@
 	if rapid.Bool().Draw(t, "has-snapshot") {
 		m.Snapshot = &files.Set{Revision: rapid.Uint64().Draw(t, "revision"), Files: fileLists.Draw(t, "files")}
 	}
+	if rapid.Bool().Draw(t, "has-part") {
+		m.Part = &FolderPart{
+			Revision: rapid.Uint64().Draw(t, "part-revision"), Digests: digests.Draw(t, "file-digests"), Files: packedLists.Draw(t, "part-files"),
+		}
+	}
 	return m
 }
 
--- a/internal/wire/proto/fleet.go
+++ b/internal/wire/proto/fleet.go
@@ -119,6 +119,40 @@
 	}
 }
 
+func appendPart(buf []byte, m *FolderPart) []byte {
+	buf = putUint(buf, 1, m.Revision)
+	buf = putDigests(buf, 2, m.Digests)
+	for i := range m.Files {
+		buf = putNested(buf, 3, &m.Files[i], appendPackedFile)
+	}
+	return buf
+}
+
+func readPart(r *reader, m *FolderPart) {
+	switch r.number {
+	case 1:
+		m.Revision = r.unsigned()
+	case 2:
+		m.Digests = r.digests(files.MaxFiles)
+	case 3:
+		m.Files = readElement(r, m.Files, maxFiles, readPackedFile)
+	}
+}
+
+func appendPackedFile(buf []byte, m *PackedFile) []byte {
+	buf = putText(buf, 1, m.Name)
+	return putBytes(buf, 2, m.Content)
+}
+
+func readPackedFile(r *reader, m *PackedFile) {
+	switch r.number {
+	case 1:
+		m.Name = r.text(maxName)
+	case 2:
+		m.Content = r.bytes(MaxFrame)
+	}
+}
+
 func appendSeen(buf []byte, m *HeadSeen) []byte {
 	buf = putUint(buf, 1, m.Revision)
 	return putInt(buf, 2, int64(m.Age))
@@ -134,16 +168,14 @@
 }
 
 func appendExchange(buf []byte, m *Exchange) ([]byte, error) {
-	if len(m.Digests) > maxDigests || len(m.Members) > maxMembers || len(m.Changes) > maxChanges {
-		return nil, code.Unknownf(code.BodyTooLarge, "exchange with %d digests, %d members and %d changes",
-			len(m.Digests), len(m.Members), len(m.Changes))
+	if len(m.Digests) > maxDigests || len(m.Members) > maxMembers || len(m.Changes) > maxChanges || len(m.Held) > maxHeldDigests {
+		return nil, code.Unknownf(code.BodyTooLarge, "exchange with %d digests, %d members, %d changes and %d files held",
+			len(m.Digests), len(m.Members), len(m.Changes), len(m.Held))
 	}
 	buf = putNested(buf, 1, &m.From, appendRecord)
 	buf = putNested(buf, 2, &m.Seen, appendSeen)
 	buf = putUint(buf, 3, m.InForce)
-	if len(m.Digests) > 0 {
-		buf = putNested(buf, 4, m.Digests, appendDigests)
-	}
+	buf = putDigests(buf, 4, m.Digests)
 	for i := range m.Members {
 		buf = putNested(buf, 5, &m.Members[i], appendRecord)
 	}
@@ -155,7 +187,12 @@
 	}
 	buf = putUint(buf, 8, m.Since)
 	buf = putBool(buf, 9, m.WantSince)
-	return putBool(buf, 10, m.More), nil
+	buf = putBool(buf, 10, m.More)
+	if m.Part != nil {
+		buf = putNested(buf, 11, m.Part, appendPart)
+	}
+	buf = putBool(buf, 12, m.AcceptsParts)
+	return putDigests(buf, 13, m.Held), nil
 }
 
 func readExchange(r *reader, m *Exchange) {
@@ -167,7 +204,7 @@
 	case 3:
 		m.InForce = r.unsigned()
 	case 4:
-		m.Digests = r.digests()
+		m.Digests = r.digests(maxDigests)
 	case 5:
 		m.Members = readElement(r, m.Members, maxMembers, readRecord)
 	case 6:
@@ -181,7 +218,21 @@
 		m.WantSince = r.boolean()
 	case 10:
 		m.More = r.boolean()
+	case 11:
+		m.Part = new(FolderPart)
+		readNested(r, m.Part, readPart)
+	case 12:
+		m.AcceptsParts = r.boolean()
+	case 13:
+		m.Held = r.digests(maxHeldDigests)
+	}
+}
+
+func putDigests(buf []byte, number fieldNumber, digests []uint64) []byte {
+	if len(digests) == 0 {
+		return buf
 	}
+	return putNested(buf, number, digests, appendDigests)
 }
 
 // appendDigests encodes digests with a fixed size: they are uniformly distributed, so varints would be longer.
@@ -192,10 +243,10 @@
 	return buf
 }
 
-func (r *reader) digests() []uint64 {
+func (r *reader) digests(most int) []uint64 {
 	const size = 8
 	buf := r.rawBytes(MaxFrame)
-	if len(buf)%size != 0 || len(buf) > maxDigests*size {
+	if len(buf)%size != 0 || len(buf) > most*size {
 		r.err = malformed("list of digests has an invalid size of %d bytes", len(buf))
 		return nil
 	}
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -180,14 +180,30 @@
 	Digests        []uint64 // one per bucket of members; empty in an eager exchange
 	Members        []member.Record
 	Changes        []files.Change // in order of revision, starting after the receiver's revision
-	Snapshot       *files.Set     // sent instead of Changes if the sender no longer has them
+	Snapshot       *files.Set     // sent instead of Changes if the sender no longer has them and the receiver does not accept parts
+	Part           *FolderPart    // sent instead of Changes if the sender no longer has them
 	Since          uint64         // requests the changes after this revision
 	WantSince      bool           // Since is set
+	AcceptsParts   bool           // with WantSince: the sender merges parts of a folder; daemons of earlier versions do not
+	Held           []uint64       // with WantSince: digests of the files that need not be sent
 	More           bool           // the message had no room for all the records to be sent
 	IndirectTarget netip.AddrPort // requests that the receiver exchanges with this member on behalf of the sender; the zero value if unused
 	TargetReached  bool           // in the reply: the member at IndirectTarget answered
 }
 
+// FolderPart is a part of the configuration folder, so that a large folder takes a slow link only for a short time at once.
+type FolderPart struct {
+	Revision uint64
+	Digests  []uint64     // of all files of the folder, in the order of their names
+	Files    []PackedFile // some of those that the receiver lacks; at least one if it lacks any
+}
+
+// PackedFile is a configuration file with its content compressed in the DEFLATE format.
+type PackedFile struct {
+	Name    string
+	Content []byte
+}
+
 // Status asks a daemon for its configuration revision. The reply has the same type.
 type Status struct {
 	From    member.Record
