wire/proto: encode the target and the result of indirect attempts

A suspected member gets no work while another serves.

Cause: Exchange.IndirectTarget and TargetReached were never encoded, since the membership was added.

Evidence: drawExchange did not set the two fields, and the tests of gossip pass messages without the codec. With both mended, TestFailureIsCheckedThroughPeer (suspect in place of serving) and TestEveryMessageSurvivesTheCodec failed before. TestEveryFieldIsDrawn guards against further fields that no test sets.

Why it works: the second attempt through another peer, which docs/design.md section 10 describes, now takes place.

--- a/internal/fleet/gossip/node_test.go
+++ b/internal/fleet/gossip/node_test.go
@@ -20,7 +20,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
-// directNetwork connects nodes without latency. An exchange with an unknown address times out.
+// directNetwork connects nodes without latency. Messages are encoded and decoded. An exchange with an unknown address times out.
 type directNetwork map[netip.AddrPort]*Node
 
 func (d directNetwork) Exchange(ctx context.Context, to netip.AddrPort, request *proto.Exchange) (*proto.Exchange, error) {
@@ -28,7 +28,24 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return d[to].Exchange(ctx, nil, request)
+	reply, err := d[to].Exchange(ctx, nil, recode(request))
+	if err != nil {
+		return nil, err
+	}
+	return recode(reply), nil
+}
+
+// recode returns the message as the peer decodes it.
+func recode(message *proto.Exchange) *proto.Exchange {
+	decoded := &proto.Exchange{}
+	encoded, err := proto.Codec{}.Marshal(message)
+	if err == nil {
+		err = proto.Codec{}.Unmarshal(encoded, decoded)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return decoded
 }
 
 func (d directNetwork) Status(ctx context.Context, to netip.AddrPort, request *proto.Status) (*proto.Status, error) {
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -145,6 +145,7 @@
 		From: records.Draw(t, "from"), Seen: HeadSeen{Revision: rapid.Uint64().Draw(t, "seen"), Age: durations.Draw(t, "age")},
 		InForce: rapid.Uint64().Draw(t, "in-force"),
 		Digests: digests.Draw(t, "digests"), Held: digests.Draw(t, "held"), AcceptsParts: rapid.Bool().Draw(t, "accepts-parts"),
+		IndirectTarget: addresses.Draw(t, "indirect-target"), TargetReached: rapid.Bool().Draw(t, "target-reached"),
 		Members: rapid.Map(rapid.SliceOfN(records, 0, 4), nilIfEmpty[member.Record]).Draw(t, "members"),
 		Changes: rapid.Map(rapid.SliceOfN(changes, 0, 4), nilIfEmpty[files.Change]).Draw(t, "changes"),
 		Since:   rapid.Uint64().Draw(t, "since"), WantSince: rapid.Bool().Draw(t, "want"), More: rapid.Bool().Draw(t, "more"),
@@ -171,6 +172,22 @@
 	return decoded, Codec{}.Unmarshal(buf, decoded)
 }
 
+// Guards against a field of a message that TestEveryMessageSurvivesTheCodec never sets, and that may then be missing from the codec.
+func TestEveryFieldIsDrawn(t *testing.T) {
+	g := NewWithT(t)
+	set := map[string]bool{}
+	rapid.Check(t, func(t *rapid.T) {
+		message := reflect.ValueOf(messages.Draw(t, "message")).Elem()
+		for i := range message.NumField() {
+			name := message.Type().Name() + "." + message.Type().Field(i).Name
+			set[name] = set[name] || !message.Field(i).IsZero()
+		}
+	})
+	for name, ever := range set {
+		g.Expect(ever).To(BeTrue(), name)
+	}
+}
+
 // Guards against a field that is lost or changed by encoding and decoding, against a decoded message that shares memory with
 // drpc's receive buffer, and against failing on unknown fields, which a later protocol may add.
 func TestEveryMessageSurvivesTheCodec(t *testing.T) {
--- a/internal/wire/proto/fleet.go
+++ b/internal/wire/proto/fleet.go
@@ -192,7 +192,9 @@
 		buf = putNested(buf, 11, m.Part, appendPart)
 	}
 	buf = putBool(buf, 12, m.AcceptsParts)
-	return putDigests(buf, 13, m.Held), nil
+	buf = putDigests(buf, 13, m.Held)
+	buf = putAddress(buf, 14, m.IndirectTarget)
+	return putBool(buf, 15, m.TargetReached), nil
 }
 
 func readExchange(r *reader, m *Exchange) {
@@ -225,6 +227,10 @@
 		m.AcceptsParts = r.boolean()
 	case 13:
 		m.Held = r.digests(maxHeldDigests)
+	case 14:
+		m.IndirectTarget = r.address()
+	case 15:
+		m.TargetReached = r.boolean()
 	}
 }
 
