daemon: let the heap's limit follow the memory of the instance

What callers would see: a daemon that is killed in the middle of its requests.

Cause: the runtime's memory limit was 192 MiB on every instance, above the 184 MB that the smallest ones have, so that nothing made collections more frequent before the kill.

--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -152,6 +152,8 @@
 			}),
 		optional("limits", "max-deadline", "10m", "1s to 24h", "longest deadline that a caller may ask for",
 			func(s *Settings, v string) error { return setDuration(&s.MaxDeadline, v, time.Second, 24*time.Hour) }),
+		optional("limits", "memory-mb", "256", "64 to 1000000", "memory that the process may use, in 10^6 bytes",
+			func(s *Settings, v string) error { return setCount(&s.MemoryMB, v, 64, 1000000) }),
 		optional("stop", "grace", "1s", "0s to 1m", "from the announcement of a planned stop to the refusal of new work",
 			func(s *Settings, v string) error { return setDuration(&s.StopGrace, v, 0, time.Minute) }),
 		optional("stop", "timeout", "5m", "1s to 24h", "for requests in flight at a planned stop",
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -54,6 +54,7 @@
 	CallerHeaderBytes int           // maximum size of a caller's request header
 	HeaderTimeout     time.Duration // for reading a caller's request header
 	MaxDeadline       time.Duration // longest deadline that a caller may ask for
+	MemoryMB          int           // memory of 10^6 bytes that the process may use
 
 	StopGrace   time.Duration // from the announcement of the stop to the refusal of new work
 	StopTimeout time.Duration // for requests in flight after StopGrace
--- a/internal/cli/cmds/daemon.go
+++ b/internal/cli/cmds/daemon.go
@@ -55,7 +55,7 @@
 			if err != nil {
 				return err
 			}
-			daemon.TuneGC()
+			daemon.TuneGC(settings.MemoryMB)
 			level := &slog.LevelVar{}
 			level.Set(settings.LogLevel)
 			reload, stop := notifyReload()
--- a/internal/cli/daemon/path_bench_test.go
+++ b/internal/cli/daemon/path_bench_test.go
@@ -161,7 +161,7 @@
 
 // BenchmarkPath measures what two daemons add to a call, compared with direct calls that alternate with the calls through them.
 func BenchmarkPath(b *testing.B) {
-	daemon.TuneGC()
+	daemon.TuneGC(256)
 	p := newTwoDaemons(b)
 	b.Run("added", p.added)
 	b.Run("cost", p.cost)
