plat/rest: read a large response on a slow link to its end

Cause: the timeout of a request to the platform, 1 s in deploy/daemon.ini, held for the response too. The row of 5,600 routes is some 1.9 MB in base64, 1.5 s on a link of 10 Mbit/s, so that a daemon that reads all rows, as each new follower does, failed each time, kept nothing and began again after at most a second. Reading the changes or the whole folder from the project's own table had 2 s in all.

Why it works: each byte extends the limit by its time at 128 KiB/s, a tenth of such a link. A store that is silent, or trickles, is given up as before.

--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -98,7 +98,7 @@
 			func(s *Settings, v string) error { return setAddress(&s.Table, v) }),
 		required("platform", "objects", "IP:PORT", "the platform's object store",
 			func(s *Settings, v string) error { return setAddress(&s.Objects, v) }),
-		optional("platform", "timeout", "2s", "10ms to 1m", "for one request to the platform",
+		optional("platform", "timeout", "2s", "10ms to 1m", "for one request to the platform; more for a large response",
 			func(s *Settings, v string) error {
 				return setDuration(&s.PlatformTimeout, v, 10*time.Millisecond, time.Minute)
 			}),
--- a/internal/fleet/watch/head.go
+++ b/internal/fleet/watch/head.go
@@ -140,8 +140,6 @@
 // fetch reads the missing changes from the platform, or the whole folder when none is held, too many changes are missing, or they
 // do not follow the held revision.
 func (w *Watch) fetch(ctx context.Context, head uint64) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
 	w.counters.fetches.Add(1)
 	held := w.Node.HeldRevision()
 	err := gossip.ErrGap
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -37,7 +37,8 @@
 	jitterShare     = 0.2
 )
 
-// Reader reads the accepted configuration from the platform.
+// Reader reads the accepted configuration from the platform. It gives up a store that does not answer; a large answer may take a slow
+// link for long.
 type Reader interface {
 	// ReadHead returns the revision of the configuration head.
 	ReadHead(ctx context.Context) (revision uint64, err error)
--- a/internal/plat/rest/rest.go
+++ b/internal/plat/rest/rest.go
@@ -29,6 +29,9 @@
 	notApplied    = "not-run"
 )
 
+// minRate is the rate in bytes per second below which a response is given up. A link of 10 Mbit/s carries about ten times as much.
+const minRate = 128 << 10
+
 // maxIdlePerStore is the number of idle connections kept to a store. Claims send many small requests concurrently.
 const maxIdlePerStore = 32
 
@@ -48,7 +51,7 @@
 	Address     netip.AddrPort
 	Resolve     func() netip.AddrPort // returns the current address in place of Address; may be nil
 	HTTP        *http.Client          // nil: defaultClient, shared by all clients
-	Timeout     time.Duration         // of one request with its response; 0: DefaultTimeout
+	Timeout     time.Duration         // of one request, without the time for its response at minRate; 0: DefaultTimeout
 	MaxResponse int64                 // bytes; 0: DefaultMaxResponse
 }
 
@@ -70,12 +73,10 @@
 // Do sends a request once, without retries, and reads the whole response. It returns the same error codes and outcomes as
 // table.Store.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := c.startLimit(cancel)
+	defer limit.timer.Stop()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	target := fmt.Sprintf("http://%s%s", c.address(), r.Path)
@@ -88,10 +89,52 @@
 	}
 	response, err := c.client().Do(request)
 	if err != nil {
-		return Response{}, c.unavailable(r, !connected.Load(), "request failed without a response", err)
+		return Response{}, c.unavailable(r, !connected.Load(), "request failed without a response", causeOf(ctx, err))
 	}
 	defer func() { _ = response.Body.Close() }()
-	return c.read(r, response)
+	return c.read(ctx, r, response, limit)
+}
+
+// causeOf returns why the context has ended, or err if it has not.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// timeLimit ends a request after its timeout, which each byte of the response extends. A large response on a slow link is then read
+// to its end: a repetition would begin anew and add to the load of the link.
+type timeLimit struct {
+	timer *time.Timer
+	end   time.Time
+}
+
+func (c *Client) startLimit(cancel context.CancelCauseFunc) *timeLimit {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	return &timeLimit{
+		timer: time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) }),
+		end:   time.Now().Add(timeout),
+	}
+}
+
+// extendingReader extends the limit of a request while it reads the response.
+type extendingReader struct {
+	body  io.Reader
+	limit *timeLimit
+}
+
+// Read implements io.Reader.
+func (r extendingReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	r.limit.end = r.limit.end.Add(time.Duration(n) * time.Second / minRate)
+	if r.limit.timer.Stop() {
+		r.limit.timer.Reset(time.Until(r.limit.end))
+	}
+	return n, err
 }
 
 func (c *Client) address() netip.AddrPort {
@@ -108,20 +151,20 @@
 	return defaultClient
 }
 
-func (c *Client) read(r Request, response *http.Response) (Response, error) {
-	limit := c.MaxResponse
-	if limit == 0 {
-		limit = DefaultMaxResponse
+func (c *Client) read(ctx context.Context, r Request, response *http.Response, limit *timeLimit) (Response, error) {
+	size := c.MaxResponse
+	if size == 0 {
+		size = DefaultMaxResponse
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return Response{}, c.statusError(r, response)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(extendingReader{body: response.Body, limit: limit}, size+1))
 	if err != nil {
-		return Response{}, c.unavailable(r, false, "response body could not be read to its end", err)
+		return Response{}, c.unavailable(r, false, "response body could not be read to its end", causeOf(ctx, err))
 	}
-	if int64(len(body)) > limit {
-		return Response{}, c.unavailable(r, false, fmt.Sprintf("response is larger than %d bytes", limit), nil)
+	if int64(len(body)) > size {
+		return Response{}, c.unavailable(r, false, fmt.Sprintf("response is larger than %d bytes", size), nil)
 	}
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
