fleet/gossip: tell that a revision is late and how it was requested

A daemon now logs revision-late once, and counts its requests, the repeated ones and the parts that came, in the dump and the metrics.

--- a/internal/fleet/gossip/dump.go
+++ b/internal/fleet/gossip/dump.go
@@ -33,6 +33,10 @@
 	Suspected uint64
 	Refuted   uint64
 	Snapshots uint64
+
+	RevisionRequests uint64 // for revisions of the configuration, to peers
+	RepeatedRequests uint64 // of RevisionRequests: made again because no reply came in time
+	Parts            uint64 // of configuration folders, received from peers
 }
 
 // Dump returns the state for the state dump.
@@ -47,7 +51,7 @@
 		SeenRevision:  seenRevision,
 		SeenAge:       seenAge,
 		PendingRumors: n.rumors.len(),
-		Counters:      n.counters.dump(),
+		Counters:      n.Counts(),
 	}
 	select {
 	case <-n.joined:
@@ -65,7 +69,12 @@
 	return dump
 }
 
-func (c *counters) dump() CounterDump {
+// Counts returns the counters since the start.
+func (n *Node) Counts() CounterDump {
+	c := &n.counters
+	n.revisions.mu.Lock()
+	revisions := n.revisions.counts
+	n.revisions.mu.Unlock()
 	return CounterDump{
 		Periodic:  c.periodic.Load(),
 		Eager:     c.eager.Load(),
@@ -74,5 +83,9 @@
 		Suspected: c.suspected.Load(),
 		Refuted:   c.refuted.Load(),
 		Snapshots: c.snapshots.Load(),
+
+		RevisionRequests: revisions.requests,
+		RepeatedRequests: revisions.repeated,
+		Parts:            revisions.parts,
 	}
 }
--- a/internal/fleet/gossip/isolation.go
+++ b/internal/fleet/gossip/isolation.go
@@ -79,6 +79,7 @@
 	var exchanges sync.WaitGroup
 	defer exchanges.Wait()
 	for sleep(ctx, Jitter(silenceCheckInterval, jitterShare)) {
+		n.logLate()
 		if n.PeerSilence() < maxPeerSilence && !n.revisions.overdue() {
 			continue
 		}
--- a/internal/fleet/gossip/part.go
+++ b/internal/fleet/gossip/part.go
@@ -125,6 +125,7 @@
 func (r *revisions) addPart(part *proto.FolderPart, unpacked []files.File) (files.Set, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.counts.parts++
 	if part.Revision <= r.set.Revision {
 		return files.Set{}, false
 	}
--- a/internal/fleet/gossip/part_test.go
+++ b/internal/fleet/gossip/part_test.go
@@ -3,11 +3,17 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
@@ -115,3 +121,25 @@
 	g.Expect(node.AcceptSet(folder(2, numbers(0, 12)...))).To(Succeed())
 	g.Expect(reply(node, &proto.Exchange{WantSince: true}).Snapshot.Revision).To(Equal(uint64(2)))
 }
+
+// Guards against a daemon that stays on an old configuration without a line in its log, and against a line for each request.
+func TestLateRevisionIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		network := directNetwork{}
+		node, peer := network.add(1, 2), network.add(2, 2)
+		var late atomic.Int64
+		node.Log = funcr.New(func(_, args string) {
+			if strings.Contains(args, "revision-late") {
+				late.Add(1)
+			}
+		}, funcr.Options{})
+		peer.revisions.set = files.Set{Revision: 7, Files: []files.File{{Name: "a.ini", Content: "broken"}}}
+		g.Expect(peer.Holder.Set(&config.Config{Revision: 7, Budgets: config.DefaultBudgets()})).To(Succeed())
+		peer.revisions.digests = []uint64{1} // of a file that never comes
+		run(t, node, peer)
+		time.Sleep(10 * time.Second)
+		g.Expect(late.Load()).To(Equal(int64(1)))
+		g.Expect(node.Counts().RepeatedRequests).To(BeNumerically(">", 1))
+	})
+}
--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -43,7 +43,17 @@
 	requested   uint64            // revision last requested from a peer; 0 when none is outstanding
 	requestedAt time.Time         // when requested was last asked for or a part of it last arrived
 	mayContinue bool              // a part has arrived, so that the next one may be requested at once
-	roundsLeft  int               // eager rounds left for the held revision
+	behindSince time.Time         // when a higher revision was first requested; zero when none is outstanding
+	lateLogged  bool              // since behindSince
+	counts      revisionCounts
+	roundsLeft  int // eager rounds left for the held revision
+}
+
+// revisionCounts counts how revisions were fetched from peers.
+type revisionCounts struct {
+	requests uint64
+	repeated uint64 // of requests: made again because no reply came within requestTimeout
+	parts    uint64 // received
 }
 
 // FileSet returns the configuration folder at the held revision. Its slices must not be changed.
@@ -112,6 +122,7 @@
 	r.received = receivedFiles{}
 	r.discardPacked()
 	r.requested, r.requestedAt, r.mayContinue = 0, time.Time{}, false
+	r.behindSince, r.lateLogged = time.Time{}, false
 	r.roundsLeft = eagerRounds
 	r.mu.Unlock()
 	err := n.activate(set)
@@ -194,8 +205,15 @@
 	if offered <= r.set.Revision {
 		return false
 	}
-	if offered <= r.requested && !r.mayContinue && time.Since(r.requestedAt) < requestTimeout {
-		return false
+	if offered <= r.requested && !r.mayContinue {
+		if time.Since(r.requestedAt) < requestTimeout {
+			return false
+		}
+		r.counts.repeated++
+	}
+	r.counts.requests++
+	if r.behindSince.IsZero() {
+		r.behindSince = time.Now()
 	}
 	r.requested, r.requestedAt, r.mayContinue = max(r.requested, offered), time.Now(), false
 	return true
@@ -221,6 +239,22 @@
 	return r.requested > r.set.Revision && time.Since(r.requestedAt) >= requestTimeout
 }
 
+// lateAfter is the time after the first request for a revision above the held one from which on it is logged as late.
+const lateAfter = 2 * time.Second
+
+// logLate logs once that a requested revision is late.
+func (n *Node) logLate() {
+	r := &n.revisions
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lateLogged || r.behindSince.IsZero() || time.Since(r.behindSince) < lateAfter {
+		return
+	}
+	r.lateLogged = true
+	n.Log.Info("revision-late", "requested", r.requested, "held", r.set.Revision, "behind", time.Since(r.behindSince),
+		"files-received", len(r.received.byDigest), "requests", r.counts.requests, "repeated", r.counts.repeated)
+}
+
 // takeRound reports whether the held revision has an eager round left, and uses it up.
 func (r *revisions) takeRound() bool {
 	r.mu.Lock()
