admit/server: believe no refusal that the server may have sent before

Callers could be told "not run, try again" for a request that its server had run or was running, or it ran at a second server, when a faulty server wrote an earlier refusal once more on a kept connection.

Cause: a response was matched by the request's id alone. A retry at the server that refused the first attempt bears the same id and took the same connection, so the copy of the refusal passed for the answer to the retry. Without ids, in the built-in dialect and for requests without one, the copy of any 503, also of a health poll's, passed for a refusal of the next request. A 400 without an id passed for a health response. Of the refusals of requests, only those with an empty body were concerned: after one with a body the connection was closed. A refused poll kept its connection either way.

A connection now keeps the hashes of the ids in the refusals that came on it, the empty id included, and carries no other request that has one of these and could be refused. A refusal that arrives is then the first with its id there. After 64 refusals a connection is not used again, so that the list stays short. Responses that nobody takes for a refusal cost no connection.

Open: without ids, a refusal that is no copy of one on its connection; with or without, one that was copied from another connection.

--- a/internal/admit/server/client.go
+++ b/internal/admit/server/client.go
@@ -88,7 +88,7 @@
 func (c *Client) Do(a *Attempt) (*http.Response, *code.Error) {
 	c.once.Do(c.setUp)
 	ctx := a.Request.Context()
-	conn, err := c.acquire(ctx)
+	conn, err := c.acquire(ctx, a)
 	if err != nil {
 		c.dropWarmProof(ctx)
 		return nil, failure(ctx, err, false)
--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -22,6 +24,8 @@
 	maxStray = 1 << 20
 	// maxSkipped bounds the interim responses and the responses to earlier requests that are skipped while a response is awaited.
 	maxSkipped = 16
+	// maxRefusals bounds the refusals of a connection. After that many it carries no other request.
+	maxRefusals = 64
 	// lateUploadTimeout bounds the time to send the rest of a request after its response is complete.
 	lateUploadTimeout = time.Second
 	// writeBuffer is large enough for a typical request, so that it is sent in one segment.
@@ -42,6 +46,9 @@
 	header      headerLimit
 	idleSince   time.Time     // when it became idle
 	idleTimeout time.Duration // an idle connection is not used after it
+	// refused has the hash of the request id in each refusal that was received, also of the empty id. The server may send such a
+	// refusal again, so no request that would believe it is sent on the connection.
+	refused []uint64
 
 	wroteAny atomic.Bool // a byte of the present request may have been sent
 	closed   atomic.Bool
@@ -68,16 +75,16 @@
 	return n, err
 }
 
-// acquire returns a connection for one request: the most recently used idle one, else a new one, or, with MaxConns in use, the
+// acquire returns a connection for one attempt: the most recently used idle one, else a new one, or, with MaxConns in use, the
 // next one that becomes idle or can be opened.
-func (c *Client) acquire(ctx context.Context) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, a *Attempt) (*conn, error) {
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
 		free, open, wait := c.reserve()
 		switch {
-		case free != nil && free.usable():
+		case free != nil && free.usable() && free.mayCarry(a):
 			return free, nil
 		case free != nil:
 			free.close()
@@ -152,6 +159,28 @@
 	return time.Since(k.idleSince) < k.idleTimeout && k.reader.Buffered() == 0 && openAndEmpty(k.net)
 }
 
+// mayCarry reports whether a refusal that arrives on the connection proves that the attempt was not run.
+func (k *conn) mayCarry(a *Attempt) bool {
+	dialect := k.client.Dialect
+	if !a.ShedsBeforeRun && dialect.NotRun == "" && dialect.Expect == "" {
+		return true // takes no response for a refusal
+	}
+	return !slices.Contains(k.refused, xxhash.Sum64String(a.ID))
+}
+
+// noteRefusal records the request id of a response that some attempt could take for a refusal.
+func (k *conn) noteRefusal(response *http.Response) {
+	dialect := k.client.Dialect
+	switch {
+	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(codeHeader) == "":
+	case response.StatusCode == http.StatusMisdirectedRequest:
+	case dialect.NotRun != "" && response.Header.Get(dialect.NotRun) != "":
+	default:
+		return
+	}
+	k.refused = append(k.refused, xxhash.Sum64String(response.Header.Get(dialect.RequestID)))
+}
+
 func (k *conn) close() {
 	if !k.closed.CompareAndSwap(false, true) {
 		return
@@ -161,9 +190,9 @@
 	k.client.releaseSlot()
 }
 
-// release returns the connection to the idle list, or closes it when it has unread bytes.
+// release returns the connection to the idle list, or closes it when it has unread bytes or has carried maxRefusals.
 func (k *conn) release() {
-	if k.reader.Buffered() > 0 || k.closed.Load() {
+	if k.reader.Buffered() > 0 || len(k.refused) >= maxRefusals || k.closed.Load() {
 		k.close()
 		return
 	}
@@ -269,7 +298,8 @@
 }
 
 // receive reads the response to the attempt. Responses to earlier requests on the connection may still arrive; they are
-// recognized by their request id and discarded; the response to a poll has none.
+// recognized by their request id and discarded; the response to a poll has none. That a refusal belongs to the attempt follows from
+// mayCarry, as another attempt of the same request has the same id.
 func (k *conn) receive(a *Attempt) (*http.Response, error) {
 	discarded := int64(0)
 	for range maxSkipped {
@@ -279,6 +309,7 @@
 		if err != nil {
 			return nil, err
 		}
+		k.noteRefusal(response)
 		switch {
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("the server switched to another protocol (status 101)")
--- a/internal/admit/server/poll.go
+++ b/internal/admit/server/poll.go
@@ -132,11 +132,12 @@
 		return PollResult{Error: err.Error()}
 	}
 	req.Body = nil
-	acquired, err := c.acquire(ctx)
+	attempt := &Attempt{Request: req}
+	acquired, err := c.acquire(ctx, attempt)
 	if err != nil {
 		return PollResult{Error: err.Error()}
 	}
-	response, err := acquired.exchange(&Attempt{Request: req})
+	response, err := acquired.exchange(attempt)
 	if err != nil {
 		return PollResult{Error: err.Error()}
 	}
