admit/server: do not take a reset during an upload for the end of an answer

Callers saw a 200 with a short body, framed as whole: a server answered an upload early, without a length, and reset the connection in the middle of the answer.

Cause: the kernel reports a reset once. The goroutine that sends the request body got it; the read of the answer that followed saw a regular end of the connection, which is the end of an answer without length.

Why it works: an answer that ends with its connection is now complete only if the request was sent completely; a rest of it may follow for a second, as for other early answers. After that no writer is left that could have taken the reset. An answer whose upload failed has an unknown outcome. TestAnswerBeforeTheEndOfTheUpload holds that a server may end its answer and read on.

--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -32,6 +32,7 @@
 	errHeaderTooLong  = errors.New("the server's response header exceeds 256 KiB")
 	errStrayResponses = errors.New("the server sent responses to other requests, none to this request")
 	errManyResponses  = errors.New("the server sent too many interim responses or responses to other requests")
+	errLateUpload     = errors.New("the request was not sent completely within the time allowed after its response")
 )
 
 // conn is a connection to the server. It carries one request at a time.
@@ -197,10 +198,17 @@
 		return nil, err
 	}
 	k.keepAlive(response.Header)
-	response.Body = &responseBody{ReadCloser: response.Body, conn: k, sent: sent, stop: stop, closes: response.Close}
+	response.Body = &responseBody{
+		ReadCloser: response.Body, conn: k, sent: sent, stop: stop, closes: response.Close, endsWithConn: endsWithConn(response),
+	}
 	return response, nil
 }
 
+// endsWithConn reports whether only the end of the connection shows the end of the response.
+func endsWithConn(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // writeTracker records that a byte of the request may have been sent.
 type writeTracker struct {
 	conn *conn
@@ -318,22 +326,35 @@
 // the connection.
 type responseBody struct {
 	io.ReadCloser
-	conn   *conn
-	sent   chan error
-	stop   func() bool // unregisters the close on the end of the request's context
-	closes bool        // the server closes the connection after the response
-	ended  atomic.Bool
+	conn         *conn
+	sent         chan error
+	stop         func() bool // unregisters the close on the end of the request's context
+	closes       bool        // the server closes the connection after the response
+	endsWithConn bool        // implies closes
+	ended        atomic.Bool
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.endsWithConn && errors.Is(err, io.EOF) {
+		err = b.connEnd()
+	}
 	if err != nil {
 		b.end(errors.Is(err, io.EOF))
 	}
 	return n, err
 }
 
+// connEnd returns io.EOF if the end of the connection is that of a complete response. A reset is reported only once: when the sending of
+// the request gets it, reading the response sees a regular end. The response is therefore complete only if the request was sent.
+func (b *responseBody) connEnd() error {
+	if err := b.awaitUpload(); err != nil {
+		return errors.Wrap(err, "the response without length may be incomplete")
+	}
+	return io.EOF
+}
+
 // Close implements io.Closer. A response with nothing left to read counts as complete.
 func (b *responseBody) Close() error {
 	if !b.ended.Load() {
@@ -355,19 +376,20 @@
 	case err := <-b.sent:
 		b.releaseAfter(err)
 	default:
-		go b.awaitUpload()
+		go func() { b.releaseAfter(b.awaitUpload()) }()
 	}
 }
 
-// awaitUpload waits until the request is sent whose response is already complete, as the server may still read the body.
-func (b *responseBody) awaitUpload() {
+// awaitUpload waits until the request is sent whose response has already ended, as the server may still read the body.
+func (b *responseBody) awaitUpload() error {
 	timer := time.NewTimer(lateUploadTimeout)
 	defer timer.Stop()
 	select {
 	case err := <-b.sent:
-		b.releaseAfter(err)
+		b.sent <- err // for the next call
+		return err
 	case <-timer.C:
-		b.conn.close()
+		return errLateUpload
 	}
 }
 
