admit/server: do not take a late answer for the rest of a head that broke off

Callers saw a 200 with the body of another request: a server stopped inside a header value after the line of the request's id, left the connection open, and a late answer to another request followed on it. The status line of the late answer became part of the value, its Content-Length that of the answer.

Cause: a response counted as the request's own when the first of its request ids matched. Such a head has two.

Evidence: TestLateAnswerIsNotTheRestOfACutHead, which cuts ten kinds of answer at every byte of the head, failed before: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Stamp:" passed, with the body "late".

Why it works: every id in the head must be that of the request. The joined head is now discarded like any other response to another request. A late answer without an id, and one that follows a body that broke off, still can't be told apart.

--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -292,7 +292,7 @@
 			return nil, errors.New("the server switched to another protocol (status 101)")
 		case response.StatusCode < http.StatusOK:
 			continue
-		case response.Header.Get(k.client.Dialect.RequestID) == a.ID:
+		case k.answers(response, a):
 			return response, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStray))
@@ -309,6 +309,17 @@
 	return nil, errManyResponses
 }
 
+// answers reports whether the response has the attempt's id and no other. Two ids belong to two heads, the first of which broke off.
+func (k *conn) answers(response *http.Response, a *Attempt) bool {
+	ids := response.Header.Values(k.client.Dialect.RequestID)
+	for _, id := range ids {
+		if id != a.ID {
+			return false
+		}
+	}
+	return len(ids) > 0 || a.ID == ""
+}
+
 // keepAlive sets the idle timeout from the timeout in seconds of the response's Keep-Alive header.
 func (k *conn) keepAlive(header http.Header) {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
