bench/memnet: let the reader see a regular end when the other side closes

Callers saw nothing: this is a fault of the tests. A close of one end closed both ends of the simulated connection, so its reader got io.ErrClosedPipe, as after a cut, and never io.EOF. Whole systems could not show a fault that takes the end of a connection for the end of an answer.

Why it works: a close now closes only the closing side's end of the pipe and stops the delivery in both directions.

--- a/internal/bench/memnet/network.go
+++ b/internal/bench/memnet/network.go
@@ -233,8 +233,15 @@
 	return p.silent
 }
 
-// Cut closes both ends of the path at once.
+// Cut closes both ends of the path at once, so that reading fails at both.
 func (p *Path) Cut() {
+	p.end()
+	_ = p.toListener.pipe.Close()
+	_ = p.toDialer.pipe.Close()
+}
+
+// end stops the delivery in both directions.
+func (p *Path) end() {
 	p.toListener.stop()
 	p.toDialer.stop()
 	p.network.mu.Lock()
@@ -272,7 +279,8 @@
 				continue
 			}
 			if next.fin {
-				d.path.Cut()
+				d.path.end()
+				_ = d.pipe.Close() // the other end reads io.EOF, as it stays open
 				return
 			}
 			if _, err := d.pipe.Write(next.data); err != nil {
@@ -287,7 +295,6 @@
 
 func (d *direction) stop() {
 	d.once.Do(func() { close(d.closed) })
-	_ = d.pipe.Close()
 }
 
 // endpoint is one end of a path. Writes go through a direction; reads come directly from the net.Pipe.
