--- a/internal/admit/server/cut_test.go
+++ b/internal/admit/server/cut_test.go
@@ -97,6 +97,32 @@
 	return answer, failed
 }
 
+// Guards against an answer that was cut at any byte of its head, chunks, trailer or body and passes for a complete one or for a proof
+// that the request was not run.
+func TestCutAnswersNeverLookComplete(t *testing.T) {
+	for name, answer := range cutAnswers {
+		head := headLength(answer.raw)
+		for _, ending := range []string{"close", "reset", "silence"} {
+			t.Run(name+", "+ending, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					for cut := range answer.raw {
+						body, failed := exchangeCut(t, answer.method, answer.raw[:cut], ending)
+						if name == "no length" && ending == "close" && cut >= head {
+							g.Expect(body).To(Equal(answer.raw[head:cut]), "such a body ends where the connection does")
+							continue
+						}
+						g.Expect(failed).NotTo(BeNil(), "%q passed with %q", answer.raw[:cut], body)
+						g.Expect(failed.Outcome).To(Equal(code.Unknown), answer.raw[:cut])
+					}
+					_, failed := exchangeCut(t, answer.method, answer.raw, ending)
+					g.Expect(failed == nil).To(Equal(name != "no length" || ending == "close"), "the whole answer")
+				})
+			})
+		}
+	}
+}
+
 // Guards against taking a late answer to another request, which follows a head that broke off, for the rest of that head.
 func TestLateAnswerIsNotTheRestOfACutHead(t *testing.T) {
 	for name, answer := range cutAnswers {
