fleet/gossip: copy the changes of a message from the log

What callers would see: a daemon of the project's own configuration that applies changes which do not follow its revision, or refuses them.

Cause: the message shared its changes with the log, which moves them when it is full.

--- a/internal/fleet/gossip/part_test.go
+++ b/internal/fleet/gossip/part_test.go
@@ -83,6 +83,20 @@
 	g.Expect(reply(second, request(node)).Part).To(BeNil())
 }
 
+// Guards against a message whose changes are replaced while it is being sent.
+func TestLogDoesNotChangeAMessage(t *testing.T) {
+	g := NewWithT(t)
+	node := directNetwork{}.add(1, 0)
+	for revision := uint64(1); revision <= maxLogChanges+10; revision++ {
+		g.Expect(node.Accept([]files.Change{change(revision, 1)})).To(Succeed())
+	}
+	message := reply(node, &proto.Exchange{Since: 500})
+	g.Expect(node.Accept([]files.Change{change(maxLogChanges+11, 1), change(maxLogChanges+12, 1)})).To(Succeed())
+	for i, sent := range message.Changes {
+		g.Expect(sent.Revision).To(Equal(uint64(501 + i)))
+	}
+}
+
 // Guards against a folder in a wrong order, a file that cannot be unpacked or is too large, and a late part that lowers the revision.
 func TestMalformedPartIsRefused(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -191,10 +191,11 @@
 	for n, change := range changes {
 		size += changeSize(change)
 		if n > 0 && size > maxMessageBytes {
-			return changes[:n]
+			changes = changes[:n]
+			break
 		}
 	}
-	return changes
+	return slices.Clone(changes) // the log moves its changes
 }
 
 // shouldRequest reports whether to request the offered revision from a peer. A revision is requested again when a part of it has
