fleet/gossip: keep what has come of a folder until it is complete

What callers would see: as before, a daemon that never gets its configuration and has its link full.

An earlier revision that was completed meanwhile also discarded them. A part's files were neither bounded in sum nor checked to be of its folder, so that a malformed one put an empty folder in force.

Why it works: above the limits only files that the folder lacks are discarded; a higher revision that is still awaited keeps its files; each file must be in the list of digests.

--- a/internal/fleet/gossip/part_test.go
+++ b/internal/fleet/gossip/part_test.go
@@ -40,11 +40,12 @@
 	return list
 }
 
-// request returns the request for what a node lacks.
-func request(node *Node) *proto.Exchange {
+// request returns the next request of a node for the given revision, or nil when it makes none.
+func request(node *Node, revision uint64) *proto.Exchange {
 	message := &proto.Exchange{}
-	node.revisions.requested, node.revisions.mayContinue = 0, false
-	node.revisions.addRequest(message, 1<<40)
+	if !node.revisions.addRequest(message, revision) {
+		return nil
+	}
 	return message
 }
 
@@ -55,18 +56,20 @@
 	return message
 }
 
-// Guards against a folder whose parts are larger than a message, come twice, or are lost when the next one comes from another peer or
-// belongs to a later revision.
+// Guards against a folder whose parts are larger than a message, come twice, or are lost when the next one comes from another peer,
+// belongs to a later revision, or follows an earlier revision that was completed meanwhile.
 func TestPartsOfAFolderAddUp(t *testing.T) {
 	g := NewWithT(t)
 	network := directNetwork{}
 	first, second, node := network.add(1, 0), network.add(2, 0), network.add(3, 0)
-	g.Expect(first.AcceptSet(folder(5, numbers(0, 12)...))).To(Succeed())
-	g.Expect(second.AcceptSet(folder(8, numbers(2, 14)...))).To(Succeed())
-	g.Expect(node.AcceptSet(folder(3, 0, 1, 2, 20))).To(Succeed())
+	g.Expect(first.AcceptSet(folder(5, numbers(10, 20)...))).To(Succeed())
+	g.Expect(second.AcceptSet(folder(8, numbers(4, 16)...))).To(Succeed())
+	g.Expect(node.AcceptSet(folder(3, 10, 11, 30))).To(Succeed())
 	sent := map[string]bool{}
-	for _, peer := range []*Node{first, first, second, second, second} {
-		message := reply(peer, request(node))
+	for _, peer := range []*Node{second, first, first, first, second} {
+		wanted := request(node, 8)
+		g.Expect(wanted).NotTo(BeNil(), "the next part is requested at once")
+		message := reply(peer, wanted)
 		g.Expect(message.Part).NotTo(BeNil())
 		g.Expect(proto.Codec{}.Marshal(message)).To(WithTransform(func(b []byte) int { return len(b) }, BeNumerically("<", 2*maxMessageBytes)))
 		for _, file := range message.Part.Files {
@@ -74,13 +77,29 @@
 			sent[file.Name] = true
 		}
 		node.mergeRevisions(message)
-		if node.HeldRevision() == 8 {
-			break
-		}
 	}
 	g.Expect(node.FileSet()).To(Equal(second.FileSet()))
 	g.Expect(node.Holder.Revision()).To(Equal(uint64(8)))
-	g.Expect(reply(second, request(node)).Part).To(BeNil())
+	g.Expect(request(node, 8)).To(BeNil())
+	g.Expect(node.revisions.packed).To(HaveLen(10), "of the files that came, those of the folder")
+}
+
+// Guards against a folder within the limits that never arrives because its files do not all fit among the received ones.
+func TestFolderOfManySmallFilesArrives(t *testing.T) {
+	g := NewWithT(t)
+	network := directNetwork{}
+	peer, node := network.add(1, 0), network.add(2, 0)
+	set := files.Set{Revision: 4}
+	for n := range files.MaxFolderBytes / 500 {
+		set.Files = append(set.Files, files.File{Name: fmt.Sprintf("file-%05d.ini", n), Content: fmt.Sprintf("%0500d", n)})
+	}
+	g.Expect(peer.AcceptSet(set)).To(Succeed())
+	for range 100 {
+		if wanted := request(node, 4); wanted != nil {
+			node.mergeRevisions(recode(reply(peer, recode(wanted))))
+		}
+	}
+	g.Expect(node.HeldRevision()).To(Equal(uint64(4)))
 }
 
 // Guards against a message whose changes are replaced while it is being sent.
@@ -97,19 +116,25 @@
 	}
 }
 
-// Guards against a folder in a wrong order, a file that cannot be unpacked or is too large, and a late part that lowers the revision.
+// Guards against a folder in a wrong order, a file that is malformed, too large or of another folder, and a part that lowers the revision.
 func TestMalformedPartIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	node := directNetwork{}.add(1, 0)
 	g.Expect(node.AcceptSet(folder(5, 1))).To(Succeed())
 	held := node.FileSet()
 	swapped := folder(7, 2, 1)
-	large := compress(string(make([]byte, proto.MaxFrame+1)))
-	for want, part := range map[code.Code]*proto.FolderPart{
-		code.BadRequest:   {Revision: 6, Files: []proto.PackedFile{{Name: "a.ini", Content: []byte{0xff, 0xff}}}},
-		code.BodyTooLarge: {Revision: 6, Files: []proto.PackedFile{{Name: "a.ini", Content: large}}},
+	zeros := files.File{Name: "a.ini", Content: string(make([]byte, files.MaxFolderBytes/2+1))}
+	large := proto.PackedFile{Name: zeros.Name, Content: compress(zeros.Content)}
+	for name, malformed := range map[string]struct {
+		files []proto.PackedFile
+		want  code.Code
+	}{
+		"not compressed":    {[]proto.PackedFile{{Name: "a.ini", Content: []byte{0xff, 0xff}}}, code.BadRequest},
+		"too large":         {[]proto.PackedFile{large, large}, code.BodyTooLarge},
+		"of another folder": {[]proto.PackedFile{{Name: "b.ini", Content: compress("")}}, code.BadRequest},
 	} {
-		g.Expect(code.Of(node.acceptPart(part)).Code).To(Equal(want))
+		part := &proto.FolderPart{Revision: 6, Digests: []uint64{zeros.Digest()}, Files: malformed.files}
+		g.Expect(code.Of(node.acceptPart(part)).Code).To(Equal(malformed.want), name)
 	}
 	unsorted := &proto.FolderPart{Revision: 7, Digests: digestsOf(swapped)}
 	for _, file := range swapped.Files {
--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -18,9 +18,10 @@
 const (
 	maxLogBytes   = 512 << 10
 	maxLogChanges = 512
-	// maxMessageBytes takes 52 ms on a link of 10 Mbit/s. Other messages pass between two of this size.
+	// maxMessageBytes limits changes or files in a message, unless a single one is larger. It takes 52 ms on a link of 10 Mbit/s, and
+	// other messages pass between two of this size.
 	maxMessageBytes = 64 << 10
-	maxSnapshotSize = 960 << 10 // leaves room in a frame of 1 MiB; for peers that do not accept parts
+	maxSnapshotSize = 960 << 10 // of a folder for a peer that does not accept parts; leaves room in a frame of 1 MiB
 )
 
 // requestTimeout is how long a reply to a request for a revision may take before another peer is asked.
@@ -41,8 +42,8 @@
 	packed      map[uint64][]byte // compressed contents of files of set and received, by digest
 	received    receivedFiles     // of a folder above set that has not arrived completely
 	requested   uint64            // revision last requested from a peer; 0 when none is outstanding
-	requestedAt time.Time         // when requested was last asked for or a part of it last arrived
-	mayContinue bool              // a part has arrived, so that the next one may be requested at once
+	requestedAt time.Time         // of the latest request, or of the latest progress after it
+	progressed  bool              // some of what was requested has arrived, so that the rest may be requested at once
 	behindSince time.Time         // when a higher revision was first requested; zero when none is outstanding
 	lateLogged  bool              // since behindSince
 	counts      revisionCounts
@@ -119,10 +120,7 @@
 		r.log, r.logBytes = nil, 0
 	}
 	r.appendLog(applied)
-	r.received = receivedFiles{}
-	r.discardPacked()
-	r.requested, r.requestedAt, r.mayContinue = 0, time.Time{}, false
-	r.behindSince, r.lateLogged = time.Time{}, false
+	r.recordProgress()
 	r.roundsLeft = eagerRounds
 	r.mu.Unlock()
 	err := n.activate(set)
@@ -130,6 +128,20 @@
 	return err
 }
 
+// recordProgress adapts the state of requests to a new set. When a higher revision is still awaited, its files are kept and its rest
+// may be requested at once.
+func (r *revisions) recordProgress() {
+	if r.requested > r.set.Revision {
+		r.received.discard(r.digests)
+		r.progressed, r.requestedAt = true, time.Now()
+	} else {
+		r.received = receivedFiles{}
+		r.requested, r.progressed, r.behindSince = 0, false, time.Time{}
+	}
+	r.lateLogged = false
+	r.discardPacked()
+}
+
 func (n *Node) activate(set files.Set) error {
 	next, err := n.Merge(set)
 	if err != nil {
@@ -160,15 +172,18 @@
 // of the folder.
 func (r *revisions) addMissing(message, request *proto.Exchange) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case request.Since >= r.set.Revision:
-	case r.hasChangesFor(request):
+	set, digests := r.set, r.digests
+	lacking := request.Since < set.Revision
+	if lacking && r.hasChangesFor(request) {
 		message.Changes = r.firstChanges(request.Since)
+		lacking = false
+	}
+	r.mu.Unlock()
+	switch {
+	case !lacking:
 	case request.AcceptsParts:
-		message.Part = r.part(request.Held)
-	case setSize(r.set) <= maxSnapshotSize:
-		set := r.set
+		message.Part = r.part(set, digests, request.Held)
+	case setSize(set) <= maxSnapshotSize:
 		message.Snapshot = &set
 	}
 }
@@ -198,7 +213,7 @@
 	return slices.Clone(changes) // the log moves its changes
 }
 
-// shouldRequest reports whether to request the offered revision from a peer. A revision is requested again when a part of it has
+// shouldRequest reports whether to request the offered revision from a peer. A revision is requested again when some of it has
 // arrived, else only after requestTimeout.
 func (r *revisions) shouldRequest(offered uint64) bool {
 	r.mu.Lock()
@@ -206,7 +221,7 @@
 	if offered <= r.set.Revision {
 		return false
 	}
-	if offered <= r.requested && !r.mayContinue {
+	if offered <= r.requested && !r.progressed {
 		if time.Since(r.requestedAt) < requestTimeout {
 			return false
 		}
@@ -216,7 +231,7 @@
 	if r.behindSince.IsZero() {
 		r.behindSince = time.Now()
 	}
-	r.requested, r.requestedAt, r.mayContinue = max(r.requested, offered), time.Now(), false
+	r.requested, r.requestedAt, r.progressed = max(r.requested, offered), time.Now(), false
 	return true
 }
 
