plat/rest: give up a store that stops after much of its response

What operators would see: reads of the store that hang for 15 s when it stops in the middle of a large response.

Cause: the time that the bytes had earned added up without a bound.

Evidence: TestStalledResponseIsGivenUp, "stops after much", fails without the bound.

--- a/internal/plat/rest/rest.go
+++ b/internal/plat/rest/rest.go
@@ -29,7 +29,7 @@
 	notApplied    = "not-run"
 )
 
-// minRate is the rate in bytes per second below which a response is given up. A link of 10 Mbit/s carries about ten times as much.
+// minRate is the rate in bytes per second below which a response is given up. Links of 10 Mbit/s carry ten times as much.
 const minRate = 128 << 10
 
 // maxIdlePerStore is the number of idle connections kept to a store. Claims send many small requests concurrently.
@@ -51,7 +51,7 @@
 	Address     netip.AddrPort
 	Resolve     func() netip.AddrPort // returns the current address in place of Address; may be nil
 	HTTP        *http.Client          // nil: defaultClient, shared by all clients
-	Timeout     time.Duration         // of one request, without the time for its response at minRate; 0: DefaultTimeout
+	Timeout     time.Duration         // of one request, extended while its response arrives; 0: DefaultTimeout
 	MaxResponse int64                 // bytes; 0: DefaultMaxResponse
 }
 
@@ -103,11 +103,12 @@
 	return err
 }
 
-// timeLimit ends a request after its timeout, which each byte of the response extends. A large response on a slow link is then read
-// to its end: a repetition would begin anew and add to the load of the link.
+// timeLimit ends a request after its timeout. Each byte of the response moves the end by its time at minRate, at most to a timeout from
+// now. A large response on a slow link is then read to its end: a repetition would begin anew and add to the load of the link.
 type timeLimit struct {
-	timer *time.Timer
-	end   time.Time
+	timeout time.Duration
+	timer   *time.Timer
+	end     time.Time
 }
 
 func (c *Client) startLimit(cancel context.CancelCauseFunc) *timeLimit {
@@ -116,8 +117,21 @@
 		timeout = DefaultTimeout
 	}
 	return &timeLimit{
-		timer: time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) }),
-		end:   time.Now().Add(timeout),
+		timeout: timeout,
+		timer:   time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) }),
+		end:     time.Now().Add(timeout),
+	}
+}
+
+// extend moves the end for n bytes that have arrived. A limit that has passed stays.
+func (l *timeLimit) extend(n int) {
+	end := l.end.Add(time.Duration(n) * time.Second / minRate)
+	if latest := time.Now().Add(l.timeout); end.After(latest) {
+		end = latest
+	}
+	l.end = end
+	if l.timer.Stop() {
+		l.timer.Reset(time.Until(end))
 	}
 }
 
@@ -130,10 +144,7 @@
 // Read implements io.Reader.
 func (r extendingReader) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	r.limit.end = r.limit.end.Add(time.Duration(n) * time.Second / minRate)
-	if r.limit.timer.Stop() {
-		r.limit.timer.Reset(time.Until(r.limit.end))
-	}
+	r.limit.extend(n)
 	return n, err
 }
 
@@ -152,19 +163,19 @@
 }
 
 func (c *Client) read(ctx context.Context, r Request, response *http.Response, limit *timeLimit) (Response, error) {
-	size := c.MaxResponse
-	if size == 0 {
-		size = DefaultMaxResponse
+	most := c.MaxResponse
+	if most == 0 {
+		most = DefaultMaxResponse
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return Response{}, c.statusError(r, response)
 	}
-	body, err := io.ReadAll(io.LimitReader(extendingReader{body: response.Body, limit: limit}, size+1))
+	body, err := io.ReadAll(io.LimitReader(extendingReader{body: response.Body, limit: limit}, most+1))
 	if err != nil {
 		return Response{}, c.unavailable(r, false, "response body could not be read to its end", causeOf(ctx, err))
 	}
-	if int64(len(body)) > size {
-		return Response{}, c.unavailable(r, false, fmt.Sprintf("response is larger than %d bytes", size), nil)
+	if int64(len(body)) > most {
+		return Response{}, c.unavailable(r, false, fmt.Sprintf("response is larger than %d bytes", most), nil)
 	}
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
--- a/internal/plat/rest/rest_test.go
+++ b/internal/plat/rest/rest_test.go
@@ -18,14 +18,16 @@
 
 var storeAddress = netip.MustParseAddrPort("10.0.0.1:80")
 
-// read reads a response of the given number of pieces, of which the store sends one in each interval.
-func read(t *testing.T, pieces, size int, interval time.Duration) (rest.Response, error) {
+// read reads a response whose first bytes come at once, and then the given number of pieces, one in each interval.
+func read(t *testing.T, first, pieces, size int, interval time.Duration) (rest.Response, error) {
 	network := memnet.New()
 	listener, err := network.Process("store").Listen(storeAddress)
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, first))
+		_ = http.NewResponseController(w).Flush()
 		for range pieces {
 			select {
 			case <-r.Context().Done():
@@ -53,7 +55,7 @@
 func TestLargeResponseOnASlowLinkIsReadToItsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		response, err := read(t, 40, 125_000, 100*time.Millisecond)
+		response, err := read(t, 0, 40, 125_000, 100*time.Millisecond)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(response.Body).To(HaveLen(40 * 125_000))
 	})
@@ -61,12 +63,19 @@
 
 // Guards against a response that holds a request for ever because single bytes of it keep arriving, and against one that stops.
 func TestStalledResponseIsGivenUp(t *testing.T) {
-	for name, interval := range map[string]time.Duration{"trickles": 10 * time.Millisecond, "stops": time.Hour} {
+	for name, s := range map[string]struct {
+		first    int
+		interval time.Duration
+	}{
+		"trickles":         {0, 10 * time.Millisecond},
+		"stops":            {0, time.Hour},
+		"stops after much": {2_000_000, time.Hour},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				start := time.Now()
-				_, err := read(t, 100_000, 1, interval)
+				_, err := read(t, s.first, 100_000, 1, s.interval)
 				g.Expect(code.Of(err).Code).To(Equal(code.PlatformUnavailable))
 				g.Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
 			})
