route/call: do not end the last run of a request because its ack is late

Also failed calls of servers, whose requests then end with 500.

Cause: without an ack for 250 ms and three round trips the router closed the connection, which ends the run of an idempotent request, although no other attempt was allowed: the second of two servers, the fourth attempt, any call of a server. Nothing could come of it but a failure.

Evidence: in the reported record the runs are cut 253, 252 and 328 ms after they began, and the 502 comes when the resolve of the second run ends without a reply.

Why it works: such an attempt is resolved without naming its connection. While the server runs the request the stream stays, and is checked like one that is idle after its ack.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -170,17 +170,22 @@
 	return timeout + ackRoundTrips*a.r.pool.RoundTrip(a.sent.Server)
 }
 
-// onAckTimeout closes the connection when no ack has arrived in time. Recv then fails and the outcome of the attempt is resolved.
+// onAckTimeout closes the connection when no ack has arrived in time. Recv then fails and the outcome of the attempt is resolved. The
+// last attempt of an idempotent request is checked first, because nothing is gained by giving up a run whose ack is only late.
 func (a *attempt) onAckTimeout() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.acked || a.closed {
 		return
 	}
-	a.ackTimedOut = true
-	a.r.c.counters.silent.Add(1)
 	// Either the daemon is paused or the connection is dead. Other servers are selected until a resolve gets a reply.
 	a.r.c.Choice.MarkUnreachable(a.r.req.Service, a.sent.Server)
+	if a.stream != nil && a.r.idempotent && a.r.isLastAttempt() {
+		a.stallTimer = time.AfterFunc(0, a.checkUnacked)
+		return
+	}
+	a.ackTimedOut = true
+	a.r.c.counters.silent.Add(1)
 	if a.stream == nil {
 		a.cancel() // Call has not returned a stream yet
 		return
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -146,9 +146,13 @@
 func (a *attempt) startStallChecks() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.closed {
-		a.stallTimer = time.AfterFunc(a.stallTimeout(), func() { a.checkStall(0) })
+	if a.closed {
+		return
+	}
+	if a.stallTimer != nil {
+		a.stallTimer.Stop() // of an attempt whose ack was late
 	}
+	a.stallTimer = time.AfterFunc(a.stallTimeout(), func() { a.checkStall(0) })
 }
 
 // checkStall resolves an attempt whose stream is idle. The resolve does not name the connection, because that would close the
@@ -192,6 +196,25 @@
 	}
 }
 
+// checkUnacked resolves an attempt without an ack. While the server runs the request, the stream stays open.
+func (a *attempt) checkUnacked() {
+	found, err := a.sendResolve(noConn)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.acked || a.closed:
+		return
+	case err == nil && found.State == proto.StateRunning:
+		a.stallTimer = time.AfterFunc(a.stallTimeout(), func() { a.checkStall(0) })
+		return
+	case err == nil:
+		a.stallResolution.Store(found)
+	}
+	a.ackTimedOut = true
+	a.r.c.counters.silent.Add(1)
+	a.stream.CloseSilent()
+}
+
 func (a *attempt) scheduleStallCheck(wait time.Duration, failures int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -75,6 +75,13 @@
 	return r.body.rewind() && (isUnsent(failure) || r.isFreeRetry(failure) || r.budget.TakeRetry())
 }
 
+// isLastAttempt reports whether no other attempt is allowed when the present one fails with an unknown outcome.
+func (r *request) isLastAttempt() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.depth > 0 || r.attempts >= maxAttempts || r.possibleRuns+1 >= r.maxServers
+}
+
 // isFreeRetry reports whether a retry needs neither budget nor backoff because the attempt was refused by a daemon that has no
 // configuration yet or by the daemon of a server that reports its load. Such a refusal costs the server nothing, and the report
 // that comes with it leads the next selection to a better server.
