cli/daemon: show the counts of load queries in the state dump and the metrics

Operators saw no sign of load queries: wire/dgram counted them and had a Dump, but the daemon registered it neither for the state dump nor as metrics, so that queries above the limit or lost replies could not be told from a slow path.

Cause: the reporter, which is nil without load queries, was left out of the lists of dump parts and of metrics.

The dump has a part load-queries and the metrics have load_queries_* , load_reports_* and load_datagrams_*; a daemon without load queries shows zeros.

--- a/internal/cli/daemon/administration.go
+++ b/internal/cli/daemon/administration.go
@@ -23,6 +23,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/route/claim"
 	"marigoldwinch.example/marigoldwinch/internal/route/front"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 	"marigoldwinch.example/marigoldwinch/internal/wire/link"
 )
 
@@ -102,6 +103,7 @@
 	Pool      *link.Pool
 	Link      *link.Server
 	Reports   *pool.Pool
+	Queries   *dgram.Reporter
 	Chooser   *choice.Chooser
 	Budgets   *budget.Budgets
 	Calls     *call.Client
@@ -150,6 +152,7 @@
 		{Name: "server", Dump: parts.Backend.Dump},
 		{Name: "selection", Dump: parts.Chooser.Dump},
 		{Name: "reports", Dump: parts.Reports.Dump},
+		{Name: "load-queries", Dump: parts.Queries.Dump},
 		{Name: "budgets", Dump: parts.Budgets.Dump},
 		{Name: "calls", Dump: parts.Calls.Dump},
 		{Name: "front", Dump: parts.Front.Dump},
--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -10,6 +10,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
+	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 )
 
 type metricParts struct {
@@ -17,6 +18,7 @@
 	Set     *stats.Set
 	Gate    *gate.Gate
 	Calls   *call.Client
+	Queries *dgram.Reporter
 	Node    *gossip.Node
 	Members *member.Table
 	Holder  *config.Holder
@@ -26,6 +28,7 @@
 func registerMetrics(parts metricParts) {
 	registerAdmission(parts.Set, parts.Gate)
 	registerCalls(parts.Set, parts.Calls)
+	registerQueries(parts.Set, parts.Queries)
 	registerFleet(parts)
 }
 
@@ -59,6 +62,20 @@
 	}
 }
 
+func registerQueries(set *stats.Set, queries *dgram.Reporter) {
+	counts := map[string]func(dgram.Dump) uint64{
+		"load_queries_sent_total":        func(d dgram.Dump) uint64 { return d.Sent },
+		"load_queries_answered_total":    func(d dgram.Dump) uint64 { return d.Answered },
+		"load_reports_received_total":    func(d dgram.Dump) uint64 { return d.Received },
+		"load_datagrams_limited_total":   func(d dgram.Dump) uint64 { return d.Limited },
+		"load_datagrams_failed_total":    func(d dgram.Dump) uint64 { return d.Failed },
+		"load_datagrams_malformed_total": func(d dgram.Dump) uint64 { return d.Malformed },
+	}
+	for name, read := range counts {
+		set.Gauge(name, func() float64 { return float64(read(queries.Counts())) })
+	}
+}
+
 func registerFleet(parts metricParts) {
 	parts.Set.Gauge("members", func() float64 { return float64(parts.Members.Live()) })
 	parts.Set.Gauge("isolated", func() float64 { return gaugeValue(parts.Node.Isolated()) })
--- a/internal/cli/daemon/system_test.go
+++ b/internal/cli/daemon/system_test.go
@@ -28,6 +28,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/conf/change"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/plat/fake"
+	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 )
 
 const (
@@ -73,6 +74,7 @@
 	serviceTime time.Duration // mean time that a server takes for a request
 	latency     func(from, to string) time.Duration
 	wrap        func(*system, *node, http.Handler) http.Handler // serves requests in front of the simulated servers
+	datagrams   func(netip.AddrPort) (dgram.Conn, error)        // opens the datagram sockets of daemons; nil for none
 }
 
 const folder = `[service stock]
@@ -169,7 +171,9 @@
 	process := s.fabric.Process(n.host)
 	n.daemonProcess.Store(process)
 	n.stop, n.stopped = stop, make(chan error, 1)
-	d, stopped := &daemon.Daemon{Settings: n.settings, Network: process.Network(), Log: logr.Discard()}, n.stopped
+	network := process.Network()
+	network.ListenPacket = s.layout.datagrams
+	d, stopped := &daemon.Daemon{Settings: n.settings, Network: network, Log: logr.Discard()}, n.stopped
 	s.running.Go(func() {
 		stopped <- d.Run(ctx)
 		close(stopped)
--- a/internal/wire/dgram/reporter.go
+++ b/internal/wire/dgram/reporter.go
@@ -41,20 +41,24 @@
 
 	queries, replies bucket
 
-	asked, sent, received, malformed, dropped atomic.Uint64
+	counters counters
+}
+
+type counters struct {
+	sent, received, answered, limited, failed, malformed atomic.Uint64
 }
 
 // Ask sends a load query to the daemon beside a server. It reports false if none was sent. A lost query is not repeated.
 func (r *Reporter) Ask(daemon netip.AddrPort) bool {
 	if !r.queries.take(time.Now(), maxQueries) {
-		r.dropped.Add(1)
+		r.counters.limited.Add(1)
 		return false
 	}
 	if _, err := r.Conn.WriteToUDPAddrPort(proto.EncodeDatagram(proto.LoadQuery{}), daemon); err != nil {
-		r.dropped.Add(1) // the same as a query that the network loses
+		r.counters.failed.Add(1) // the same as a query that the network loses
 		return false
 	}
-	r.asked.Add(1)
+	r.counters.sent.Add(1)
 	return true
 }
 
@@ -80,14 +84,14 @@
 func (r *Reporter) handle(payload []byte, from netip.AddrPort) {
 	message, err := proto.DecodeDatagram(payload)
 	if err != nil {
-		if r.malformed.Add(1) == 1 {
+		if r.counters.malformed.Add(1) == 1 {
 			r.Log.Info("report-malformed", "from", from.String(), "cause", err.Error())
 		}
 		return
 	}
 	switch m := message.(type) {
 	case proto.Report:
-		r.received.Add(1)
+		r.counters.received.Add(1)
 		r.OnReport(m, from)
 	default: // proto.LoadQuery
 		r.reply(from)
@@ -96,29 +100,39 @@
 
 func (r *Reporter) reply(to netip.AddrPort) {
 	if !r.replies.take(time.Now(), maxReplies) {
-		r.dropped.Add(1)
+		r.counters.limited.Add(1)
 		return
 	}
 	if _, err := r.Conn.WriteToUDPAddrPort(proto.EncodeDatagram(r.Report()), to); err != nil {
-		r.dropped.Add(1)
+		r.counters.failed.Add(1)
 		return
 	}
-	r.sent.Add(1)
+	r.counters.answered.Add(1)
 }
 
-// Dump is the state of a Reporter.
+// Dump holds counts of queries and reports.
 type Dump struct {
-	Asked     uint64
-	Sent      uint64
-	Received  uint64
-	Malformed uint64
-	Dropped   uint64 // queries and replies above the limits, or refused by the system
+	Sent      uint64 // queries of this daemon
+	Received  uint64 // reports
+	Answered  uint64 // queries of other daemons
+	Limited   uint64 // queries and replies above the limits of this daemon
+	Failed    uint64 // queries and replies refused by the system
+	Malformed uint64 // datagrams that are neither a query nor a report
 }
 
-// Dump returns a Dump.
+// Dump returns the state for the state dump.
 func (r *Reporter) Dump() any {
+	return r.Counts()
+}
+
+// Counts returns the counts since the start. They are zero when r is nil, as in a daemon that does not ask for load.
+func (r *Reporter) Counts() Dump {
+	if r == nil {
+		return Dump{}
+	}
+	n := &r.counters
 	return Dump{
-		Asked: r.asked.Load(), Sent: r.sent.Load(), Received: r.received.Load(), Malformed: r.malformed.Load(),
-		Dropped: r.dropped.Load(),
+		Sent: n.sent.Load(), Received: n.received.Load(), Answered: n.answered.Load(), Limited: n.limited.Load(),
+		Failed: n.failed.Load(), Malformed: n.malformed.Load(),
 	}
 }
--- a/internal/wire/dgram/reporter_test.go
+++ b/internal/wire/dgram/reporter_test.go
@@ -72,3 +72,10 @@
 	g.Expect(taken).To(Equal(int(maxQueries * burst.Seconds())))
 	g.Expect(b.take(now.Add(2*time.Millisecond), maxQueries)).To(BeTrue())
 }
+
+// Guards against a state dump or a scrape that fails in a daemon without load queries.
+func TestNoReporterHasNoCounts(t *testing.T) {
+	g := NewWithT(t)
+	var off *Reporter
+	g.Expect(off.Dump()).To(Equal(Dump{}))
+}
