wire/dgram: check the limits of queries and replies where they apply

The test now sends 3,000 queries with Ask, and has 6,000 queries arrive at Run, at one moment of virtual time, and counts what goes out on the socket. The bucket's burst and its refill after 2 ms are checked through both, so that nothing of the earlier test is lost.

--- a/internal/wire/dgram/reporter_test.go
+++ b/internal/wire/dgram/reporter_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -14,6 +16,8 @@
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
+var peer = netip.MustParseAddrPort("10.1.0.1:9000")
+
 func listen(g *WithT) (*net.UDPConn, netip.AddrPort) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -58,19 +62,68 @@
 	}
 }
 
+// scriptedConn is a socket on which the datagrams to come arrive at once. It counts those that are sent.
+type scriptedConn struct {
+	coming [][]byte
+	sent   atomic.Int64
+	closed chan struct{}
+}
+
+func (c *scriptedConn) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+	if len(c.coming) == 0 {
+		<-c.closed
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+	next := c.coming[0]
+	c.coming = c.coming[1:]
+	return copy(b, next), peer, nil
+}
+
+func (c *scriptedConn) WriteToUDPAddrPort(b []byte, _ netip.AddrPort) (int, error) {
+	c.sent.Add(1)
+	return len(b), nil
+}
+
+func (c *scriptedConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
 // Guards against a daemon that spends its processor time on queries: those above the limit get no reply, and none is sent above it.
 func TestQueriesAreLimited(t *testing.T) {
-	g := NewWithT(t)
-	now := time.Now()
-	var b bucket
-	taken := 0
-	for range 3 * maxQueries {
-		if b.take(now, maxQueries) {
-			taken++
-		}
-	}
-	g.Expect(taken).To(Equal(int(maxQueries * burst.Seconds())))
-	g.Expect(b.take(now.Add(2*time.Millisecond), maxQueries)).To(BeTrue())
+	t.Run("sent", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g, conn := NewWithT(t), &scriptedConn{}
+			r := &Reporter{Conn: conn}
+			asked := 0
+			for range 3 * maxQueries {
+				if r.Ask(peer) {
+					asked++
+				}
+			}
+			allowed := int(maxQueries * burst.Seconds())
+			g.Expect(asked).To(Equal(allowed))
+			g.Expect(conn.sent.Load()).To(BeEquivalentTo(allowed))
+			g.Expect(r.Counts().Limited).To(BeEquivalentTo(3*maxQueries - allowed))
+			time.Sleep(2 * time.Millisecond)
+			g.Expect(r.Ask(peer)).To(BeTrue())
+		})
+	})
+	t.Run("answered", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g, conn := NewWithT(t), &scriptedConn{closed: make(chan struct{})}
+			conn.coming = slices.Repeat([][]byte{proto.EncodeDatagram(proto.LoadQuery{})}, 3*maxReplies)
+			r := &Reporter{Conn: conn, Report: func() proto.Report { return proto.Report{Server: peer} }}
+			go func() { _ = r.Run(t.Context()) }()
+			synctest.Wait()
+			allowed := int(maxReplies * burst.Seconds())
+			g.Expect(conn.sent.Load()).To(BeEquivalentTo(allowed))
+			g.Expect(r.Counts().Limited).To(BeEquivalentTo(3*maxReplies - allowed))
+			time.Sleep(2 * time.Millisecond)
+			r.handle(proto.EncodeDatagram(proto.LoadQuery{}), peer)
+			g.Expect(conn.sent.Load()).To(BeEquivalentTo(allowed + 1))
+		})
+	})
 }
 
 // Guards against a state dump or a scrape that fails in a daemon without load queries.
