--- a/internal/cli/daemon/system_test.go
+++ b/internal/cli/daemon/system_test.go
@@ -3,13 +3,10 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -222,24 +219,6 @@
 	return &http.Client{Transport: recordingTransport{transport, &s.outcomes}, Timeout: 30 * time.Second}
 }
 
-func (s *system) allReady() bool {
-	for _, n := range s.nodes {
-		if !s.ready(n) {
-			return false
-		}
-	}
-	return true
-}
-
-func (s *system) ready(n *node) bool {
-	response, err := s.client(n.host).Get("http://" + n.settings.Admin.String() + "/health")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // plan returns a load of lookups and orders through the daemons of all nodes except the excluded ones.
 func (s *system) plan(rate float64, duration time.Duration, excluded ...*node) load.Plan {
 	plan := load.Plan{
@@ -272,120 +251,3 @@
 	})
 	return done
 }
-
-// runs returns how many times the request was run by all servers together.
-func (s *system) runs(id string) int {
-	total := 0
-	for _, n := range s.nodes {
-		total += n.server.Runs(id)
-		for _, server := range n.killed {
-			total += server.Runs(id)
-		}
-	}
-	return total
-}
-
-// expectTruthfulOutcomes checks what must hold under any fault: no request that must run once ran twice, no request that was
-// reported as not run ran, and every response belonged to its request.
-func (s *system) expectTruthfulOutcomes(result *load.Result) {
-	s.t.Helper()
-	s.Expect(result.Violations()).To(BeEmpty())
-	s.outcomes.mu.Lock()
-	defer s.outcomes.mu.Unlock()
-	for id, outcome := range s.outcomes.byID {
-		ran := s.runs(id)
-		if strings.HasPrefix(id, "once-") {
-			s.Expect(ran).To(BeNumerically("<=", 1), "request %s ran %d times", id, ran)
-		}
-		if outcome == "not-run" {
-			s.Expect(ran).To(BeZero(), "request %s was reported as not run", id)
-		}
-	}
-}
-
-// outcomes records the outcomes that were reported to callers, by Sample-Request header.
-type outcomes struct {
-	mu   sync.Mutex
-	byID map[string]string
-}
-
-// recordingTransport records the outcome of each request.
-type recordingTransport struct {
-	next     http.RoundTripper
-	outcomes *outcomes
-}
-
-func (r recordingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var tries atomic.Int64
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { tries.Add(1) }}
-	response, err := r.next.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	outcome := "failed"
-	switch {
-	case tries.Load() > 1:
-		// net/http has repeated the request on a new connection; a not-run outcome then describes only the last attempt.
-		outcome = "repeated"
-	case err == nil:
-		outcome = response.Header.Get("Marigoldwinch-Outcome")
-	}
-	r.outcomes.mu.Lock()
-	defer r.outcomes.mu.Unlock()
-	if r.outcomes.byID == nil {
-		r.outcomes.byID = map[string]string{}
-	}
-	r.outcomes.byID[request.Header.Get(sample.RequestHeader)] = outcome
-	return response, err
-}
-
-// dump reads a part of a daemon's state dump.
-func (s *system) dump(n *node, part string, into any) error {
-	response, err := s.client(n.host).Get("http://" + n.settings.Admin.String() + "/dump/" + part)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	return json.NewDecoder(response.Body).Decode(into)
-}
-
-// revision returns the revision in force at a daemon, or 0 when the daemon does not answer.
-func (s *system) revision(n *node) uint64 {
-	state := struct {
-		Revision uint64 `json:"revision"`
-	}{}
-	if s.dump(n, "configuration", &state) != nil {
-		return 0
-	}
-	return state.Revision
-}
-
-// watchRevisions polls the revision of every daemon. The returned function ends this and lists the decreases that were seen.
-func (s *system) watchRevisions() func() []string {
-	var mu sync.Mutex
-	var decreased []string
-	ctx, stop := context.WithCancel(s.t.Context())
-	nodes := slices.Clone(s.nodes)
-	s.running.Go(func() {
-		highest := map[*memnet.Process]uint64{} // by process, because a restarted daemon begins without a configuration
-		for ctx.Err() == nil {
-			for _, n := range nodes {
-				process := n.daemonProcess.Load()
-				now := s.revision(n)
-				if process.Killed() || process != n.daemonProcess.Load() {
-					continue
-				}
-				if now < highest[process] {
-					mu.Lock()
-					decreased = append(decreased, fmt.Sprintf("%s from %d to %d", n.host, highest[process], now))
-					mu.Unlock()
-				}
-				highest[process] = max(highest[process], now)
-			}
-			time.Sleep(200 * time.Millisecond)
-		}
-	})
-	return func() []string {
-		stop()
-		mu.Lock()
-		defer mu.Unlock()
-		return decreased
-	}
-}
