base/clock: one sleep and one periodic loop in place of eight

The wait that ends with a context stood alike in route/claim, conf/change and plat/fake, the loop on a ticker in admit/gate, admit/ledger, admit/limit, route/pool and cli/daemon. Both are now functions of base/clock; nothing else changes. The same wait still stands in route/call, fleet/gossip and fleet/watch, which others are changing at present.

Evidence: TestWorkEndsWithItsContext fails when Sleep ignores its context (true in place of false) and when Every runs once (one call in place of two). The tests of the packages above pass with the race detector.

--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -18,6 +18,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/admit/limit"
 	"marigoldwinch.example/marigoldwinch/internal/admit/probe"
 	"marigoldwinch.example/marigoldwinch/internal/admit/server"
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/base/logs"
@@ -124,17 +125,11 @@
 // Run refuses queued calls when all new calls are refused, and grants free slots to queued calls, until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
 	g.Config.Subscribe(func(*config.Config) { g.refreshRefusing() })
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			g.refreshRefusing()
-			g.dispatch()
-		}
-	}
+	clock.Every(ctx, refreshInterval, func(time.Time) {
+		g.refreshRefusing()
+		g.dispatch()
+	})
+	return nil
 }
 
 // Drain refuses new and queued calls and waits until the admitted calls have ended, or until ctx ends.
--- a/internal/admit/ledger/ledger.go
+++ b/internal/admit/ledger/ledger.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
@@ -56,16 +57,8 @@
 
 // Run periodically removes expired records and watermarks until ctx ends.
 func (l *Ledger) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			l.sweep(now)
-		}
-	}
+	clock.Every(ctx, sweepInterval, l.sweep)
+	return nil
 }
 
 // Begin registers the attempt as running. An attempt whose connection or id is revoked is refused with the outcome NotRun, and a
--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 )
@@ -147,16 +148,8 @@
 
 // Run updates the limit once per tick until ctx is done.
 func (l *Limiter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			l.evaluate(now)
-		}
-	}
+	clock.Every(ctx, tick, l.evaluate)
+	return nil
 }
 
 // Current returns how many requests may run at once now.
--- a/internal/cli/daemon/state.go
+++ b/internal/cli/daemon/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
@@ -33,16 +34,8 @@
 
 // Run updates the state periodically until ctx ends.
 func (a *stateAnnouncer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(stateInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			a.update()
-		}
-	}
+	clock.Every(ctx, stateInterval, func(time.Time) { a.update() })
+	return nil
 }
 
 func (a *stateAnnouncer) update() {
--- a/internal/conf/change/writer.go
+++ b/internal/conf/change/writer.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/plat/object"
@@ -293,14 +294,10 @@
 // waitBackoff waits after the given attempt, with full jitter so that concurrent operators do not retry in step.
 func waitBackoff(ctx context.Context, attempt int) error {
 	ceiling := min(minBackoff<<min(attempt, 10), maxBackoff)
-	timer := time.NewTimer(rand.N(ceiling) + 1)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, rand.N(ceiling)+1) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 func newID() string {
--- a/internal/plat/fake/store.go
+++ b/internal/plat/fake/store.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/plat/object"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
@@ -219,12 +220,8 @@
 	if delay == 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, delay) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
--- a/internal/route/claim/claim.go
+++ b/internal/route/claim/claim.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
@@ -91,7 +92,7 @@
 	var uncertain bool    // a write may have taken effect
 	expectedVersion := "" // version of the row to be replaced; empty if there is none
 	for attempt := range maxTakeAttempts {
-		if attempt > 0 && !sleep(ctx, takeRetryDelay) {
+		if attempt > 0 && !clock.Sleep(ctx, takeRetryDelay) {
 			break
 		}
 		err := c.Store.Commit(ctx, table.Txn{
@@ -270,17 +271,6 @@
 	}()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Dump is the part of the state dump about claims, counted since the start except for Pending.
 type Dump struct {
 	Taken       uint64
--- a/internal/route/claim/sweep.go
+++ b/internal/route/claim/sweep.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 )
 
@@ -37,7 +38,7 @@
 		if inUse {
 			wait = max(sweepInterval*time.Duration(daemons), minSweepInterval)
 		}
-		if !sleep(ctx, wait/2+rand.N(wait)) {
+		if !clock.Sleep(ctx, wait/2+rand.N(wait)) {
 			return nil
 		}
 		if inUse || rand.IntN(idleSweepOneIn*daemons) == 0 {
--- a/internal/route/pool/probe.go
+++ b/internal/route/pool/probe.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -27,22 +28,16 @@
 
 // Run probes servers of the services in use until ctx ends.
 func (p *Pool) Run(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	clock.Every(ctx, probeInterval, func(time.Time) {
 		if p.Ask != nil {
-			continue
+			return
 		}
 		p.services.Range(func(_, value any) bool {
 			value.(*Service).probeRound(ctx)
 			return true
 		})
-	}
+	})
+	return nil
 }
 
 // probeRound sends the probes that are due. A service without requests since the last round is not probed.
