conf/config: one error for a configuration that is not known yet

The check and its text stood in route/choice and route/front and, with another text, twice in cli/daemon. Holder.InForce returns the configuration or this error. Seen from outside, only the detail of the health and readiness responses changes, from "no configuration yet" to the text of the others; code and outcome stay.

--- a/internal/cli/daemon/state.go
+++ b/internal/cli/daemon/state.go
@@ -64,9 +64,10 @@
 
 // ready returns the reason why the daemon admits no work, or nil when it does.
 func (a *stateAnnouncer) ready() error {
+	if _, err := a.Holder.InForce(); err != nil {
+		return err
+	}
 	switch {
-	case a.Holder.Get() == nil:
-		return code.NotRunf(code.NoConfiguration, "no configuration yet")
 	case a.Node.Isolated():
 		return code.NotRunf(code.Isolated, "no recent contact with the platform or any daemon")
 	case a.Backend.departing():
@@ -79,12 +80,9 @@
 // acceptsCallers returns the reason why callers on this instance should use another daemon, or nil. A departing server is no such
 // reason, because the daemon routes requests to other servers.
 func (a *stateAnnouncer) acceptsCallers() error {
-	switch {
-	case a.stopping.Load():
+	if a.stopping.Load() {
 		return code.NotRunf(code.Stopping, "the daemon is stopping")
-	case a.Holder.Get() == nil:
-		return code.NotRunf(code.NoConfiguration, "no configuration yet")
-	default:
-		return nil
 	}
+	_, err := a.Holder.InForce()
+	return err
 }
--- a/internal/conf/config/holder.go
+++ b/internal/conf/config/holder.go
@@ -20,6 +20,14 @@
 	return h.current.Load()
 }
 
+// InForce returns the configuration in force, or an error with code NoConfiguration before the first Set.
+func (h *Holder) InForce() (*Config, error) {
+	if c := h.Get(); c != nil {
+		return c, nil
+	}
+	return nil, code.NotRunf(code.NoConfiguration, "no configuration is known yet")
+}
+
 // Revision returns the revision in force, or 0 before the first Set.
 func (h *Holder) Revision() uint64 {
 	if c := h.Get(); c != nil {
--- a/internal/route/choice/choice.go
+++ b/internal/route/choice/choice.go
@@ -81,9 +81,9 @@
 // Select selects a server for an attempt and counts the attempt as sent to it. The code that calls Select must report the end
 // of the attempt to the pool. Servers in tried are selected only when there is no other one.
 func (c *Chooser) Select(service string, tried []netip.AddrPort, class ident.Class) (pool.Selection, error) {
-	conf := c.Config.Get()
-	if conf == nil {
-		return pool.Selection{}, code.NotRunf(code.NoConfiguration, "no configuration is known yet")
+	conf, err := c.Config.InForce()
+	if err != nil {
+		return pool.Selection{}, err
 	}
 	s := c.service(service)
 	l := c.candidates(service, conf)
--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -60,7 +60,7 @@
 	Listener     net.Listener
 	Forwarder    Forwarder
 	Members      Members
-	Config       *config.Holder // limits on callers, and routes
+	Config       *config.Holder // limits on callers, and routes; may be nil unless Routed
 	Routed       bool           // the configured routes select the service; otherwise it is the first segment of the path
 	Dialect      hdrs.Dialect   // names and formats of the headers exchanged with callers
 	Service      string         // service of the instance beside this daemon, which sends the requests
@@ -134,7 +134,10 @@
 		HeaderBytes:   cmp.Or(f.MaxHeaderBytes, DefaultMaxHeaderBytes),
 		HeaderTimeout: cmp.Or(f.HeaderTimeout, DefaultHeaderTimeout), IdleTimeout: idleTimeout,
 	}
-	if conf := f.currentConfig(); f.Routed && conf != nil {
+	if !f.Routed {
+		return limits
+	}
+	if conf := f.Config.Get(); conf != nil {
 		limits = http1.Limits{
 			HeaderBytes: conf.Callers.HeaderBytes, HeaderTimeout: conf.Callers.HeaderTimeout, IdleTimeout: conf.Callers.IdleTimeout,
 		}
@@ -142,13 +145,6 @@
 	return limits
 }
 
-func (f *Front) currentConfig() *config.Config {
-	if f.Config == nil {
-		return nil
-	}
-	return f.Config.Get()
-}
-
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == DaemonsPath && !f.Routed {
@@ -228,9 +224,9 @@
 
 // setRoutedTarget selects the service by the configured routes. The request target is forwarded unchanged.
 func (f *Front) setRoutedTarget(r *http.Request, request *call.Request) error {
-	conf := f.currentConfig()
-	if conf == nil {
-		return code.NotRunf(code.NoConfiguration, "no configuration is known yet")
+	conf, err := f.Config.InForce()
+	if err != nil {
+		return err
 	}
 	route := conf.RouteFor(r.Host, r.URL.EscapedPath())
 	if route == nil {
