--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -45,7 +45,7 @@
 }
 
 func registerCalls(set *stats.Set, calls *call.Client) {
-	counts := map[string]func(call.Dump) uint64{
+	registerCounts(set, calls.Counts, map[string]func(call.Dump) uint64{
 		"calls_requests_total":   func(d call.Dump) uint64 { return d.Requests },
 		"calls_attempts_total":   func(d call.Dump) uint64 { return d.Attempts },
 		"calls_retries_total":    func(d call.Dump) uint64 { return d.Retries },
@@ -56,23 +56,24 @@
 		"calls_revoked_total":    func(d call.Dump) uint64 { return d.Revoked },
 		"calls_truncated_total":  func(d call.Dump) uint64 { return d.Truncated },
 		"calls_uncertain_total":  func(d call.Dump) uint64 { return d.Uncertain },
-	}
-	for name, read := range counts {
-		set.Gauge(name, func() float64 { return float64(read(calls.Counts())) })
-	}
+	})
 }
 
 func registerQueries(set *stats.Set, queries *dgram.Reporter) {
-	counts := map[string]func(dgram.Dump) uint64{
+	registerCounts(set, queries.Counts, map[string]func(dgram.Dump) uint64{
 		"load_queries_sent_total":        func(d dgram.Dump) uint64 { return d.Sent },
 		"load_queries_answered_total":    func(d dgram.Dump) uint64 { return d.Answered },
 		"load_reports_received_total":    func(d dgram.Dump) uint64 { return d.Received },
 		"load_datagrams_limited_total":   func(d dgram.Dump) uint64 { return d.Limited },
 		"load_datagrams_failed_total":    func(d dgram.Dump) uint64 { return d.Failed },
 		"load_datagrams_malformed_total": func(d dgram.Dump) uint64 { return d.Malformed },
-	}
-	for name, read := range counts {
-		set.Gauge(name, func() float64 { return float64(read(queries.Counts())) })
+	})
+}
+
+// registerCounts registers a gauge for each name, which selects its value from the counts of a part.
+func registerCounts[D any](set *stats.Set, counts func() D, selectors map[string]func(D) uint64) {
+	for name, selected := range selectors {
+		set.Gauge(name, func() float64 { return float64(selected(counts())) })
 	}
 }
 
