--- a/internal/conf/files/merge.go
+++ b/internal/conf/files/merge.go
@@ -34,21 +34,21 @@
 }
 
 func (b *builder) service(name string) *config.Service {
-	service, found := b.config.Services[name]
-	if !found {
-		service = config.NewService(name)
-		b.config.Services[name] = service
-	}
-	return service
+	return named(b.config.Services, name, config.NewService)
 }
 
 func (b *builder) route(name string) *config.Route {
-	route, found := b.config.Routes[name]
+	return named(b.config.Routes, name, config.NewRoute)
+}
+
+// named returns the value of a name, which is created on first use.
+func named[T any](values map[string]*T, name string, create func(name string) *T) *T {
+	value, found := values[name]
 	if !found {
-		route = config.NewRoute(name)
-		b.config.Routes[name] = route
+		value = create(name)
+		values[name] = value
 	}
-	return route
+	return value
 }
 
 // Merger merges successive revisions of the folder. It parses only the files that have changed since the previous merge,
