--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -10,6 +10,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
+	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 )
 
 type metricParts struct {
@@ -17,6 +18,7 @@
 	Set     *stats.Set
 	Gate    *gate.Gate
 	Calls   *call.Client
+	Queries *dgram.Reporter
 	Node    *gossip.Node
 	Members *member.Table
 	Holder  *config.Holder
@@ -26,6 +28,7 @@
 func registerMetrics(parts metricParts) {
 	registerAdmission(parts.Set, parts.Gate)
 	registerCalls(parts.Set, parts.Calls)
+	registerQueries(parts.Set, parts.Queries)
 	registerFleet(parts)
 }
 
@@ -42,7 +45,7 @@
 }
 
 func registerCalls(set *stats.Set, calls *call.Client) {
-	counts := map[string]func(call.Dump) uint64{
+	registerCounts(set, calls.Counts, map[string]func(call.Dump) uint64{
 		"calls_requests_total":   func(d call.Dump) uint64 { return d.Requests },
 		"calls_attempts_total":   func(d call.Dump) uint64 { return d.Attempts },
 		"calls_retries_total":    func(d call.Dump) uint64 { return d.Retries },
@@ -53,9 +56,24 @@
 		"calls_revoked_total":    func(d call.Dump) uint64 { return d.Revoked },
 		"calls_truncated_total":  func(d call.Dump) uint64 { return d.Truncated },
 		"calls_uncertain_total":  func(d call.Dump) uint64 { return d.Uncertain },
-	}
-	for name, read := range counts {
-		set.Gauge(name, func() float64 { return float64(read(calls.Counts())) })
+	})
+}
+
+func registerQueries(set *stats.Set, queries *dgram.Reporter) {
+	registerCounts(set, queries.Counts, map[string]func(dgram.Dump) uint64{
+		"load_queries_sent_total":        func(d dgram.Dump) uint64 { return d.Sent },
+		"load_queries_answered_total":    func(d dgram.Dump) uint64 { return d.Answered },
+		"load_reports_received_total":    func(d dgram.Dump) uint64 { return d.Received },
+		"load_datagrams_limited_total":   func(d dgram.Dump) uint64 { return d.Limited },
+		"load_datagrams_failed_total":    func(d dgram.Dump) uint64 { return d.Failed },
+		"load_datagrams_malformed_total": func(d dgram.Dump) uint64 { return d.Malformed },
+	})
+}
+
+// registerCounts registers a gauge for each name, which selects its value from the counts of a part.
+func registerCounts[D any](set *stats.Set, counts func() D, selectors map[string]func(D) uint64) {
+	for name, selected := range selectors {
+		set.Gauge(name, func() float64 { return float64(selected(counts())) })
 	}
 }
 
--- a/internal/cli/daemon/state.go
+++ b/internal/cli/daemon/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
@@ -33,16 +34,8 @@
 
 // Run updates the state periodically until ctx ends.
 func (a *stateAnnouncer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(stateInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			a.update()
-		}
-	}
+	clock.Every(ctx, stateInterval, func(time.Time) { a.update() })
+	return nil
 }
 
 func (a *stateAnnouncer) update() {
@@ -71,9 +64,10 @@
 
 // ready returns the reason why the daemon admits no work, or nil when it does.
 func (a *stateAnnouncer) ready() error {
+	if _, err := a.Holder.InForce(); err != nil {
+		return err
+	}
 	switch {
-	case a.Holder.Get() == nil:
-		return code.NotRunf(code.NoConfiguration, "no configuration yet")
 	case a.Node.Isolated():
 		return code.NotRunf(code.Isolated, "no recent contact with the platform or any daemon")
 	case a.Backend.departing():
@@ -86,12 +80,9 @@
 // acceptsCallers returns the reason why callers on this instance should use another daemon, or nil. A departing server is no such
 // reason, because the daemon routes requests to other servers.
 func (a *stateAnnouncer) acceptsCallers() error {
-	switch {
-	case a.stopping.Load():
+	if a.stopping.Load() {
 		return code.NotRunf(code.Stopping, "the daemon is stopping")
-	case a.Holder.Get() == nil:
-		return code.NotRunf(code.NoConfiguration, "no configuration yet")
-	default:
-		return nil
 	}
+	_, err := a.Holder.InForce()
+	return err
 }
