route/call, admit/gate: take no request that may outlast a planned stop

What callers saw: a stopping daemon takes requests for its grace and ends at the latest after grace and timeout (5.2 s with deploy's settings). Of these only uploads were judged by that end. An order or lookup with a later deadline was passed on; if its server was slow, the process ended under it and its caller got a closed connection with no answer, also for orders, which callers may not repeat. An order of a router elsewhere was admitted at the stopping daemon's server in the same way.

Cause: Client.SetStopTime assumed that all but uploads end long before their deadlines, and the gate did not know the end at all. When the wait for requests in flight ran out, nothing answered those that were left.

Change: router and gate keep the recent durations of their requests (base/recent), by service and class. After the signal a request whose deadline lies behind the end is taken only if it is expected to end before: an order if all recent ones did, an idempotent request if they do on average; it is refused as not run otherwise, so that another daemon or server can take it. The router makes the end the deadline of what it takes, so that it gets its time-out and no server queues it for longer. What is left when the wait runs out is cancelled and answered 502, outcome unknown. A run at the daemon's own server no longer waits a second for a resolve that can't come.

Not changed: a request that waits in another server's queue since before the signal gets 502 at the end though it has not run.

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -185,6 +185,7 @@
 	c.gate.Limit.Begin(&c.ticket, c.head.Class, int(c.gate.running.Load()), c.body.end)
 	response, failed := c.gate.Server.Do(&c.attempt)
 	if failed != nil {
+		c.recordUnfinished(failed)
 		c.gate.Limit.End(&c.ticket, failureResult(failed))
 		c.releaseFailed(failed)
 		if failed.Code == code.ServerUnreachable && failed.Outcome == code.NotRun {
@@ -195,9 +196,16 @@
 	c.logSlow()
 	defer func() { _ = response.Body.Close() }() // the body was forwarded or discarded by then, so an error has no effect
 	c.gate.Limit.End(&c.ticket, responseResult(response))
+	defer func() { c.gate.times[c.head.Class].Add(time.Since(c.arrived)) }()
 	return c.reply(ctx, response)
 }
 
+func (c *call) recordUnfinished(failed *code.Error) {
+	if failed.Code == code.DeadlineExceeded {
+		c.gate.times[c.head.Class].AddUnfinished(time.Since(c.arrived))
+	}
+}
+
 // runContext returns the context for running the request. It is cancelled when the stream ends: at once for an idempotent request, by
 // streamEnded for a non-idempotent one.
 func (c *call) runContext() (context.Context, context.CancelFunc) {
@@ -230,9 +238,10 @@
 
 // streamEnded runs in its own goroutine when the stream of a non-idempotent request ends before the response is complete, because
 // of a cancellation or a lost connection. The two cannot be told apart here, so the request continues for resolveGrace, in which the
-// router of a lost connection resolves it. A request whose body is incomplete is cancelled at once.
+// router of a lost connection resolves it. A request whose body is incomplete is cancelled at once, and so is any request when the
+// daemon ends, because no router can resolve it then.
 func (c *call) streamEnded(ctx context.Context, cancel context.CancelFunc) {
-	if !c.body.complete.Load() {
+	if !c.body.complete.Load() || c.gate.ends() {
 		cancel()
 		return
 	}
--- a/internal/admit/gate/call_test.go
+++ b/internal/admit/gate/call_test.go
@@ -149,6 +149,20 @@
 	})
 }
 
+// Guards against a daemon that ends late because it waits for a resolve of a request that it has cut.
+func TestStopDoesNotWaitForResolves(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.backend.serve = func(*http.Request) time.Duration { return 3 * time.Second }
+		s := r.call(&proto.Peer{}, r.writeHead("/cut"))
+		time.Sleep(time.Millisecond)
+		r.SetStopTime(time.Now())
+		cut := time.Now()
+		s.cancel()
+		r.calls.Wait()
+		r.Expect(time.Since(cut)).To(BeZero())
+	})
+}
+
 // Guards against a request that reaches the server with a changed head, without its call context, or with hop-by-hop headers. Also guards
 // against a refusal for the wrong reason, and against a duplicate id that is reported as not run.
 func TestHeadersAndRefusals(t *testing.T) {
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -21,6 +21,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/base/logs"
+	"marigoldwinch.example/marigoldwinch/internal/base/recent"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
@@ -71,12 +72,14 @@
 	once     sync.Once
 	host     string // string form of Target
 	stopping atomic.Bool
+	stopTime atomic.Pointer[time.Time]   // when the daemon cuts running calls; nil unless it is stopping
 	running  atomic.Int64                // slots in use; written under mu
 	queued   atomic.Int64                // length of queue; written under mu
 	arriving atomic.Int64                // calls whose body is being buffered; at most maxArriving
 	arrivals *semaphore.Weighted         // limits arriving to maxArriving; set by prepare
 	calls    atomic.Int64                // unfinished calls that were admitted, queued or allowed to send a body; incremented under mu
 	failures [failureCodes]atomic.Uint64 // refused and failed calls by code
+	times    [ident.Classes]recent.Times // from the arrival of a call to the end of its response, by class
 
 	// mu guards the slots and the queue, which change together. It is held only briefly and never during I/O.
 	mu           sync.Mutex
@@ -137,6 +140,18 @@
 	}
 }
 
+// SetStopTime sets the time at which a stopping daemon cuts running calls. Calls that may take longer are refused from now on, while
+// another server can still run them.
+func (g *Gate) SetStopTime(end time.Time) {
+	g.stopTime.Store(&end)
+}
+
+// ends reports whether the stop time has come.
+func (g *Gate) ends() bool {
+	end := g.stopTime.Load()
+	return end != nil && !time.Now().Before(*end)
+}
+
 // Drain refuses new and queued calls and waits until the admitted calls have ended, or until ctx ends.
 func (g *Gate) Drain(ctx context.Context) error {
 	g.stopping.Store(true)
--- a/internal/admit/gate/script_test.go
+++ b/internal/admit/gate/script_test.go
@@ -55,6 +55,8 @@
 		s.calls.Wait()
 	case "configure":
 		s.change(t, d)
+	case "stop":
+		s.SetStopTime(time.Now().Add(arg(t, d, "in")))
 	case "drain":
 		ctx, cancel := context.WithTimeout(s.t.Context(), arg(t, d, "within"))
 		defer cancel()
@@ -93,7 +95,9 @@
 		d.Fatalf(t, "%v", err)
 	}
 	for range n {
-		s.started[class] = append(s.started[class], s.call(&proto.Peer{}, s.head(class, arg(t, d, "timeout"))))
+		head := s.head(class, arg(t, d, "timeout"))
+		head.Idempotent = !d.HasArg("once")
+		s.started[class] = append(s.started[class], s.call(&proto.Peer{}, head))
 		synctest.Wait()
 	}
 }
--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -87,7 +87,9 @@
 func plannedStop(ctx context.Context, parts startParts) error {
 	parts.State.stop()
 	parts.Front.DisableKeepAlives()
-	parts.Calls.SetStopTime(time.Now().Add(parts.Settings.StopGrace + parts.Settings.StopTimeout))
+	end := time.Now().Add(parts.Settings.StopGrace + parts.Settings.StopTimeout)
+	parts.Calls.SetStopTime(end)
+	parts.Gate.SetStopTime(end)
 	notice := min(leaveGrace, parts.Settings.StopGrace)
 	wait(ctx, parts.Settings.StopGrace-notice)
 	announceCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
--- a/internal/cli/daemon/stop_test.go
+++ b/internal/cli/daemon/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/netip"
+	"path"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,6 +143,82 @@
 	return statuses
 }
 
+// Guards against a request that a stopping daemon takes although it ends before it, and against one that it cuts without an answer.
+func TestStopAnswersWhatItTakes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := sleepLayout().start(t)
+		time.Sleep(10 * time.Second)
+		n := s.nodes[0]
+		n.settings.StopGrace, n.settings.StopTimeout = 2*time.Second, 3200*time.Millisecond
+		plan := s.plan(300, 5*time.Second)
+		plan.Daemons = []netip.AddrPort{n.settings.Callers}
+		archive := load.Kind{Name: "archive", Weight: 1, Method: http.MethodPost, Service: "archive", Path: "/", Once: true}
+		plan.Kinds = append(plan.Kinds, archive)
+		<-s.load(plan)
+		s.Expect(<-s.sleepThrough(n, http.MethodPost, "/archive/4s")).To(Equal(http.StatusOK)) // now this service may take as long
+		steps := []struct {
+			at             time.Duration // after the signal
+			method, target string
+			want           int
+		}{
+			{0, http.MethodPost, "/stock/7s", http.StatusBadGateway}, // in flight before the signal
+			{500 * time.Millisecond, http.MethodPost, "/archive/4s", http.StatusOK},
+			{1900 * time.Millisecond, http.MethodPost, "/archive/4s", http.StatusServiceUnavailable}, // not run
+			{1900 * time.Millisecond, http.MethodPost, "/orders/20ms", http.StatusOK},
+			{1950 * time.Millisecond, http.MethodPost, "/orders/7s", http.StatusGatewayTimeout}, // longer than any before
+			{1950 * time.Millisecond, http.MethodGet, "/stock/7s", http.StatusGatewayTimeout},
+		}
+		statuses := make([]<-chan int, len(steps))
+		began := time.Now()
+		for i, step := range steps {
+			time.Sleep(time.Until(began.Add(step.at)))
+			statuses[i] = s.sleepThrough(n, step.method, step.target)
+			if step.at == 0 {
+				time.Sleep(20 * time.Millisecond)
+				n.stop()
+			}
+		}
+		s.Expect(<-n.stopped).To(HaveOccurred(), "requests outlast the stop")
+		s.Expect(time.Since(began)).To(BeNumerically("<", 6*time.Second))
+		s.killDaemon(n) // what runs in virtual time after the end of the process does not count
+		var got, want []int
+		for i, step := range steps {
+			got, want = append(got, <-statuses[i]), append(want, step.want)
+		}
+		s.Expect(got).To(Equal(want), "0: no answer")
+	})
+}
+
+// sleepLayout has servers that take the time named by the last segment of the path.
+func sleepLayout() layout {
+	l := slowLayout
+	l.folder = "[service stock]\n[service orders]\nclass = write\n[service archive]\nclass = write\n"
+	l.services, l.perService = []string{"stock", "orders", "archive"}, 2
+	l.wrap = func(_ *system, _ *node, next http.Handler) http.Handler { return sleepFirst(next) }
+	return l
+}
+
+func sleepFirst(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d, err := time.ParseDuration(path.Base(r.URL.Path)); err == nil {
+			time.Sleep(d)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// sleepThrough sends a request through a daemon concurrently and returns its status, or 0 when it got no answer.
+func (s *system) sleepThrough(n *node, method, target string) <-chan int {
+	status, client := make(chan int, 1), s.client("callers")
+	s.running.Go(func() {
+		request := s.request(method, target, "", http.NoBody)
+		request.Header.Set("Request-Timeout", "8s")
+		status <- s.send(client, n, request).status
+	})
+	return status
+}
+
 // Guards against a planned stop that exceeds its time limit, and would be killed, because the platform does not answer.
 func TestStopWithoutPlatformEndsInTime(t *testing.T) {
 	t.Parallel()
--- a/internal/route/call/attempt_test.go
+++ b/internal/route/call/attempt_test.go
@@ -69,6 +69,31 @@
 	})
 }
 
+// Guards against an order that a stopping daemon takes without knowing that orders end in time, and against one that it takes for longer
+// than it runs.
+func TestOrdersOfAStopEndWithIt(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		g := gomega.NewWithT(t)
+		f := &fake{script: func(*proto.Head) string { return "ack; 100ms; answer 200 ok" }}
+		c := newClient(f, 3)
+		order := func(timeout time.Duration) error {
+			x, err := c.Do(context.Background(), &Request{Service: "stock", Method: "POST", Path: "/", Target: "/", Timeout: timeout})
+			if err == nil {
+				_, err = readAll(x)
+			}
+			return err
+		}
+		c.SetStopTime(time.Now().Add(2 * time.Second))
+		failure := code.Of(order(3 * time.Second))
+		g.Expect(failure.Code).To(gomega.Equal(code.Stopping))
+		g.Expect(failure.Outcome).To(gomega.Equal(code.NotRun))
+		g.Expect(order(time.Second)).To(gomega.MatchError("EOF"))
+		g.Expect(order(3 * time.Second)).To(gomega.MatchError("EOF"))
+		g.Expect(f.heads[1].Remaining).To(gomega.Equal(1900 * time.Millisecond))
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against giving up a running attempt because a resolve is delayed on a busy link, although the daemon's reports still arrive.
 func TestDaemonThatReportsIsAskedAgain(t *testing.T) {
 	for _, reports := range []bool{false, true} {
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -19,6 +19,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/base/logs"
+	"marigoldwinch.example/marigoldwinch/internal/base/recent"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/route/budget"
 	"marigoldwinch.example/marigoldwinch/internal/route/choice"
@@ -49,6 +50,7 @@
 
 	seq       atomic.Uint64
 	latencies sync.Map                  // service name to *latencies
+	durations sync.Map                  // service name to *durations
 	stopTime  atomic.Pointer[time.Time] // when the daemon cuts running requests; nil unless it is stopping
 	counters  counters
 }
@@ -126,6 +128,7 @@
 	pool       *pool.Service
 	budget     *budget.Service
 	latencies  *latencies
+	durations  *durations
 	id         ident.RequestID
 	deadline   time.Time
 	class      ident.Class
@@ -166,7 +169,10 @@
 	response, err := r.run(ctx)
 	if err != nil {
 		cancel()
-		failure := r.finalFailure(code.Of(err))
+		failure := r.finalFailure(r.stopFailure(code.Of(err)))
+		if failure.Code == code.DeadlineExceeded {
+			r.durations[r.class].AddUnfinished(time.Since(r.began))
+		}
 		r.logOutcome(nil, failure)
 		return nil, failure
 	}
@@ -175,12 +181,47 @@
 	return response, nil
 }
 
-// SetStopTime sets the time at which a stopping daemon cuts running requests. Uploads may take until their deadline, so an upload
-// with a later deadline is refused while another daemon can still take it. Other requests end long before their deadlines.
+// durations holds the recent durations of the requests of a service by class.
+type durations [ident.Classes]recent.Times
+
+func (c *Client) durationsOf(service string) *durations {
+	if found, ok := c.durations.Load(service); ok {
+		return found.(*durations)
+	}
+	found, _ := c.durations.LoadOrStore(service, &durations{})
+	return found.(*durations)
+}
+
+// SetStopTime sets the time at which a stopping daemon cuts running requests. Requests that may take longer are refused from now on,
+// while another daemon can still take them.
 func (c *Client) SetStopTime(end time.Time) {
 	c.stopTime.Store(&end)
 }
 
+// fitIntoStop refuses a request that may still run when the stopping daemon ends. Uploads may take until their deadline; other requests
+// are judged by those of their class. The end becomes the deadline of a request that is taken, so that it is answered in any case and no
+// server queues it for longer.
+func (r *request) fitIntoStop() error {
+	end := r.c.stopTime.Load()
+	if end == nil || !r.deadline.After(*end) {
+		return nil
+	}
+	if r.class == ident.Upload || !r.durations[r.class].Fits(time.Until(*end), r.idempotent) {
+		return code.NotRunf(code.Stopping, "this daemon is stopping and may end before the request does")
+	}
+	r.deadline = *end
+	return nil
+}
+
+// stopFailure replaces the failure of a request that the daemon itself has cancelled because it ends.
+func (r *request) stopFailure(failure *code.Error) *code.Error {
+	end := r.c.stopTime.Load()
+	if end == nil || failure.Code != code.Cancelled || time.Now().Before(*end) {
+		return failure
+	}
+	return &code.Error{Code: code.Stopping, Outcome: failure.Outcome, Detail: "the daemon ended before the request", Cause: failure}
+}
+
 // newRequest validates a request and builds the state that its attempts share.
 func (c *Client) newRequest(req *Request) (*request, error) {
 	conf := c.Config.Get()
@@ -208,13 +249,13 @@
 		pool: c.Pool.Service(req.Service), budget: c.Budgets.Service(req.Service), latencies: c.latenciesOf(req.Service),
 		id:    ident.RequestID{Router: c.Incarnation, Seq: c.seq.Add(1)},
 		began: now, deadline: now.Add(timeout), class: class, idempotent: idempotent, maxServers: maxServers,
-		body: newReplayBuffer(req.Body, req.ContentLength),
+		body: newReplayBuffer(req.Body, req.ContentLength), durations: c.durationsOf(req.Service),
 	}
 	if err := r.inheritContext(); err != nil {
 		return nil, err
 	}
-	if end := c.stopTime.Load(); end != nil && r.class == ident.Upload && r.deadline.After(*end) {
-		return nil, code.NotRunf(code.Stopping, "this daemon is stopping and ends before the request's deadline")
+	if err := r.fitIntoStop(); err != nil {
+		return nil, err
 	}
 	return r, nil
 }
--- a/internal/route/call/response.go
+++ b/internal/route/call/response.go
@@ -138,6 +138,7 @@
 // last part of the body.
 func (x *Response) complete(last []byte) {
 	x.keepForClaim(last)
+	x.a.r.durations[x.a.r.class].Add(time.Since(x.a.r.began))
 	x.a.finish()
 	if x.keepsBody && len(x.Trailer) == 0 {
 		x.a.r.c.Claims.Finish(*x.a.r.claim, claim.Result{Status: x.Status, Header: x.Header, Body: x.claimBody})
--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -116,10 +116,14 @@
 	f.httpServer().DisableKeepAlives()
 }
 
-// Drain stops reading requests and waits for those in flight.
+// Drain stops reading requests and waits for those in flight. Those that outlast ctx are cancelled, so that Run can still answer them.
 func (f *Front) Drain(ctx context.Context) error {
 	f.stopping.Store(true)
-	return f.httpServer().Shutdown(ctx)
+	err := f.httpServer().Shutdown(ctx)
+	if err != nil {
+		f.httpServer().CancelRequests()
+	}
+	return err
 }
 
 func (f *Front) httpServer() *http1.Server {
--- a/internal/route/http1/server.go
+++ b/internal/route/http1/server.go
@@ -105,6 +105,15 @@
 	return s.keepAlivesOff
 }
 
+// CancelRequests cancels the requests in service. Their handlers can still answer.
+func (s *Server) CancelRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancel()
+	}
+}
+
 // Shutdown stops accepting connections and reading requests, closes idle connections and waits for the requests in service.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
