cli/daemon: keep the front open until the own server has finished what it runs

What callers saw: a request that a stopping daemon's server had taken and was allowed to finish failed when it made a call after the grace. The call goes through the same daemon, whose front had closed its listener, so that the connection was refused and the server answered with an error, for orders too.

Cause: the front and the gate began to drain at the same time. Only the gate's drain knows when the server needs its daemon no longer.

Change: the front drains after the gate. What it takes between the end of the grace and then must be sure to be answered: a call of the own server, judged as before by recent durations, or a request whose deadline lies before the end. Others get 503, not run. When the server is idle at the end of the grace, the front closes at once as before.

Limit: on a hosted platform a call can't be told from a caller's request, as it bears no context. There it is taken by its deadline alone, which the server derives from the run's.

--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
-	"golang.org/x/sync/errgroup"
 
 	"marigoldwinch.example/marigoldwinch/internal/admin/rest"
 	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
@@ -99,15 +98,20 @@
 	wait(ctx, notice)
 	drainCtx, cancelDrain := context.WithTimeout(ctx, parts.Settings.StopTimeout)
 	defer cancelDrain()
-	var drains errgroup.Group
-	drains.Go(func() error { return errors.Wrap(parts.Gate.Drain(drainCtx), "drain admission") })
-	drains.Go(func() error { return errors.Wrap(parts.Front.Drain(drainCtx), "drain front") })
-	err := drains.Wait()
+	err := drain(drainCtx, parts)
 	cancel()
 	announcement.Wait()
 	return err
 }
 
+// drain waits for the requests in flight. The front stays open until the server has finished what it runs, because that may need calls;
+// what it takes meanwhile ends in time.
+func drain(ctx context.Context, parts startParts) error {
+	parts.Calls.RefuseLongDeadlines()
+	err := errors.Wrap(parts.Gate.Drain(ctx), "drain admission")
+	return errors.CombineErrors(err, errors.Wrap(parts.Front.Drain(ctx), "drain front"))
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/cli/daemon/stop_test.go
+++ b/internal/cli/daemon/stop_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/netip"
 	"path"
@@ -190,6 +191,34 @@
 	})
 }
 
+// Guards against a request that fails because its server, which was allowed to finish it, can no longer make calls, and against callers'
+// requests that are taken so late that they may be cut.
+func TestRunsCanMakeCallsUntilTheirDaemonStops(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := &chainHandler{hops: map[int]hop{}}
+		l := chainLayout(c)
+		l.wrap = func(s *system, n *node, next http.Handler) http.Handler { return sleepFirst(c.wrap(s, n, next)) }
+		s := l.start(t)
+		n, other := s.nodes[0], s.nodes[3] // the servers of s0
+		n.settings.StopGrace, n.settings.StopTimeout = 2*time.Second, 3200*time.Millisecond
+		s.setServer(other, config.ServerLeaving)
+		time.Sleep(10 * time.Second)
+		n.stop()
+		time.Sleep(900 * time.Millisecond)
+		status := s.sleepThrough(s.nodes[1], http.MethodGet, fmt.Sprintf("/s0/down/%d/1500ms", chainDepth-1))
+		time.Sleep(2 * time.Second)
+		s.Expect(<-s.sleepThrough(n, http.MethodGet, "/s1/")).To(Equal(http.StatusServiceUnavailable), "a caller with a long deadline")
+		request := s.request(http.MethodGet, "/s1/", "", http.NoBody)
+		request.Header.Set("Request-Timeout", "1s")
+		s.Expect(s.send(s.client("callers"), n, request).status).To(Equal(http.StatusOK), "one that is sure to be answered")
+		s.Expect(<-status).To(Equal(http.StatusOK), "a run with a call 0.4 s after the grace")
+		idle := time.Now()
+		s.Expect(<-n.stopped).To(Succeed())
+		s.Expect(time.Since(idle)).To(BeNumerically("<", time.Second))
+	})
+}
+
 // sleepLayout has servers that take the time named by the last segment of the path.
 func sleepLayout() layout {
 	l := slowLayout
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -52,6 +52,7 @@
 	latencies sync.Map                  // service name to *latencies
 	durations sync.Map                  // service name to *durations
 	stopTime  atomic.Pointer[time.Time] // when the daemon cuts running requests; nil unless it is stopping
+	closing   atomic.Bool               // only calls of the daemon's own server are taken with a deadline behind stopTime
 	counters  counters
 }
 
@@ -198,6 +199,12 @@
 	c.stopTime.Store(&end)
 }
 
+// RefuseLongDeadlines refuses from now on all requests whose deadline lies behind the stop time, however short they usually are, except
+// calls of the daemon's own server.
+func (c *Client) RefuseLongDeadlines() {
+	c.closing.Store(true)
+}
+
 // fitIntoStop refuses a request that may still run when the stopping daemon ends. Uploads may take until their deadline; other requests
 // are judged by those of their class. The end becomes the deadline of a request that is taken, so that it is answered in any case and no
 // server queues it for longer.
@@ -206,7 +213,8 @@
 	if end == nil || !r.deadline.After(*end) {
 		return nil
 	}
-	if r.class == ident.Upload || !r.durations[r.class].Fits(time.Until(*end), r.idempotent) {
+	refused := r.class == ident.Upload || r.c.closing.Load() && r.req.Context == nil
+	if refused || !r.durations[r.class].Fits(time.Until(*end), r.idempotent) {
 		return code.NotRunf(code.Stopping, "this daemon is stopping and may end before the request does")
 	}
 	r.deadline = *end
