bench/proc: stop a daemon by two SIGTERMs between reloads

A guard: two SIGTERMs, and a SIGTERM right after a SIGHUP, were listed as not tested. Neither can harm here: the handler of SIGTERM stays until the process ends, so that a second one is ignored, and a planned stop uses the settings of the start.

The spec of a planned stop became a table, its first entry as before. The second one sends SIGHUP, SIGTERM, SIGHUP, SIGTERM, 20 ms apart.

--- a/internal/bench/proc/failure_test.go
+++ b/internal/bench/proc/failure_test.go
@@ -16,10 +16,11 @@
 	steadyLoad = 1200 * time.Millisecond // of load before and after a failure
 	// shortPause is longer than the acknowledgment time-out of 250 ms and shorter than the deadlines: a request sent to
 	// the paused daemon can still run when the daemon resumes, after its router has given that attempt up.
-	shortPause  = 600 * time.Millisecond
-	shortPauses = 4
-	longPause   = 2500 * time.Millisecond // longer than every deadline
-	lateArrival = time.Second             // how long requests sent before a pause can still arrive
+	shortPause     = 600 * time.Millisecond
+	shortPauses    = 4
+	longPause      = 2500 * time.Millisecond // longer than every deadline
+	betweenSignals = 20 * time.Millisecond   // far less than a stop takes
+	lateArrival    = time.Second             // how long requests sent before a pause can still arrive
 )
 
 var _ = Describe("a daemon", func() {
@@ -66,12 +67,16 @@
 	}, SpecTimeout(specTimeout))
 
 	// Guards against a planned stop that interrupts requests in flight or refuses callers that use the current list of daemons.
-	It("stopped with its server fails no request", func(ctx SpecContext) {
+	// Also guards against a second signal that cuts the stop short, and against a reload that undoes it.
+	DescribeTable("stopped with its server fails no request", func(ctx SpecContext, signals ...syscall.Signal) {
 		fleet := startFleet(ctx, baseConfiguration, threeZones())
 		load := startTraffic(ctx, fleet)
 		pause(ctx, steadyLoad)
 		victim := fleet.Nodes[1]
-		Expect(victim.Daemon.Signal(syscall.SIGTERM)).To(Succeed())
+		for _, signal := range signals {
+			Expect(victim.Daemon.Signal(signal)).To(Succeed())
+			pause(ctx, betweenSignals)
+		}
 		Expect(victim.Daemon.Wait(ctx)).To(Succeed())
 		ran, err := victim.Runs(ctx)
 		Expect(err).NotTo(HaveOccurred())
@@ -83,7 +88,10 @@
 		Expect(failures(results, http.MethodGet)).To(BeEmpty(), "failed lookups")
 		Expect(failures(results, http.MethodPost)).To(BeEmpty(), "failed orders")
 		expectNoConnectionsInUse(ctx, append(fleet.Nodes[:1:1], fleet.Nodes[2:]...)...)
-	}, SpecTimeout(specTimeout))
+	},
+		Entry("by a signal", SpecTimeout(specTimeout), syscall.SIGTERM),
+		Entry("by two signals between reloads", SpecTimeout(specTimeout), syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM),
+	)
 })
 
 func pauseDaemon(ctx context.Context, node *proc.Node, duration time.Duration) {
