Use the one sleep and the one error of an unknown configuration everywhere but in fleet/watch

The same wait stood in fleet/gossip and route/call, the same text in route/call; nothing else changes.

--- a/internal/fleet/gossip/isolation.go
+++ b/internal/fleet/gossip/isolation.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -78,7 +79,7 @@
 func (n *Node) silenceLoop(ctx context.Context) error {
 	var exchanges sync.WaitGroup
 	defer exchanges.Wait()
-	for sleep(ctx, Jitter(silenceCheckInterval, jitterShare)) {
+	for clock.Sleep(ctx, Jitter(silenceCheckInterval, jitterShare)) {
 		n.logLate()
 		if n.PeerSilence() < maxPeerSilence && !n.revisions.overdue() {
 			continue
--- a/internal/fleet/gossip/node.go
+++ b/internal/fleet/gossip/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
@@ -124,7 +125,7 @@
 	var exchanges sync.WaitGroup
 	defer exchanges.Wait()
 	last := time.Now()
-	for sleep(ctx, Jitter(n.Interval, jitterShare)) {
+	for clock.Sleep(ctx, Jitter(n.Interval, jitterShare)) {
 		now := time.Now()
 		if now.Sub(last) > pauseThreshold {
 			n.Log.Info("process-paused", "for", now.Sub(last))
@@ -199,7 +200,7 @@
 		if found && n.synchronizeAll(ctx, target) == nil {
 			return nil
 		}
-		if !sleep(ctx, Jitter(delay, jitterShare)) {
+		if !clock.Sleep(ctx, Jitter(delay, jitterShare)) {
 			return nil
 		}
 	}
@@ -242,15 +243,3 @@
 func Jitter(d time.Duration, share float64) time.Duration {
 	return time.Duration(float64(d) * (1 + share*(2*rand.Float64()-1)))
 }
-
-// sleep waits for d and reports whether it passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/fleet/gossip/rumor.go
+++ b/internal/fleet/gossip/rumor.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 )
 
@@ -97,7 +98,7 @@
 		case <-n.repeatChannel(repeat):
 		}
 		repeat.Stop()
-		if !sleep(ctx, Jitter(batchDelay, 1)) {
+		if !clock.Sleep(ctx, Jitter(batchDelay, 1)) {
 			return nil
 		}
 		n.eagerRound(ctx, &exchanges)
@@ -199,7 +200,7 @@
 		if answers.Load() > 0 {
 			return nil
 		}
-		if !sleep(ctx, Jitter(roundDelay, jitterShare)) {
+		if !clock.Sleep(ctx, Jitter(roundDelay, jitterShare)) {
 			return ctx.Err()
 		}
 	}
--- a/internal/fleet/gossip/wait.go
+++ b/internal/fleet/gossip/wait.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 )
 
@@ -77,7 +78,7 @@
 			return last, ctx.Err()
 		}
 		last = lagging
-		if !sleep(ctx, Jitter(statusInterval, jitterShare)) {
+		if !clock.Sleep(ctx, Jitter(statusInterval, jitterShare)) {
 			return last, ctx.Err()
 		}
 	}
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -232,9 +232,9 @@
 
 // newRequest validates a request and builds the state that its attempts share.
 func (c *Client) newRequest(req *Request) (*request, error) {
-	conf := c.Config.Get()
-	if conf == nil {
-		return nil, code.NotRunf(code.NoConfiguration, "no configuration is known yet")
+	conf, err := c.Config.InForce()
+	if err != nil {
+		return nil, err
 	}
 	service := conf.Services[req.Service]
 	if service == nil {
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
@@ -95,7 +96,7 @@
 		default:
 			failures = 0
 		}
-		if !sleep(a.ctx, wait) {
+		if !clock.Sleep(a.ctx, wait) {
 			return nil, a.contextFailure(code.Unknownf(code.OutcomeUnknown, "the request ended before its outcome was resolved"))
 		}
 	}
@@ -177,7 +178,7 @@
 		a.scheduleStallCheck(timeout, failures+1)
 		return
 	}
-	if !sleep(a.ctx, answerGrace) {
+	if !clock.Sleep(a.ctx, answerGrace) {
 		return
 	}
 	if a.lastFrame.Load() != last {
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/route/choice"
 )
@@ -115,18 +116,7 @@
 	attempts := r.attempts
 	r.mu.Unlock()
 	wait := min(backoffBase<<(attempts-1), backoffMax)
-	return sleep(ctx, wait/2+rand.N(wait))
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return clock.Sleep(ctx, wait/2+rand.N(wait))
 }
 
 // try makes one attempt, and a hedge if the attempt is slow and hedging is allowed.
