--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
@@ -11,7 +12,7 @@
 
 // announceLoop writes this daemon's row at the start and refreshes it. Failed writes are retried with backoff.
 func (w *Watch) announceLoop(ctx context.Context) error {
-	if !sleep(ctx, uniform(w.StartSpread)) {
+	if !clock.Sleep(ctx, uniform(w.StartSpread)) {
 		return nil
 	}
 	w.awaitFirstRead(ctx)
@@ -26,7 +27,7 @@
 			continue
 		}
 		retry = backoff{}
-		if !sleep(ctx, gossip.Jitter(w.Refresh, jitterShare)) {
+		if !clock.Sleep(ctx, gossip.Jitter(w.Refresh, jitterShare)) {
 			return nil
 		}
 	}
--- a/internal/fleet/watch/head.go
+++ b/internal/fleet/watch/head.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
@@ -44,7 +45,7 @@
 	w.settle(ctx)
 	lag := lag{}
 	wait := uniform(headInterval)
-	for sleep(ctx, wait) {
+	for clock.Sleep(ctx, wait) {
 		role := w.role()
 		budget := w.headReadBudget()
 		chance := fallbackChance(budget, role.live)
@@ -69,7 +70,7 @@
 // settle waits until the number of members is stable, at most for maxSettleTime.
 func (w *Watch) settle(ctx context.Context) {
 	end := time.Now().Add(maxSettleTime)
-	for before := w.Table.Live(); sleep(ctx, settleTime) && time.Now().Before(end); {
+	for before := w.Table.Live(); clock.Sleep(ctx, settleTime) && time.Now().Before(end); {
 		now := w.Table.Live()
 		if float64(now) <= float64(before)*(1+maxSettleGrowth) {
 			return
--- a/internal/fleet/watch/members.go
+++ b/internal/fleet/watch/members.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
@@ -140,7 +141,7 @@
 
 // sweepLoop reads the whole table every sweepInterval while this daemon is a sweeper, and deletes the rows older than sweepAfter.
 func (w *Watch) sweepLoop(ctx context.Context) error {
-	for wait := firstSweep; sleep(ctx, gossip.Jitter(wait, jitterShare)); wait = sweepInterval {
+	for wait := firstSweep; clock.Sleep(ctx, gossip.Jitter(wait, jitterShare)); wait = sweepInterval {
 		if !w.joined() || !w.role().sweeper {
 			continue
 		}
@@ -173,7 +174,7 @@
 			return nil
 		}
 		after = rows[len(rows)-1].Key
-		if !sleep(ctx, sweepDelay) {
+		if !clock.Sleep(ctx, sweepDelay) {
 			return ctx.Err()
 		}
 	}
@@ -186,7 +187,7 @@
 
 // deleteRow deletes the row unless it was rewritten after it was read.
 func (w *Watch) deleteRow(ctx context.Context, row table.Row) error {
-	if !sleep(ctx, sweepDelay) {
+	if !clock.Sleep(ctx, sweepDelay) {
 		return ctx.Err()
 	}
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
@@ -48,7 +49,7 @@
 			previous = reason
 		}
 		if reason == notFollowing {
-			if !sleep(ctx, gossip.Jitter(followCheckInterval, jitterShare)) {
+			if !clock.Sleep(ctx, gossip.Jitter(followCheckInterval, jitterShare)) {
 				return nil
 			}
 			continue
@@ -59,7 +60,7 @@
 		}
 		w.recordOutcome(err)
 		if err != nil {
-			if !sleep(ctx, gossip.Jitter(retry, jitterShare)) {
+			if !clock.Sleep(ctx, gossip.Jitter(retry, jitterShare)) {
 				return nil
 			}
 			retry = min(2*retry, maxSourceRetry)
@@ -71,7 +72,7 @@
 		} else {
 			w.emptyReadAt = time.Now()
 		}
-		if !sleep(ctx, gossip.Jitter(sourcePause, jitterShare)) {
+		if !clock.Sleep(ctx, gossip.Jitter(sourcePause, jitterShare)) {
 			return nil
 		}
 	}
--- a/internal/fleet/watch/source_test.go
+++ b/internal/fleet/watch/source_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
@@ -32,7 +33,7 @@
 	s.reads++
 	now := func() uint64 { return min(s.last, 1+uint64(time.Since(s.start)/s.interval)) }
 	for now() <= s.lastRevision {
-		if !sleep(ctx, time.Millisecond) {
+		if !clock.Sleep(ctx, time.Millisecond) {
 			return files.Set{}, 0, ctx.Err()
 		}
 	}
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
@@ -153,22 +154,10 @@
 	b.next = max(b.next, firstBackoff)
 	wait := gossip.Jitter(b.next, 0.5)
 	b.next = min(2*b.next, maxBackoff)
-	return sleep(ctx, wait)
+	return clock.Sleep(ctx, wait)
 }
 
 // uniform returns a random duration between 0 and d.
 func uniform(d time.Duration) time.Duration {
 	return time.Duration(rand.Int64N(int64(d) + 1))
 }
-
-// sleep waits for d and reports whether it passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
