--- a/internal/base/recent/recent.go
+++ b/internal/base/recent/recent.go
@@ -40,10 +40,10 @@
 	}
 }
 
-// Fits reports whether to begin a request that must end within the given time. A repeatable request may begin unless it takes longer on
+// Fits reports whether to begin a request that must end within the given time. An idempotent request may begin unless it takes longer on
 // average. Any other request must be sure to end: it may begin only if the recent ones of its kind all ended within that time.
-func (t *Times) Fits(within time.Duration, repeatable bool) bool {
-	if repeatable {
+func (t *Times) Fits(within time.Duration, idempotent bool) bool {
+	if idempotent {
 		return t.mean.Load() <= int64(within)
 	}
 	longest := t.longest.Load()
--- a/internal/base/recent/recent_test.go
+++ b/internal/base/recent/recent_test.go
@@ -12,8 +12,8 @@
 func TestFits(t *testing.T) {
 	g := NewWithT(t)
 	var times Times
-	g.Expect(times.Fits(time.Second, true)).To(BeTrue(), "repeatable, nothing known")
-	g.Expect(times.Fits(time.Second, false)).To(BeFalse(), "not repeatable, nothing known")
+	g.Expect(times.Fits(time.Second, true)).To(BeTrue(), "idempotent, nothing known")
+	g.Expect(times.Fits(time.Second, false)).To(BeFalse(), "not idempotent, nothing known")
 	for range 100 {
 		times.Add(10 * time.Millisecond)
 	}
@@ -21,7 +21,7 @@
 	times.AddUnfinished(5 * time.Millisecond)
 	times.AddUnfinished(2 * time.Second)
 	g.Expect(times.Fits(time.Second, true)).To(BeTrue(), "a single long one")
-	g.Expect(times.Fits(time.Second, false)).To(BeFalse(), "not repeatable, a single long one")
+	g.Expect(times.Fits(time.Second, false)).To(BeFalse(), "not idempotent, a single long one")
 	for range 100 {
 		times.Add(10 * time.Millisecond)
 	}
