--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -136,9 +136,9 @@
 		r.progressed, r.requestedAt = true, time.Now()
 	} else {
 		r.received = receivedFiles{}
-		r.requested, r.progressed, r.behindSince = 0, false, time.Time{}
+		r.requested, r.progressed = 0, false
+		r.behindSince, r.lateLogged = time.Time{}, false
 	}
-	r.lateLogged = false
 	r.discardPacked()
 }
 
