--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -89,14 +89,11 @@
 		_, age := parts.Node.HeadSeen()
 		return age.Seconds()
 	})
-	counts := map[string]func(gossip.CounterDump) uint64{
+	registerCounts(parts.Set, parts.Node.Counts, map[string]func(gossip.CounterDump) uint64{
 		"configuration_requests_total":          func(d gossip.CounterDump) uint64 { return d.RevisionRequests },
 		"configuration_repeated_requests_total": func(d gossip.CounterDump) uint64 { return d.RepeatedRequests },
 		"configuration_parts_total":             func(d gossip.CounterDump) uint64 { return d.Parts },
-	}
-	for name, read := range counts {
-		parts.Set.Gauge(name, func() float64 { return float64(read(parts.Node.Counts())) })
-	}
+	})
 }
 
 func gaugeValue(b bool) float64 {
