admit/gate: tell how long work goes on after its stream has ended, and what ended it

When a caller leaves, the daemon beside the server saw only that the stream of an order had ended, and neither logs nor metrics told whether the router had cancelled it or lost the connection, nor how long the run went on. drpc reports both alike (context.Canceled); the transport now records that it has failed or is closed before drpc ends the stream for it, so that what remains is a cancellation. call-failed tells after-stream-end and cancelled-by-router; two counters stand in the metrics and the dump. No decision uses them yet.

TestACancellationIsToldApartFromALostConnection: context ended, stream closed, taken for silent, reset, revoked, server stopped.

--- a/internal/admit/gate/bench_test.go
+++ b/internal/admit/gate/bench_test.go
@@ -37,6 +37,7 @@
 func (discardStream) Send(proto.Frame) error     { return nil }
 func (discardStream) Recv() (proto.Frame, error) { return nil, io.EOF }
 func (discardStream) CloseSend() error           { return nil }
+func (discardStream) Cancelled() bool            { return false }
 func (discardStream) Close() error               { return nil }
 
 // BenchmarkCall measures the overhead of the gate for one call, without the stream and the server.
--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/admit/ledger"
@@ -46,10 +47,11 @@
 	ticket       limit.Ticket
 	waiter       waiter
 	ack          proto.Ack
-	acked        bool      // the Ack was sent by acknowledge
-	counted      bool      // included in Gate.calls
-	identity     string    // instance that must run the request; set just before the run
-	headerValues [4]string // backing array for the values of the headers that the gate adds
+	acked        bool         // the Ack was sent by acknowledge
+	counted      bool         // included in Gate.calls
+	identity     string       // instance that must run the request; set just before the run
+	streamEnd    atomic.Int64 // of a non-idempotent call whose stream ended during the run: when, as a duration since arrived; else 0
+	headerValues [4]string    // backing array for the values of the headers that the gate adds
 }
 
 // Call implements proto.CallHandler.
@@ -241,6 +243,7 @@
 // router of a lost connection resolves it. A request whose body is incomplete is cancelled at once, and so is any request when the
 // daemon ends, because no router can resolve it then.
 func (c *call) streamEnded(ctx context.Context, cancel context.CancelFunc) {
+	c.recordStreamEnd()
 	if !c.body.complete.Load() || c.gate.ends() {
 		cancel()
 		return
@@ -259,6 +262,16 @@
 	}
 }
 
+// recordStreamEnd records that and how the stream ended, for logs and metrics.
+func (c *call) recordStreamEnd() {
+	c.streamEnd.Store(int64(time.Since(c.arrived)))
+	if c.stream.Cancelled() {
+		c.gate.endings.cancelled.Add(1)
+		return
+	}
+	c.gate.endings.lost.Add(1)
+}
+
 // awaited reports whether a router has lost the connection or resolved the attempt, and so may fetch the response.
 func (c *call) awaited() bool {
 	return c.peer.Revoked() || c.entry.Resolved()
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -80,6 +80,7 @@
 	arrivals *semaphore.Weighted         // limits arriving to maxArriving; set by prepare
 	calls    atomic.Int64                // unfinished calls that were admitted, queued or allowed to send a body; incremented under mu
 	failures [failureCodes]atomic.Uint64 // refused and failed calls by code
+	endings  endings
 	times    [ident.Classes]recent.Times // from the arrival of a call to the end of its response, by class
 
 	// mu guards the slots and the queue, which change together. It is held only briefly and never during I/O.
@@ -96,6 +97,17 @@
 // failureCodes is the length of Gate.failures. A code that is added after StaleTransit is not counted until this is updated.
 const failureCodes = int(code.StaleTransit) + 1
 
+// endings counts the non-idempotent calls whose stream ended while their request ran.
+type endings struct {
+	cancelled, lost atomic.Uint64
+}
+
+// EndingCounts are the counts of non-idempotent calls whose stream ended while their request ran.
+type EndingCounts struct {
+	Cancelled uint64 // by the router, because the caller has left or the deadline has passed
+	Lost      uint64 // with the connection to the router
+}
+
 // Dump is the state of a gate and its components, for the state dump.
 type Dump struct {
 	Report   proto.Report
@@ -104,6 +116,7 @@
 	Queue    []WaitingDump        // ordered by class, then by arrival
 	Arriving int64                // calls whose body is being buffered
 	Failures map[code.Code]uint64 // refused and failed calls by code
+	Endings  EndingCounts
 	Limit    any
 	Ledger   any
 	Probes   any
@@ -213,6 +226,11 @@
 	return g.failures[c].Load()
 }
 
+// Endings returns the counts of non-idempotent calls whose stream ended while their request ran, since the start.
+func (g *Gate) Endings() EndingCounts {
+	return EndingCounts{Cancelled: g.endings.cancelled.Load(), Lost: g.endings.lost.Load()}
+}
+
 func (g *Gate) count(c code.Code) {
 	if int(c) < failureCodes {
 		g.failures[c].Add(1)
@@ -227,6 +245,7 @@
 		Running:  make(map[ident.Class]int),
 		Failures: make(map[code.Code]uint64),
 		Arriving: g.arriving.Load(),
+		Endings:  g.Endings(),
 		Limit:    g.Limit.Dump(),
 		Ledger:   g.Ledger.Dump(),
 		Probes:   g.Probes.Dump(),
--- a/internal/admit/gate/log.go
+++ b/internal/admit/gate/log.go
@@ -27,10 +27,16 @@
 		event = "call-refused"
 	}
 	report := g.Report()
-	g.Decisions.Abnormal(event, c.logID(), "attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(),
+	fields := []any{
+		"attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(),
 		"server", c.identity, "code", failed.Code.String(), "outcome", failed.Outcome.String(), "running", report.InFlight,
 		"limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", time.Until(c.deadline),
-		"revision", g.Config.Revision(), "detail", failed.Error())
+		"revision", g.Config.Revision(), "detail", failed.Error(),
+	}
+	if end := time.Duration(c.streamEnd.Load()); end > 0 {
+		fields = append(fields, "after-stream-end", time.Since(c.arrived)-end, "cancelled-by-router", c.stream.Cancelled())
+	}
+	g.Decisions.Abnormal(event, c.logID(), fields...)
 }
 
 // slowRatio is the ratio above which a call is logged as slow: the time from its arrival to the response header, divided by the
--- a/internal/admit/gate/rig_test.go
+++ b/internal/admit/gate/rig_test.go
@@ -135,6 +135,7 @@
 	cancel context.CancelFunc
 	pieces chan *proto.Piece // closed when the router has closed its sending direction
 	pause  time.Duration     // simulated pause of the daemon while it sends the Ack
+	lost   atomic.Bool       // the stream ends with its connection
 	mu     sync.Mutex
 	sent   []proto.Frame
 }
@@ -147,6 +148,13 @@
 
 func (s *stream) Context() context.Context { return s.ctx }
 func (s *stream) CloseSend() error         { return nil }
+func (s *stream) Cancelled() bool          { return s.ctx.Err() != nil && !s.lost.Load() }
+
+// lose ends the stream as a lost connection does.
+func (s *stream) lose() {
+	s.lost.Store(true)
+	s.cancel()
+}
 
 func (s *stream) Close() error {
 	s.cancel()
--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -39,6 +39,10 @@
 	set.Gauge("admission_warming", func() float64 { return gaugeValue(admission.Report().Warming) })
 	set.Gauge("admission_refusing_code", func() float64 { return float64(admission.Report().Refusing) })
 	set.Gauge("server_latency_seconds", func() float64 { return admission.Report().Latency.Seconds() })
+	registerCounts(set, admission.Endings, map[string]func(gate.EndingCounts) uint64{
+		"admission_streams_cancelled_total": func(e gate.EndingCounts) uint64 { return e.Cancelled },
+		"admission_streams_lost_total":      func(e gate.EndingCounts) uint64 { return e.Lost },
+	})
 	for c := code.None + 1; c <= code.StaleTransit; c++ {
 		set.Gauge("admission_failures_total", func() float64 { return float64(admission.Failures(c)) }, "code", c.String())
 	}
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -216,6 +216,7 @@
 }
 
 func (s *fakeStream) CloseSend() error               { return nil }
+func (s *fakeStream) Cancelled() bool                { return false }
 func (s *fakeStream) Conn() uint64                   { return uint64(s.number) }
 func (s *fakeStream) Incarnation() ident.Incarnation { return 9 }
 
--- a/internal/wire/link/call.go
+++ b/internal/wire/link/call.go
@@ -95,7 +95,7 @@
 	if c.closed.Swap(true) {
 		return nil
 	}
-	if c.recvDone.Load() && c.sendDone.Load() {
+	if c.complete() {
 		c.pool.release(c.conn)
 		return nil
 	}
--- a/internal/wire/link/stream.go
+++ b/internal/wire/link/stream.go
@@ -94,6 +94,16 @@
 	return nil
 }
 
+// Cancelled implements proto.Stream. drpc reports a cancellation and a closed connection alike.
+func (s *stream) Cancelled() bool {
+	return s.raw.Context().Err() != nil && !s.tr.lost.Load() && !s.complete()
+}
+
+// complete reports whether both directions have ended with their last frames.
+func (s *stream) complete() bool {
+	return s.recvDone.Load() && s.sendDone.Load()
+}
+
 // isLast reports whether no frame follows in the same direction.
 func isLast(frame proto.Frame) bool {
 	switch f := frame.(type) {
--- a/internal/wire/link/stream_test.go
+++ b/internal/wire/link/stream_test.go
@@ -92,6 +92,46 @@
 	})
 }
 
+// Guards against a lost connection that is taken for a cancellation, and a cancellation that is taken for a lost connection.
+func TestACancellationIsToldApartFromALostConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, ending := range []struct {
+			name      string
+			end       func(p *pair, stream proto.ClientStream, cancel context.CancelFunc)
+			cancelled bool
+		}{
+			{"context ended", func(_ *pair, _ proto.ClientStream, cancel context.CancelFunc) { cancel() }, true},
+			{"stream closed", func(_ *pair, stream proto.ClientStream, _ context.CancelFunc) { _ = stream.Close() }, true},
+			{"taken for silent", func(_ *pair, stream proto.ClientStream, _ context.CancelFunc) { stream.CloseSilent() }, false},
+			{"connection reset", func(p *pair, _ proto.ClientStream, _ context.CancelFunc) { _ = p.relays[0].disconnect() }, false},
+			{"connection revoked", func(p *pair, stream proto.ClientStream, _ context.CancelFunc) {
+				resolve := &proto.Resolve{Conn: stream.Conn(), Incarnation: admissionIncarnation}
+				_, err := p.pool.Resolve(context.Background(), daemonAddr, resolve)
+				p.Expect(err).NotTo(HaveOccurred())
+			}, false},
+			{"server stopped", func(p *pair, _ proto.ClientStream, _ context.CancelFunc) { p.server.closeAll() }, false},
+		} {
+			seen := make(chan bool, 1)
+			p := newPair(t, func(p *pair) {
+				p.handler.serve = func(_ *proto.Peer, _ *proto.Head, stream proto.Stream) error {
+					p.Expect(stream.Cancelled()).To(BeFalse(), "while the stream is open")
+					<-stream.Context().Done()
+					seen <- stream.Cancelled()
+					return nil
+				}
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			stream, err := p.pool.Call(ctx, daemonAddr, &proto.Head{Target: "/", End: true})
+			p.Expect(err).NotTo(HaveOccurred())
+			synctest.Wait()
+			ending.end(p, stream, cancel)
+			p.Expect(<-seen).To(Equal(ending.cancelled), ending.name)
+			cancel()
+			_ = stream.Close()
+		}
+	})
+}
+
 // Guards against an answer that is delayed by a blocked upload: frames must flow in both directions at the same time.
 func TestBothDirectionsAreIndependent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/wire/link/transport.go
+++ b/internal/wire/link/transport.go
@@ -31,11 +31,22 @@
 	net.Conn
 	// written is the number of bytes passed to the operating system.
 	written atomic.Uint64
+	// lost is set once the connection has failed or is closed, before drpc ends the stream for it.
+	lost atomic.Bool
 
 	mu     sync.Mutex // held during a write
 	closed bool
 }
 
+// Read implements net.Conn.
+func (p *transport) Read(data []byte) (int, error) {
+	size, err := p.Conn.Read(data)
+	if err != nil {
+		p.lost.Store(true)
+	}
+	return size, err
+}
+
 // Write implements net.Conn.
 func (p *transport) Write(data []byte) (int, error) {
 	p.mu.Lock()
@@ -45,11 +56,15 @@
 	}
 	size, err := p.Conn.Write(data)
 	p.written.Add(uint64(size))
+	if err != nil {
+		p.lost.Store(true)
+	}
 	return size, err
 }
 
 // Close implements net.Conn. After it returns, no write is in progress and none can start, so written is final.
 func (p *transport) Close() error {
+	p.lost.Store(true)
 	err := p.Conn.Close()
 	p.mu.Lock()
 	p.closed = true
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -238,6 +238,8 @@
 	CloseSend() error
 	// Close ends the stream at once. If the stream is still open, the peer sees a cancellation.
 	Close() error
+	// Cancelled reports whether the peer has cancelled the stream. It is false for a stream that ended with its connection.
+	Cancelled() bool
 }
 
 // CallHandler serves calls, resolves and probes. It is implemented by the admission role.
