--- a/internal/admit/gate/call_test.go
+++ b/internal/admit/gate/call_test.go
@@ -140,7 +140,7 @@
 		lost := r.writeHead("/lost")
 		s = r.call(&proto.Peer{}, lost)
 		time.Sleep(time.Millisecond)
-		s.cancel()
+		s.lose()
 		time.Sleep(resolveGrace / 2)
 		r.Expect(r.resolve(lost.ID).State).To(Equal(proto.StateRunning))
 		r.calls.Wait()
@@ -149,6 +149,32 @@
 	})
 }
 
+// Guards against an order that goes on after its caller has left, and against one that is sent to the server although its stream has
+// ended before.
+func TestCancelledOrderEndsAtOnce(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.backend.serve = func(*http.Request) time.Duration { return 3 * time.Second }
+		s := r.call(&proto.Peer{}, r.writeHead("/running"))
+		time.Sleep(time.Millisecond)
+		left := time.Now()
+		s.cancel()
+		r.calls.Wait()
+		r.Expect(time.Since(left)).To(BeZero())
+		r.Expect(r.backend.cancelled).To(Equal(1))
+
+		for path, end := range map[string]func(*stream){"/cancelled": func(s *stream) { s.cancel() }, "/lost": (*stream).lose} {
+			time.Sleep(time.Second)
+			paused := newStream(r.t.Context())
+			paused.pause = 200 * time.Millisecond // between the grant of a slot and the run
+			head := r.writeHead(path)
+			r.after(100, func() { end(paused) })
+			_ = r.Call(&proto.Peer{}, head, paused)
+			r.Expect(r.backend.count(path)).To(BeZero())
+			r.Expect(r.resolve(head.ID).Failure.Outcome).To(Equal(code.NotRun))
+		}
+	})
+}
+
 // Guards against a daemon that ends late because it waits for a resolve of a request that it has cut.
 func TestStopDoesNotWaitForResolves(t *testing.T) {
 	inBubble(t, func(r *rig) {
