admit/gate: end a request at once when its router cancels it

Cause: the end of a caller reached the daemon beside the server within milliseconds, but there the end of an order's stream looked like a lost connection, after which the order must go on so that its router can fetch the response: for 1 s, and to its deadline if the router had resolved the order before, as it does with each order whose stream is quiet for a quarter of its time. The same check let an order whose stream had ended before it was sent reach its server. Class: one signal for two events of which one must stop the work and the other must not.

Now a stream that the router cancelled ends the run at once, whatever was resolved before; only a lost connection waits for a resolve. A request whose stream has ended is not sent, and is held as not run, so that a router that lost the connection may retry it.

TestOrderOutlivesALostConnection and TestResolveRaces, whose lost streams now end as lost ones, hold that a lost connection still loses nothing.

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -15,8 +15,8 @@
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
-// resolveGrace is how long a non-idempotent request continues after its stream ended. A router that lost the connection
-// resolves the attempt within this time and then fetches the response; without a resolve the request is cancelled.
+// resolveGrace is how long a non-idempotent request continues after its connection to the router was lost. The router resolves the
+// attempt within this time and then fetches the response; without a resolve the request is cancelled.
 const resolveGrace = time.Second
 
 // maxQueueWait is the maximum time that a request waits for a slot of a server that reports its load. The load of servers changes
@@ -209,7 +209,7 @@
 }
 
 // runContext returns the context for running the request. It is cancelled when the stream ends: at once for an idempotent request, by
-// streamEnded for a non-idempotent one.
+// streamEnded for a non-idempotent one, which may wait for a resolve.
 func (c *call) runContext() (context.Context, context.CancelFunc) {
 	if c.head.Idempotent {
 		return context.WithDeadline(c.stream.Context(), c.deadline)
@@ -238,13 +238,12 @@
 	c.gate.Limit.Written(&c.ticket)
 }
 
-// streamEnded runs in its own goroutine when the stream of a non-idempotent request ends before the response is complete, because
-// of a cancellation or a lost connection. The two cannot be told apart here, so the request continues for resolveGrace, in which the
-// router of a lost connection resolves it. A request whose body is incomplete is cancelled at once, and so is any request when the
-// daemon ends, because no router can resolve it then.
+// streamEnded runs in its own goroutine when the stream of a non-idempotent request ends before the response is complete. A request
+// that the router cancelled is cancelled at once: nobody waits for its response. After a lost connection it continues for resolveGrace, in
+// which the router resolves it, unless its body is incomplete or the daemon ends, so that no router can resolve it.
 func (c *call) streamEnded(ctx context.Context, cancel context.CancelFunc) {
 	c.recordStreamEnd()
-	if !c.body.complete.Load() || c.gate.ends() {
+	if c.stream.Cancelled() || !c.body.complete.Load() || c.gate.ends() {
 		cancel()
 		return
 	}
--- a/internal/admit/gate/call_test.go
+++ b/internal/admit/gate/call_test.go
@@ -75,7 +75,7 @@
 						mu.Unlock()
 						for _, s := range attempt.calls {
 							if streamLost {
-								s.cancel()
+								s.lose()
 							}
 						}
 					})
@@ -154,13 +154,20 @@
 func TestCancelledOrderEndsAtOnce(t *testing.T) {
 	inBubble(t, func(r *rig) {
 		r.backend.serve = func(*http.Request) time.Duration { return 3 * time.Second }
-		s := r.call(&proto.Peer{}, r.writeHead("/running"))
-		time.Sleep(time.Millisecond)
-		left := time.Now()
-		s.cancel()
-		r.calls.Wait()
-		r.Expect(time.Since(left)).To(BeZero())
-		r.Expect(r.backend.cancelled).To(Equal(1))
+		for path, isResolved := range map[string]bool{"/running": false, "/resolved": true} {
+			head := r.writeHead(path)
+			s := r.call(&proto.Peer{}, head)
+			time.Sleep(time.Millisecond)
+			if isResolved { // as the router of a slow order does
+				r.Expect(r.resolve(head.ID).State).To(Equal(proto.StateRunning))
+			}
+			left := time.Now()
+			s.cancel()
+			r.calls.Wait()
+			r.Expect(time.Since(left)).To(BeZero(), path)
+			time.Sleep(disconnectDelay) // until the slot is free
+		}
+		r.Expect(r.backend.cancelled).To(Equal(2))
 
 		for path, end := range map[string]func(*stream){"/cancelled": func(s *stream) { s.cancel() }, "/lost": (*stream).lose} {
 			time.Sleep(time.Second)
--- a/internal/admit/gate/check.go
+++ b/internal/admit/gate/check.go
@@ -87,6 +87,9 @@
 	if c.peer.Revoked() {
 		return code.NotRunf(code.Revoked, "connection %d is revoked", c.peer.Hello.Conn)
 	}
+	if c.stream.Context().Err() != nil {
+		return code.NotRunf(code.Cancelled, "the call ended before the request ran")
+	}
 	if _, refused := g.serviceOrRefusal(); refused != nil && refused.Code != code.Stopping {
 		return refused
 	}
