route/http1: notice that a caller has left after its last request

A caller that sent Connection: close, or HTTP/1.0, or whose daemon had begun to stop, could leave without being noticed: after the last request nobody read its connection, so that its requests ran to their end or their deadline, with all calls that their servers made. The connection is now read until the last response is written; what the caller sends after its last request is discarded, as before.

TestDisconnectAfterTheLastRequestCancelsRequests failed first: on the code before, the first case waits in vain; it plays also HTTP/1.0, pipelined requests before the last one, bytes behind it, and a shutdown. Not read after an unread body: no request is in service then, and a handler may still hold the body.

--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -15,8 +15,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxDiscardBytes is the maximum number of bytes to discard of a body that the handler has not read. After a longer body, the
-// connection closes.
+// maxDiscardBytes is the maximum number of bytes to discard of a body that the handler has not read, or after the last request. After
+// a longer body, the connection closes.
 const maxDiscardBytes = 256 << 10
 
 // lingerTimeout is how long a connection is still read after its last response. Closing at once would make bytes that the
@@ -40,6 +40,7 @@
 	lastDone     chan struct{} // closed when the exchange of the last request read so far is done
 	inFlight     chan struct{} // semaphore of maxPipelined places; one is taken before a request is read
 	exchanges    sync.WaitGroup
+	bodyUnread   bool // the body of the last request was not read to its end; used only by the reader goroutine
 
 	mu       sync.Mutex
 	pending  int       // requests in service
@@ -87,11 +88,32 @@
 	if callerGone {
 		c.cancel() // nobody is left to receive the responses
 	}
-	c.exchanges.Wait()
+	c.awaitExchanges()
 	c.cancel()
 	c.closeGracefully()
 }
 
+// awaitExchanges waits for the requests in service after the last one has been read, and cancels them if the caller disconnects. After an
+// unread body there are none, and a handler may still be reading that body.
+func (c *conn) awaitExchanges() {
+	if c.bodyUnread {
+		c.exchanges.Wait()
+		return
+	}
+	_ = c.net.SetReadDeadline(time.Time{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.exchanges.Wait()
+		_ = c.net.SetReadDeadline(time.Unix(1, 0)) // ends the read below
+	}()
+	_, err := io.CopyN(io.Discard, c.reader, maxDiscardBytes) // bytes after the last request are not parsed as a request
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.cancel()
+	}
+	<-ended
+}
+
 // closeGracefully closes the connection after its last response, and lingers so that the caller receives it.
 func (c *conn) closeGracefully() {
 	if halfCloser, ok := c.net.(interface{ CloseWrite() error }); ok && !c.broken.Load() && halfCloser.CloseWrite() == nil {
@@ -248,6 +270,7 @@
 		select {
 		case <-x.body.eof:
 		default:
+			c.bodyUnread = true
 			return true // the unread body precedes the next request
 		}
 	}
--- a/internal/route/http1/server_test.go
+++ b/internal/route/http1/server_test.go
@@ -110,6 +110,44 @@
 	}
 }
 
+// Guards against requests that keep running after their caller has disconnected, when no further request is read from the connection.
+func TestDisconnectAfterTheLastRequestCancelsRequests(t *testing.T) {
+	const last = "POST /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc"
+	for _, disconnected := range []struct {
+		name  string
+		text  string
+		stops bool // the server shuts down while the requests run
+		paths []string
+	}{
+		{"caller closes after its request", last, false, []string{"/last"}},
+		{"caller closes after its last request", get("/1") + last, false, []string{"/1", "/last"}},
+		{"old protocol version", "GET /old HTTP/1.0\r\nHost: h\r\n\r\n", false, []string{"/old"}},
+		{"bytes behind the last request", last + "more", false, []string{"/last"}},
+		{"shutdown", get("/1") + get("/2"), true, []string{"/1", "/2"}},
+	} {
+		started, cancelled := make(chan string, 2), make(chan string, 2)
+		r := start(t, func(_ http.ResponseWriter, q *http.Request) {
+			_, _ = io.Copy(io.Discard, q.Body)
+			started <- q.URL.Path
+			<-q.Context().Done()
+			cancelled <- q.URL.Path
+		})
+		conn, _ := r.connect(t, disconnected.text)
+		for range disconnected.paths {
+			r.Eventually(started, time.Second).Should(Receive())
+		}
+		if disconnected.stops {
+			go func() { _ = r.server.Shutdown(context.Background()) }()
+			r.Eventually(r.server.isShuttingDown, time.Second).Should(BeTrue())
+		}
+		r.Consistently(cancelled, 50*time.Millisecond).ShouldNot(Receive(), disconnected.name)
+		r.Expect(conn.Close()).To(Succeed())
+		for range disconnected.paths {
+			r.Eventually(cancelled, time.Second).Should(Receive(BeElementOf(disconnected.paths)), disconnected.name)
+		}
+	}
+}
+
 // Guards against request smuggling: the bytes of a body, read by the handler or not, must not be parsed as the next request.
 func TestBodyBytesAreNotParsedAsNextRequest(t *testing.T) {
 	r := start(t, func(w http.ResponseWriter, q *http.Request) {
