route/call, admit/ledger: end an order whose caller leaves after its connection was lost

After a connection between daemons is lost, which on a busy link a late ack or a quiet stream is taken for, the router resolves its order, and the daemon beside the server lets the run go on to its deadline for the sake of the caller. When that caller then left, the router only stopped asking: the run went on, and so did the calls of its server.

The router now sends the resolve that tells that it needs no response any longer, as it does once it has received one; the daemon cancels the run, and an attempt that has not arrived yet is revoked, so that a late head cannot run. A daemon of an older build drops only what it holds for it, as before.

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -209,12 +209,13 @@
 }
 
 // runContext returns the context for running the request. It is cancelled when the stream ends: at once for an idempotent request, by
-// streamEnded for a non-idempotent one, which may wait for a resolve.
+// streamEnded for a non-idempotent one, which may wait for a resolve. A resolve may also cancel it.
 func (c *call) runContext() (context.Context, context.CancelFunc) {
 	if c.head.Idempotent {
 		return context.WithDeadline(c.stream.Context(), c.deadline)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
+	c.entry.OnUnneeded(cancel)
 	stop := context.AfterFunc(c.stream.Context(), func() { c.streamEnded(ctx, cancel) })
 	return ctx, func() {
 		stop()
--- a/internal/admit/gate/call_test.go
+++ b/internal/admit/gate/call_test.go
@@ -182,6 +182,37 @@
 	})
 }
 
+// Guards against an order that goes on without its connection after its caller has left, and against one that runs although its router
+// gave it up before it arrived.
+func TestOrderThatNobodyWaitsForEnds(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.backend.serve = func(*http.Request) time.Duration { return 3 * time.Second }
+		done := func(id ident.AttemptID) {
+			_, err := r.Resolve(r.t.Context(), &proto.Peer{}, &proto.Resolve{ID: id, Incarnation: incarnation, Done: true})
+			r.Expect(err).NotTo(HaveOccurred())
+		}
+		order := r.writeHead("/running")
+		s := r.call(&proto.Peer{}, order)
+		time.Sleep(time.Millisecond)
+		s.lose()
+		r.Expect(r.resolve(order.ID).State).To(Equal(proto.StateRunning))
+		time.Sleep(resolveGrace * 2)
+		r.Expect(r.resolve(order.ID).State).To(Equal(proto.StateRunning), "the caller waits")
+		left := time.Now()
+		done(order.ID)
+		r.calls.Wait()
+		r.Expect(time.Since(left)).To(BeZero())
+		r.Expect(r.backend.cancelled).To(Equal(1))
+
+		late := r.writeHead("/late")
+		done(late.ID)
+		s = r.call(&proto.Peer{}, late)
+		r.calls.Wait()
+		r.Expect(s.refusal()).To(Equal(notRun(code.Revoked)))
+		r.Expect(r.backend.count("/late")).To(BeZero())
+	})
+}
+
 // Guards against a daemon that ends late because it waits for a resolve of a request that it has cut.
 func TestStopDoesNotWaitForResolves(t *testing.T) {
 	inBubble(t, func(r *rig) {
--- a/internal/admit/ledger/ledger.go
+++ b/internal/admit/ledger/ledger.go
@@ -95,6 +95,14 @@
 	e.shard.end(e.record, nil, held, time.Now())
 }
 
+// OnUnneeded sets what is called, at most once and by another goroutine, when a router tells that it needs no response while the attempt is
+// running. It must be called before Answered and Failed.
+func (e Entry) OnUnneeded(cancel func()) {
+	e.shard.mu.Lock()
+	defer e.shard.mu.Unlock()
+	e.record.cancel = cancel
+}
+
 // Resolved reports whether a router has sent a resolve for the attempt since it began.
 func (e Entry) Resolved() bool {
 	e.shard.mu.Lock()
@@ -102,8 +110,9 @@
 	return e.record.resolved
 }
 
-// Resolve returns the state of an attempt. An attempt that has certainly not been received is revoked, so that it can no longer run.
-// The caller must have revoked the connection on which the attempt was sent.
+// Resolve returns the state of an attempt. An attempt that has certainly not been received is revoked, so that it can no longer run. A
+// running one is cancelled if the router needs no response any longer. The caller must have revoked the connection on which the attempt
+// was sent, if the request names it.
 func (l *Ledger) Resolve(request *proto.Resolve) *proto.Resolution {
 	if request.Incarnation != l.Incarnation {
 		return &proto.Resolution{State: proto.StateUnknown}
@@ -117,11 +126,12 @@
 	switch {
 	case found != nil && request.Done:
 		s.dropAnswer(found)
+		found.cancelRun()
 		return found.resolution()
 	case found != nil:
 		found.resolved = true
 		return found.resolution()
-	case request.Done, request.Elapsed > MaxElapsed, s.mayHaveRemoved(request.ID.Request):
+	case request.Elapsed > MaxElapsed, s.mayHaveRemoved(request.ID.Request):
 		return &proto.Resolution{State: proto.StateUnknown}
 	}
 	r := &record{id: request.ID, state: revoked}
--- a/internal/admit/ledger/shard.go
+++ b/internal/admit/ledger/shard.go
@@ -25,6 +25,7 @@
 	state       state // from running to ended, or revoked from the start; no other transitions
 	resolved    bool  // a resolve without Done has found the record
 	info        Running
+	cancel      func()         // cancels the running attempt; nil if it cannot be cancelled by a resolve
 	answer      *proto.Answer  // held response; set only when ended
 	failure     *proto.Failure // set only when ended
 	endedAt     time.Time      // when the attempt ended or was revoked
@@ -67,11 +68,19 @@
 	s.requests[r.id.Request] = r
 }
 
+// cancelRun cancels the attempt if it is running. The attempt ends later, by another goroutine.
+func (r *record) cancelRun() {
+	if r.state == running && r.cancel != nil {
+		go r.cancel()
+		r.cancel = nil
+	}
+}
+
 func (s *shard) end(r *record, answer *proto.Answer, failure *proto.Failure, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
-	r.state = ended
+	r.state, r.cancel = ended, nil
 	r.failure = failure
 	s.holdAnswer(r, answer)
 	s.retire(r, now)
--- a/internal/cli/daemon/gone_test.go
+++ b/internal/cli/daemon/gone_test.go
@@ -78,6 +78,28 @@
 	})
 }
 
+// Guards against calls for an order whose caller left after a connection between daemons was lost.
+func TestOrderWithoutItsConnectionEndsWithItsCaller(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := &lateCalls{after: 1200 * time.Millisecond}
+		s := c.start(t)
+		time.Sleep(10 * time.Second)
+		ctx, leave := context.WithCancel(t.Context())
+		request := s.request(http.MethodPost, "/orders/new", "left", strings.NewReader("licorice")).WithContext(ctx)
+		s.running.Go(func() { _ = s.send(s.client("callers"), s.nodes[0], request) })
+		time.Sleep(50 * time.Millisecond)
+		s.fabric.EachPath(betweenDaemons, (*memnet.Path).Cut)
+		time.Sleep(500 * time.Millisecond) // in which the order is resolved
+		leave()
+		time.Sleep(2 * time.Second)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		s.Expect(c.began).To(HaveLen(1))
+		s.Expect(c.received).To(BeEmpty(), "calls for orders whose callers left 650 ms before")
+	})
+}
+
 // Guards against an order that is cancelled because a connection between daemons is lost, although its caller is waiting.
 func TestOrderOutlivesALostConnection(t *testing.T) {
 	t.Parallel()
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -46,7 +46,7 @@
 		return scripts[min(int(head.ID.Attempt)-1, len(scripts)-1)]
 	}
 	c := newClient(f, 3)
-	tokens, depth, size, p95, failed := 50, 0, 0, 0, 0
+	tokens, depth, size, p95, failed, leave := 50, 0, 0, 0, 0, 0
 	req := &Request{Service: "stock", Method: d.Cmd, Path: "/", Target: "/", Timeout: 5500 * time.Millisecond, ContentLength: -1}
 	scan := func(key string, into *int) {
 		if d.HasArg(key) {
@@ -64,6 +64,7 @@
 	scan("body", &size)
 	scan("p95", &p95)
 	scan("errors", &failed)
+	scan("leave", &leave)
 	if depth > 0 {
 		req.Context = &ident.CallContext{Request: ident.RequestID{Router: 1, Seq: 1}, Depth: depth - 1, Class: ident.Lookup}
 	}
@@ -89,7 +90,12 @@
 		c.latenciesOf("stock").add(0, true)
 	}
 	begin := time.Now()
-	x, err := c.Do(context.Background(), req)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if leave > 0 { // after so many milliseconds, the caller does
+		time.AfterFunc(time.Duration(leave)*time.Millisecond, cancel)
+	}
+	x, err := c.Do(ctx, req)
 	var out strings.Builder
 	if err == nil {
 		var body string
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -36,6 +36,7 @@
 		conn := a.stream.Conn()
 		var err error
 		if found, err = a.awaitResolution(conn); err != nil {
+			a.cancelRun()
 			return nil, err
 		}
 	}
@@ -50,7 +51,7 @@
 		a.r.c.counters.revoked.Add(1)
 		return nil, code.NotRunf(code.Revoked, "the connection was silent and the request was revoked before it ran")
 	case found.State == proto.StateFinished && found.Answer != nil:
-		go a.confirmReceipt()
+		go a.sendDone()
 		return found.Answer, nil
 	case found.State == proto.StateFinished && found.Failure != nil:
 		return nil, a.resolvedFailure(found.Failure)
@@ -119,11 +120,19 @@
 	return found, err
 }
 
-// confirmReceipt tells admission that it need not hold the response any longer.
-func (a *attempt) confirmReceipt() {
+// cancelRun cancels the run of a non-idempotent request whose connection is lost and whose caller has left. Admission would otherwise
+// let it go on for the sake of the caller.
+func (a *attempt) cancelRun() {
+	if !a.r.idempotent && a.ctx.Err() != nil && time.Now().Before(a.r.deadline) {
+		go a.sendDone()
+	}
+}
+
+// sendDone tells admission that the response is not needed any longer.
+func (a *attempt) sendDone() {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), resolveTimeout)
 	defer cancel()
-	// A failure is ignored: admission drops unconfirmed responses after some time.
+	// A failure is ignored: admission drops unconfirmed responses after some time, and runs end at their deadline.
 	_, _ = a.r.c.Transport.Resolve(ctx, a.sent.Server, &proto.Resolve{
 		ID: a.id, Conn: noConn, Incarnation: a.stream.Incarnation(), Elapsed: time.Since(a.began), Done: true,
 	})
--- a/internal/wire/link/accept.go
+++ b/internal/wire/link/accept.go
@@ -188,7 +188,7 @@
 
 // resolve revokes the connection of the attempt before the handler looks the attempt up. A head on that connection is
 // therefore either found by the handler or refused because of the revocation. A request with Conn 0 names no connection,
-// and one with Done confirms that the response arrived, so neither revokes.
+// and one with Done needs no answer about the attempt, so neither revokes.
 func (c *serverConn) resolve(ctx context.Context, peer *proto.Peer, req *proto.Resolve) (*proto.Resolution, error) {
 	if req.Conn != 0 && !req.Done {
 		if err := c.server.revoke(connKey{router: peer.Hello.Incarnation, number: req.Conn}); err != nil {
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -132,7 +132,7 @@
 	Conn        uint64            // connection that the attempt was sent on, revoked unless Done is set; 0 to revoke none
 	Incarnation ident.Incarnation // daemon that the attempt was sent to
 	Elapsed     time.Duration     // since the attempt was sent
-	Done        bool              // the router has received the response, so that it need not be kept any longer
+	Done        bool              // the router needs no response any longer: it has received it, or nobody waits for it
 }
 
 // ResolveState is the state of an attempt.
