fleet/watch, fleet/member: ignore odd rows that another writer left among those of the daemons

- A row whose incarnation is too large, or that stands under another key, about a daemon that lives: its readers spread the record, and the daemon took it for a successor at its own address and ended with duplicate-id, again after each restart.
- A version too large: the refutation overflowed to 0, so that the daemon stayed leaving, or gone, for all others.
- An address that no daemon can have (port 0, no host, a group, one with a zone): kept as a member and asked for its failure for ever.
One with a zone of over 40 bytes could not be decoded by the daemons that got it: each exchange with it failed as a whole, with the configuration in it.

A row is now read only if it belongs to its key, holds a record that can be true (Record.Valid) and tells of no start in the future; the same record from a peer is not kept. A record that a peer of an older build passes on and that cannot be decoded is left out of the exchange, whose rest counts.

--- a/internal/base/ident/ident.go
+++ b/internal/base/ident/ident.go
@@ -30,6 +30,11 @@
 	return Incarnation(uint64(start.UnixMilli())<<incarnationRandomBits | low)
 }
 
+// Start returns the time at which the daemon started, by its own clock.
+func (i Incarnation) Start() time.Time {
+	return time.UnixMilli(int64(i >> incarnationRandomBits))
+}
+
 // RequestID identifies a request over all its attempts.
 type RequestID struct {
 	Router Incarnation // the router that accepted the request
--- a/internal/fleet/member/record.go
+++ b/internal/fleet/member/record.go
@@ -33,6 +33,32 @@
 	Version     uint64 // rises within an incarnation; the member itself raises it to refute a suspicion
 }
 
+// Bounds of an accepted record.
+const (
+	maxName = 128 // bytes of the service, zone and region
+	// maxIncarnation is that of a start in the year 2248.
+	maxIncarnation ident.Incarnation = 1<<63 - 1
+	maxVersion                       = 1 << 62 // a member can still raise its version to refute a suspicion
+)
+
+// Valid reports whether r can be the record of a daemon. Others are neither kept nor passed on: no later record would replace one with
+// too large a number, and its daemon could not refute it.
+func (r Record) Valid() bool {
+	switch {
+	case !isHost(r.Address), r.Front.IsValid() && !isHost(r.Front):
+		return false
+	case r.State < Joining, r.State > Gone, r.Incarnation > maxIncarnation, r.Version > maxVersion:
+		return false
+	}
+	return len(r.Service) <= maxName && len(r.Zone) <= maxName && len(r.Region) <= maxName
+}
+
+// isHost reports whether a daemon on another host can be reached at the address. An address with a zone has a meaning on one host only.
+func isHost(address netip.AddrPort) bool {
+	ip := address.Addr()
+	return address.IsValid() && address.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast() && ip.Zone() == ""
+}
+
 // Newer reports whether r replaces other: the higher incarnation wins, then the higher version, then the state that comes later in
 // the list of constants.
 func (r Record) Newer(other Record) bool {
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -26,9 +26,6 @@
 	DefaultMaxSilence = 10 * time.Minute
 )
 
-// maxName bounds the length in bytes of the service, zone and region of an accepted record.
-const maxName = 128
-
 // Table holds the newest known record of every member, indexed by address and by service. Its zero value is ready for use.
 type Table struct {
 	SuspectFor time.Duration // DefaultSuspectFor when 0
@@ -106,7 +103,7 @@
 // suspect, so that the member can refute it, since after a partition each side holds the other as gone. A gone record of an unknown
 // member is not stored; otherwise daemons would send it back to each other forever.
 func (t *Table) Apply(r Record) bool {
-	if !r.valid() {
+	if !r.Valid() {
 		return false
 	}
 	t.selfMu.Lock()
@@ -293,13 +290,6 @@
 	return e.hash
 }
 
-func (r Record) valid() bool {
-	if !r.Address.IsValid() || r.State < Joining || r.State > Gone {
-		return false
-	}
-	return len(r.Service) <= maxName && len(r.Zone) <= maxName && len(r.Region) <= maxName
-}
-
 func bucket(address netip.AddrPort) int {
 	var buffer [18]byte
 	return int(xxhash.Sum64(appendAddress(buffer[:0], address)) % Buckets)
--- a/internal/fleet/watch/departure.go
+++ b/internal/fleet/watch/departure.go
@@ -82,9 +82,14 @@
 
 // applyOwnRow restores the departure in this daemon's row. A row without a value means that there is none.
 func (w *Watch) applyOwnRow(row table.Row) {
-	a, err := decodeAnnouncement(row.Value)
-	if err != nil && len(row.Value) > 0 {
+	if len(row.Value) == 0 {
+		w.restoreDeparture(Departure{})
+		return
+	}
+	a, err := readAnnouncement(row)
+	if err != nil {
 		w.Log.Error(err, "announcement-unreadable", "key", row.Key)
+		a = announcement{}
 	}
 	w.restoreDeparture(a.Departure)
 }
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +54,7 @@
 	peersFirst          time.Duration    // PeersFirst of the daemons
 	startSpread         time.Duration    // StartSpread of the daemons
 	firstStart          bool             // FirstStart of the daemons
+	encoded             atomic.Bool      // exchanges pass through their codec
 	onDepartureRestored func(i int, d Departure)
 
 	mu      sync.Mutex
@@ -267,6 +269,10 @@
 }
 
 func (p networkClient) Exchange(ctx context.Context, to netip.AddrPort, request *proto.Exchange) (*proto.Exchange, error) {
+	request, err := p.fleet.received(request)
+	if err != nil {
+		return nil, err
+	}
 	target, err := p.deliver(ctx, p.self, to, exchangeSize(request))
 	if err != nil {
 		return nil, err
@@ -286,8 +292,23 @@
 		size = exchangeSize(reply)
 	case <-ctx.Done():
 	}
-	_, err = p.deliver(ctx, to, p.self, size)
-	return reply, err
+	if _, err = p.deliver(ctx, to, p.self, size); err != nil {
+		return nil, err
+	}
+	return p.fleet.received(reply)
+}
+
+// received returns an exchange as the other daemon decodes it.
+func (f *fleet) received(sent *proto.Exchange) (*proto.Exchange, error) {
+	if !f.encoded.Load() {
+		return sent, nil
+	}
+	encoded, err := proto.Codec{}.Marshal(sent)
+	if err != nil {
+		return nil, err
+	}
+	decoded := new(proto.Exchange)
+	return decoded, proto.Codec{}.Unmarshal(encoded, decoded)
 }
 
 func (p networkClient) Status(ctx context.Context, to netip.AddrPort, request *proto.Status) (*proto.Status, error) {
--- a/internal/fleet/watch/members.go
+++ b/internal/fleet/watch/members.go
@@ -126,7 +126,7 @@
 
 // applyRow merges the announcement of another daemon into the member table and reports whether it was fresh.
 func (w *Watch) applyRow(row table.Row) (member.Record, bool) {
-	a, err := decodeAnnouncement(row.Value)
+	a, err := readAnnouncement(row)
 	if err != nil {
 		w.Log.Error(err, "announcement-unreadable", "key", row.Key)
 		return member.Record{}, false
@@ -181,7 +181,7 @@
 }
 
 func expired(row table.Row) bool {
-	a, err := decodeAnnouncement(row.Value)
+	a, err := readAnnouncement(row)
 	return err == nil && time.Since(a.At) > sweepAfter
 }
 
--- a/internal/fleet/watch/row.go
+++ b/internal/fleet/watch/row.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 )
 
 // rowPrefix precedes the address in the key of an announcement.
@@ -80,6 +82,28 @@
 	return protowire.AppendVarint(b, number)
 }
 
+// maxBorn is the latest start of a server that an announcement may tell, in the year 2248. A server's clock may be fast, and a departure
+// must not be lost for that.
+var maxBorn = ident.Incarnation(math.MaxInt64).Start()
+
+// readAnnouncement returns the announcement in a row of the table. Another writer may have left anything there, so one that does not
+// belong to its key or cannot be true is an error.
+func readAnnouncement(row table.Row) (announcement, error) {
+	a, err := decodeAnnouncement(row.Value)
+	if err != nil {
+		return a, err
+	}
+	switch {
+	case rowKey(a.Record.Address) != row.Key:
+		return a, errors.Newf("announcement of %s in the row %s", a.Record.Address, row.Key)
+	case !a.Record.Valid():
+		return a, errors.New("announcement with an invalid record")
+	case a.Record.Incarnation.Start().After(time.Now().Add(maxSkew)), a.Departure.Born.After(maxBorn):
+		return a, errors.New("announcement of a start in the future")
+	}
+	return a, nil
+}
+
 // decodeAnnouncement skips unknown fields, so that older daemons read the rows of newer ones.
 func decodeAnnouncement(b []byte) (announcement, error) {
 	var a announcement
--- a/internal/wire/proto/fleet.go
+++ b/internal/wire/proto/fleet.go
@@ -208,7 +208,7 @@
 	case 4:
 		m.Digests = r.digests(maxDigests)
 	case 5:
-		m.Members = readElement(r, m.Members, maxMembers, readRecord)
+		m.Members = readMember(r, m.Members)
 	case 6:
 		m.Changes = readElement(r, m.Changes, maxChanges, readChange)
 	case 7:
@@ -234,6 +234,23 @@
 	}
 }
 
+// readMember decodes a record and appends it to the list. A malformed one is left out: the other daemon may have it from elsewhere, and
+// must still be able to pass on the rest.
+func readMember(r *reader, list []member.Record) []member.Record {
+	if !r.checkCount(len(list), maxMembers) {
+		return list
+	}
+	inner := reader{rest: r.rawBytes(MaxFrame)}
+	var element member.Record
+	for inner.next() {
+		readRecord(&inner, &element)
+	}
+	if r.err != nil || inner.err != nil {
+		return list
+	}
+	return append(list, element)
+}
+
 func putDigests(buf []byte, number fieldNumber, digests []uint64) []byte {
 	if len(digests) == 0 {
 		return buf
