admit/status: refuse a check-in whose numbers cannot be true

Slots, sequence, cold time and start now have bounds; such a check-in is answered as a bad request.

testdata/odd-check-ins failed first: the first odd check-in was accepted.

--- a/internal/admit/status/status.go
+++ b/internal/admit/status/status.go
@@ -36,6 +36,26 @@
 	Born     time.Time     // start of the lifetime by the server's own clock
 }
 
+// Bounds of an accepted check-in.
+const (
+	maxSlots    = 100000
+	maxColdFor  = time.Hour
+	maxSequence = 1 << 53
+)
+
+// maxBorn is the latest accepted start of a lifetime, in the year 2248. A server's clock may be fast.
+var maxBorn = time.UnixMilli(1 << 43)
+
+// check returns an error if the numbers of the check-in cannot be true. One of another writer would otherwise hide all later check-ins of
+// the server.
+func (c CheckIn) check() error {
+	if c.Slots < 0 || c.Slots > maxSlots || c.ColdFor < 0 || c.ColdFor > maxColdFor || c.Sequence > maxSequence || c.Born.After(maxBorn) {
+		return code.NotRunf(code.BadRequest, "check-in of %q with a number out of range: %d slots, cold for %s, sequence %d, born %s",
+			c.ID, c.Slots, c.ColdFor, c.Sequence, c.Born)
+	}
+	return nil
+}
+
 // Server is the state of the daemon's own server. Its exported fields are set before the first use.
 type Server struct {
 	Service    string
@@ -65,6 +85,9 @@
 	if c.ID == "" || c.Service != s.Service {
 		return code.NotRunf(code.WrongServer, "check-in of %q for service %q: this daemon's server runs service %s", c.ID, c.Service, s.Service)
 	}
+	if err := c.check(); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newer := c.Born.After(s.born) || s.born.IsZero()
--- a/internal/admit/status/status_test.go
+++ b/internal/admit/status/status_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -63,23 +62,30 @@
 	if d.HasArg("service") {
 		c.Service = text(t, d, "service")
 	}
-	sequence, err := strconv.ParseUint(text(t, d, "seq"), 10, 64)
-	if err != nil {
-		t.Fatal(err)
+	if d.HasArg("slots") {
+		c.Slots = number[int](t, d, "slots")
+	}
+	if d.HasArg("born-ms") {
+		c.Born = time.UnixMilli(number[int64](t, d, "born-ms"))
 	}
-	c.Sequence = sequence
+	c.Sequence = number[uint64](t, d, "seq")
 	if err := s.CheckIn(c); err != nil {
 		return code.Of(err).Code.String() + "\n"
 	}
 	return ""
 }
 
-// take attempts count requests, spread evenly over the time, and reports how many may be sent.
-func take(t *testing.T, s *Server, d *datadriven.TestData) string {
-	count, err := strconv.Atoi(text(t, d, "count"))
-	if err != nil {
+func number[T int | int64 | uint64](t *testing.T, d *datadriven.TestData, name string) T {
+	var parsed T
+	if _, err := fmt.Sscan(text(t, d, name), &parsed); err != nil {
 		t.Fatal(err)
 	}
+	return parsed
+}
+
+// take attempts count requests, spread evenly over the time, and reports how many may be sent.
+func take(t *testing.T, s *Server, d *datadriven.TestData) string {
+	count := number[int](t, d, "count")
 	over := duration(t, d, "over")
 	sent := 0
 	for range count {
