--- a/internal/fleet/watch/fault_test.go
+++ b/internal/fleet/watch/fault_test.go
@@ -18,6 +18,9 @@
 // false suspicions on both sides must end within the same time.
 const goneBound = 25 * time.Second
 
+// suspectBound is the part of goneBound until every daemon holds a member that does not answer as suspect.
+const suspectBound = 15 * time.Second
+
 // run runs the scenario in a synctest bubble, with a fleet of n daemons that know each other and have revision 1 in force.
 func run(t *testing.T, n int, scenario func(g *WithT, f *fleet)) {
 	t.Parallel()
@@ -57,7 +60,7 @@
 			run(t, 30, func(g *WithT, f *fleet) {
 				f.pause(7)
 				time.Sleep(pause)
-				g.Expect(f.state(7, member.Suspect, member.Gone)()).To(BeTrue())
+				g.Expect(until(suspectBound, f.state(7, member.Suspect, member.Gone))).To(BeNumerically("<=", max(0, suspectBound-pause)))
 				f.resume(7)
 				g.Expect(until(time.Minute, f.state(7, member.Serving))).To(BeNumerically("<=", goneBound))
 				r, _ := f.get(3).table.Get(address(7))
