fleet/gossip: let peers tell which of two daemons at an address goes on, not the clock

Now a daemon that sees a higher incarnation at its address asks three peers which daemon they reach there (the indirect attempt of an exchange tells the incarnation that answered). If they reach it, it raises its own incarnation in the membership above the other and goes on; if they reach the other, it ends; answers that differ tell nothing; without an answer for 10 s, as from peers of older builds, it ends as before. Only the order of records changes: request ids, connections and resolves keep the incarnation of the start. A planned stop deletes also the row of an earlier incarnation.

--- a/internal/fleet/gossip/node.go
+++ b/internal/fleet/gossip/node.go
@@ -90,8 +90,7 @@
 	})
 }
 
-// Run exchanges messages with peers until ctx ends. It returns an error when another daemon with a higher incarnation uses
-// this daemon's address.
+// Run exchanges messages with peers until ctx ends. It returns an error when peers reach another daemon at this daemon's address.
 func (n *Node) Run(ctx context.Context) error {
 	n.init()
 	n.Table.SetSelf(n.Self)
@@ -107,6 +106,7 @@
 	group.Go(func() error { return n.eagerLoop(ctx) })
 	group.Go(func() error { return n.joinLoop(ctx) })
 	group.Go(func() error { return n.silenceLoop(ctx) })
+	group.Go(func() error { return n.successionLoop(ctx) })
 	return group.Wait()
 }
 
@@ -133,9 +133,6 @@
 		}
 		last = now
 		n.Table.Expire()
-		if other := n.Table.Superseded(); other != 0 {
-			return code.NotRunf(code.DuplicateID, "address %s is used by incarnation %x", n.Self.Address, uint64(other))
-		}
 		target, found := n.periodicTarget()
 		if !found {
 			continue
--- a/internal/fleet/gossip/serve.go
+++ b/internal/fleet/gossip/serve.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
@@ -40,7 +41,7 @@
 	}
 	n.revisions.addRequest(reply, request.InForce)
 	if request.IndirectTarget.IsValid() {
-		reply.TargetReached = n.tryMember(ctx, request.IndirectTarget)
+		reply.TargetIncarnation, reply.TargetReached = n.tryMember(ctx, request.IndirectTarget)
 	}
 	return reply, nil
 }
@@ -58,21 +59,21 @@
 	return nil
 }
 
-// tryMember contacts a member on behalf of a peer that failed to reach it. Only known members are contacted, so that a peer
-// cannot make this daemon connect to an arbitrary address.
-func (n *Node) tryMember(ctx context.Context, address netip.AddrPort) bool {
+// tryMember contacts a member on behalf of a peer that failed to reach it, and returns the incarnation that answered. Only known members are
+// contacted, so that a peer cannot make this daemon connect to an arbitrary address.
+func (n *Node) tryMember(ctx context.Context, address netip.AddrPort) (ident.Incarnation, bool) {
 	if address == n.Self.Address {
-		return true
+		return n.Table.Self().Incarnation, true
 	}
 	if _, known := n.Table.Get(address); !known {
-		return false
+		return 0, false
 	}
 	reply, err := n.send(ctx, address, n.newExchange(), n.Timeout)
 	if err != nil {
-		return false
+		return 0, false
 	}
 	n.merge(reply)
-	return true
+	return reply.From.Incarnation, true
 }
 
 // Status implements proto.FleetHandler.
--- a/internal/fleet/member/record.go
+++ b/internal/fleet/member/record.go
@@ -36,8 +36,8 @@
 // Bounds of an accepted record.
 const (
 	maxName = 128 // bytes of the service, zone and region
-	// maxIncarnation is that of a start in the year 2248.
-	maxIncarnation ident.Incarnation = 1<<63 - 1
+	// maxIncarnation is that of a start in the year 2109.
+	maxIncarnation ident.Incarnation = 1 << 62
 	maxVersion                       = 1 << 62 // a member can still raise its version to refute a suspicion
 )
 
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -91,6 +91,20 @@
 	return ident.Incarnation(t.superseded.Load())
 }
 
+// TakeOver raises the incarnation of this daemon's own record above other, the highest one seen at its address. It reports false when the
+// record has a higher one already.
+func (t *Table) TakeOver(other ident.Incarnation) (Record, bool) {
+	t.selfMu.Lock()
+	defer t.selfMu.Unlock()
+	if t.self.Incarnation > other || other >= maxIncarnation {
+		return t.self, false
+	}
+	t.self.Incarnation, t.self.Version = other+1, t.self.Version+1
+	t.superseded.Store(0)
+	t.storeSelf()
+	return t.self, true
+}
+
 func (t *Table) storeSelf() {
 	s := t.shard(t.self.Address)
 	s.mu.Lock()
@@ -133,7 +147,7 @@
 
 func (t *Table) refute(r Record) bool {
 	if r.Incarnation > t.self.Incarnation {
-		t.superseded.Store(uint64(r.Incarnation))
+		t.superseded.Store(max(t.superseded.Load(), uint64(r.Incarnation)))
 		return false
 	}
 	if !r.Newer(t.self) {
--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -61,7 +61,7 @@
 	return err
 }
 
-// Withdraw deletes this daemon's row at a planned stop. The row is kept when it belongs to another incarnation at the same address,
+// Withdraw deletes this daemon's row at a planned stop. The row is kept when it belongs to a later incarnation at the same address,
 // or when it holds a departure, because the next daemon at this address must honor that too.
 func (w *Watch) Withdraw(ctx context.Context) error {
 	if w.currentDeparture().Server != "" {
@@ -76,7 +76,7 @@
 		return err
 	}
 	held, err := decodeAnnouncement(row.Value)
-	if err == nil && held.Record.Incarnation != self.Incarnation {
+	if err == nil && held.Record.Incarnation > self.Incarnation {
 		return nil
 	}
 	return w.Store.Commit(ctx, table.Txn{
--- a/internal/fleet/watch/odd_test.go
+++ b/internal/fleet/watch/odd_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 )
@@ -58,6 +59,10 @@
 	{"address of a group", address(66), addressed("224.0.0.1:7000")},
 	{"address with a long zone", address(67), addressed("[fe80::1%" + strings.Repeat("z", 200) + "]:7000")},
 	{"incarnation too large, of a live daemon", address(3), announced(3, func(r *member.Record) { r.Incarnation = math.MaxUint64 })},
+	{"largest signed incarnation, of a live daemon", address(3), announced(3, func(r *member.Record) { r.Incarnation = math.MaxInt64 })},
+	{"later incarnation, of a live daemon", address(3), announced(3, func(r *member.Record) {
+		r.Incarnation = ident.NewIncarnation(time.Now().Add(time.Hour))
+	})},
 	{"version too large, of a live daemon", address(4), announced(4, func(r *member.Record) {
 		r.Version, r.State = math.MaxUint64, member.Leaving
 	})},
--- a/internal/fleet/watch/row.go
+++ b/internal/fleet/watch/row.go
@@ -98,8 +98,8 @@
 		return a, errors.Newf("announcement of %s in the row %s", a.Record.Address, row.Key)
 	case !a.Record.Valid():
 		return a, errors.New("announcement with an invalid record")
-	case a.Record.Incarnation.Start().After(time.Now().Add(maxSkew)), a.Departure.Born.After(maxBorn):
-		return a, errors.New("announcement of a start in the future")
+	case a.Departure.Born.After(maxBorn):
+		return a, errors.Newf("announcement of the departure of a server that started at %s", a.Departure.Born)
 	}
 	return a, nil
 }
--- a/internal/wire/proto/fleet.go
+++ b/internal/wire/proto/fleet.go
@@ -194,7 +194,8 @@
 	buf = putBool(buf, 12, m.AcceptsParts)
 	buf = putDigests(buf, 13, m.Held)
 	buf = putAddress(buf, 14, m.IndirectTarget)
-	return putBool(buf, 15, m.TargetReached), nil
+	buf = putBool(buf, 15, m.TargetReached)
+	return putUint(buf, 16, uint64(m.TargetIncarnation)), nil
 }
 
 func readExchange(r *reader, m *Exchange) {
@@ -231,6 +232,8 @@
 		m.IndirectTarget = r.address()
 	case 15:
 		m.TargetReached = r.boolean()
+	case 16:
+		m.TargetIncarnation = ident.Incarnation(r.unsigned())
 	}
 }
 
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -189,6 +189,8 @@
 	More           bool           // the message had no room for all the records to be sent
 	IndirectTarget netip.AddrPort // requests that the receiver exchanges with this member on behalf of the sender; the zero value if unused
 	TargetReached  bool           // in the reply: the member at IndirectTarget answered
+	// TargetIncarnation is that of the member that answered at IndirectTarget; 0 in the replies of earlier versions.
+	TargetIncarnation ident.Incarnation
 }
 
 // FolderPart is a part of the configuration folder, so that a large folder takes a slow link only for a short time at once.
