--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -147,9 +147,9 @@
 		Digests: digests.Draw(t, "digests"), Held: digests.Draw(t, "held"), AcceptsParts: rapid.Bool().Draw(t, "accepts-parts"),
 		IndirectTarget: addresses.Draw(t, "indirect-target"), TargetReached: rapid.Bool().Draw(t, "target-reached"),
 		TargetIncarnation: ident.Incarnation(rapid.Uint64().Draw(t, "target-incarnation")),
-		Members: rapid.Map(rapid.SliceOfN(records, 0, 4), nilIfEmpty[member.Record]).Draw(t, "members"),
-		Changes: rapid.Map(rapid.SliceOfN(changes, 0, 4), nilIfEmpty[files.Change]).Draw(t, "changes"),
-		Since:   rapid.Uint64().Draw(t, "since"), WantSince: rapid.Bool().Draw(t, "want"), More: rapid.Bool().Draw(t, "more"),
+		Members:           rapid.Map(rapid.SliceOfN(records, 0, 4), nilIfEmpty[member.Record]).Draw(t, "members"),
+		Changes:           rapid.Map(rapid.SliceOfN(changes, 0, 4), nilIfEmpty[files.Change]).Draw(t, "changes"),
+		Since:             rapid.Uint64().Draw(t, "since"), WantSince: rapid.Bool().Draw(t, "want"), More: rapid.Bool().Draw(t, "more"),
 	}
 	if rapid.Bool().Draw(t, "has-snapshot") {
 		m.Snapshot = &files.Set{Revision: rapid.Uint64().Draw(t, "revision"), Files: fileLists.Draw(t, "files")}
