--- a/internal/fleet/gossip/node_test.go
+++ b/internal/fleet/gossip/node_test.go
@@ -175,7 +175,11 @@
 		r, _ := first.Table.Get(address(3))
 		g.Expect(r.State).To(Equal(member.Serving))
 		g.Expect(first.counters.failed.Load()).To(BeNumerically(">", 5))
-		g.Expect(second.tryMember(context.Background(), address(9))).To(BeFalse())
+		_, unknownReached := second.tryMember(context.Background(), address(9))
+		g.Expect(unknownReached).To(BeFalse())
+		incarnation, reached := second.tryMember(context.Background(), address(3))
+		g.Expect(reached).To(BeTrue())
+		g.Expect(incarnation).To(Equal(third.Table.Self().Incarnation))
 		g.Expect(third.counters.refuted.Load()).To(BeZero())
 	})
 }
