platform, fleet, route/call, admit/gate: split five long files by concern

Declarations moved, none changed: the translation of the operators' configuration out of platform/intent.go, the choice of changes for a message out of gossip/revision.go, choosing and sending out of call/attempt.go, what ends a run out of gate/call.go, and the network of the tests out of fleet/watch/fleet_test.go.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,51 +112,6 @@
 	return failure
 }
 
-// choose selects the server.
-func (a *attempt) choose() error {
-	r := a.r
-	r.mu.Lock()
-	tried := slices.Clone(r.tried)
-	r.mu.Unlock()
-	r.c.Choice.Refresh(a.ctx, r.req.Service, tried)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	sent, err := r.c.Choice.Select(r.req.Service, r.tried, r.class)
-	if err != nil {
-		return err
-	}
-	a.sent = sent
-	r.tried = append(r.tried, sent.Server)
-	return nil
-}
-
-// maxInlineBody is the size of the largest body whose first piece is sent with the head to a server that reports its load. Larger
-// bodies are sent after the ack, because the bodies of refused attempts would saturate the server's link.
-const maxInlineBody = 16 << 10
-
-// head builds the first frame, usually with the first piece of the body.
-func (a *attempt) head() (*proto.Head, error) {
-	r := a.r
-	head := &proto.Head{
-		ID: a.id, Service: r.req.Service, Method: r.req.Method, Target: r.req.Target, Host: r.req.Host,
-		Header: r.req.Header, ContentLength: r.req.ContentLength, Class: r.class, Idempotent: r.idempotent,
-		Depth: r.depth, Revision: r.revision, End: r.req.Body == nil,
-	}
-	if head.End || r.req.WaitForAck || r.service.ReportsLoad && r.req.ContentLength > maxInlineBody {
-		return head, nil
-	}
-	piece := make([]byte, min(proto.MaxPiece, r.body.readSize))
-	n, err := r.body.read(a.bodyGeneration, 0, piece)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return nil, code.NotRunf(code.BadRequest, "the request body could not be read").WithCause(err)
-	}
-	head.Body = piece[:n]
-	a.offset = int64(n)
-	// The end of a body with trailers is sent as a piece, because the head cannot carry trailers.
-	head.End = err != nil && r.req.Trailer == nil
-	return head, nil
-}
-
 // ackRoundTrips is the number of average round trips to the server that are added to the ack timeout. On a loaded link or instance,
 // individual round trips take several times the average.
 const ackRoundTrips = 3
@@ -265,30 +219,6 @@
 	return a.acked
 }
 
-// sendBody sends the rest of the body.
-func (a *attempt) sendBody() {
-	defer a.sendingBody.Store(false)
-	piece := make([]byte, proto.MaxPiece)
-	offset := a.offset
-	for a.ctx.Err() == nil {
-		n, err := a.r.body.read(a.bodyGeneration, offset, piece)
-		offset += int64(n)
-		end := errors.Is(err, io.EOF)
-		if err != nil && !end {
-			a.bodyErr.Store(code.Unknownf(code.BadRequest, "the request body could not be read").WithCause(err))
-			a.cancel()
-			return
-		}
-		next := &proto.Piece{Data: piece[:n], End: end}
-		if end && a.r.req.Trailer != nil {
-			next.Trailer = a.r.req.Trailer()
-		}
-		if a.stream.Send(next) != nil || end {
-			return // a failure of the stream is reported by Recv
-		}
-	}
-}
-
 // contextFailure replaces the failure of a stream by its cause if the context of the attempt has ended. It returns other failures
 // unchanged.
 func (a *attempt) contextFailure(failure *code.Error) *code.Error {
