fleet/watch: find members, and keep their rows, whatever the clocks say

A daemon that finds no fresh row now contacts the others too: one that answers is alive, and brings the members. A row is deleted only if it looks expired and has stayed unchanged for 20 min of the sweeper's own time, four times the interval at which a live daemon writes it anew. A daemon that has died leaves its row 20 to 30 min longer than before.

--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
@@ -52,7 +51,7 @@
 	}
 	w.counters.announcements.Add(1)
 	self, left := w.Table.Self(), w.currentDeparture()
-	value := announcement{Record: self, At: time.Now(), Departure: left}.encode()
+	value := announcement{Record: self, At: w.Now(), Departure: left}.encode()
 	err := w.Store.Commit(ctx, table.Txn{Puts: []table.Put{{Key: rowKey(self.Address), Value: value}}})
 	w.recordOutcome(err)
 	if err == nil {
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -102,6 +102,9 @@
 		Node: d.node, Table: d.table, Holder: d.holder, Store: f.platform, Reader: f.platform, Log: logr.Discard(),
 		PeersFirst: f.peersFirst, StartSpread: f.startSpread, FirstStart: f.firstStart,
 	}
+	if step := f.clockStep; step != 0 {
+		d.watch.Now = func() time.Time { return time.Now().Add(step) }
+	}
 	if f.onDepartureRestored != nil {
 		d.watch.OnDepartureRestored = func(left Departure) { f.onDepartureRestored(i, left) }
 	}
--- a/internal/fleet/watch/members.go
+++ b/internal/fleet/watch/members.go
@@ -98,13 +98,7 @@
 		if err != nil {
 			return err
 		}
-		var peers []netip.AddrPort
-		for _, row := range rows {
-			if r, fresh := w.applyRow(row); fresh {
-				peers = append(peers, r.Address)
-			}
-		}
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		peers := w.applyRows(rows)
 		if w.joined() || len(peers) > 0 && w.Node.Join(ctx, peers[:min(maxJoinPeers, len(peers))]) == nil {
 			return nil
 		}
@@ -115,6 +109,26 @@
 	}
 }
 
+// applyRows merges a page of announcements into the member table and returns the addresses to contact, in random order, those with a fresh
+// announcement first. By the clock of this daemon or of the others all may be too old or in the future, and still be of live daemons.
+func (w *Watch) applyRows(rows []table.Row) []netip.AddrPort {
+	var fresh, others []netip.AddrPort
+	for _, row := range rows {
+		r, isFresh := w.applyRow(row)
+		switch {
+		case !r.Address.IsValid():
+		case isFresh:
+			fresh = append(fresh, r.Address)
+		default:
+			others = append(others, r.Address)
+		}
+	}
+	for _, list := range [][]netip.AddrPort{fresh, others} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return append(fresh, others...)
+}
+
 func (w *Watch) readPage(ctx context.Context, after string) ([]table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
@@ -124,17 +138,21 @@
 	return rows, err
 }
 
-// applyRow merges the announcement of another daemon into the member table and reports whether it was fresh.
+// applyRow merges the announcement of another daemon into the member table if it is fresh, and reports whether it is. The record is zero if
+// there is none of another daemon.
 func (w *Watch) applyRow(row table.Row) (member.Record, bool) {
 	a, err := readAnnouncement(row)
 	if err != nil {
 		w.Log.Error(err, "announcement-unreadable", "key", row.Key)
 		return member.Record{}, false
 	}
-	age := time.Since(a.At)
-	if age > staleAfter || age < -maxSkew || a.Record.Address == w.Table.Self().Address {
+	age := w.Now().Sub(a.At)
+	if a.Record.Address == w.Table.Self().Address {
 		return member.Record{}, false
 	}
+	if age > staleAfter || age < -maxSkew {
+		return a.Record, false
+	}
 	w.Table.Apply(a.Record)
 	return a.Record, true
 }
@@ -155,6 +173,7 @@
 func (w *Watch) sweep(ctx context.Context) error {
 	after := ""
 	deleted := 0
+	expired := make(expiredRows)
 	for {
 		rows, err := w.readPage(ctx, after)
 		if err != nil {
@@ -162,7 +181,11 @@
 		}
 		for _, row := range rows {
 			w.applyRow(row)
-			if deleted >= maxSweep || !expired(row) {
+			if !w.expired(row) {
+				continue
+			}
+			expired.keep(row, w.expiredRows)
+			if deleted >= maxSweep || time.Since(expired[row.Key].since) < staleAfter {
 				continue
 			}
 			if err := w.deleteRow(ctx, row); err != nil {
@@ -171,6 +194,7 @@
 			deleted++
 		}
 		if len(rows) < pageRows {
+			w.expiredRows = expired
 			return nil
 		}
 		after = rows[len(rows)-1].Key
@@ -180,9 +204,27 @@
 	}
 }
 
-func expired(row table.Row) bool {
+// expiredRows holds, by key, the rows that look expired by the wall clock. One is deleted only when it has also stayed unchanged for
+// staleAfter of this process's time: a live daemon writes its row anew, whatever the clocks say.
+type expiredRows map[string]expiredRow
+
+type expiredRow struct {
+	version string
+	since   time.Time // when the row with this version was first seen
+}
+
+// keep adds a row, with the time from before if it has not changed.
+func (e expiredRows) keep(row table.Row, before expiredRows) {
+	seen, found := before[row.Key]
+	if !found || seen.version != row.Version {
+		seen = expiredRow{version: row.Version, since: time.Now()}
+	}
+	e[row.Key] = seen
+}
+
+func (w *Watch) expired(row table.Row) bool {
 	a, err := readAnnouncement(row)
-	return err == nil && time.Since(a.At) > sweepAfter
+	return err == nil && w.Now().Sub(a.At) > sweepAfter
 }
 
 // deleteRow deletes the row unless it was rewritten after it was read.
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -63,10 +63,11 @@
 	// nil; the first announcement then does not wait for the row of the earlier daemon.
 	OnDepartureRestored func(d Departure)
 
-	StartSpread time.Duration // DefaultStartSpread when 0
-	PeersFirst  time.Duration // DefaultPeersFirst when 0
-	Refresh     time.Duration // DefaultRefresh when 0
-	FirstStart  bool          // the fleet starts for the first time: the followers alone look for a configuration
+	StartSpread time.Duration    // DefaultStartSpread when 0
+	PeersFirst  time.Duration    // DefaultPeersFirst when 0
+	Refresh     time.Duration    // DefaultRefresh when 0
+	Now         func() time.Time // wall clock of the instance; time.Now when nil
+	FirstStart  bool             // the fleet starts for the first time: the followers alone look for a configuration
 
 	announced       chan struct{} // closed after the first attempt to announce
 	announcedOnce   sync.Once
@@ -78,6 +79,7 @@
 	firstReadOnce   sync.Once
 	platform        platformState
 	loggedLowerHead atomic.Uint64 // 1 + last logged head revision below the held one; 0 for none
+	expiredRows     expiredRows   // of the last complete sweep; used by sweepLoop alone
 	emptyReadAt     time.Time     // when the source last had no configuration; used by sourceLoop alone
 	counters        counters
 }
@@ -111,6 +113,9 @@
 	if w.PeersFirst == 0 {
 		w.PeersFirst = DefaultPeersFirst
 	}
+	if w.Now == nil {
+		w.Now = time.Now
+	}
 	if w.Refresh == 0 {
 		w.Refresh = DefaultRefresh
 	}
