--- a/internal/fleet/gossip/isolation.go
+++ b/internal/fleet/gossip/isolation.go
@@ -75,11 +75,16 @@
 	silenceCheckInterval = 150 * time.Millisecond
 )
 
-// silenceLoop contacts a peer when none has been heard for maxPeerSilence, or when a requested revision is overdue.
+// silenceLoop contacts a peer when none has been heard for maxPeerSilence, or when a requested revision is overdue. It ends with an error when
+// peers reach another daemon at this daemon's address.
 func (n *Node) silenceLoop(ctx context.Context) error {
 	var exchanges sync.WaitGroup
 	defer exchanges.Wait()
+	var question succession
 	for clock.Sleep(ctx, Jitter(silenceCheckInterval, jitterShare)) {
+		if err := n.checkSuccession(ctx, &question, &exchanges); err != nil {
+			return err
+		}
 		n.logLate()
 		if n.PeerSilence() < maxPeerSilence && !n.revisions.overdue() {
 			continue
--- a/internal/fleet/gossip/node.go
+++ b/internal/fleet/gossip/node.go
@@ -106,7 +106,6 @@
 	group.Go(func() error { return n.eagerLoop(ctx) })
 	group.Go(func() error { return n.joinLoop(ctx) })
 	group.Go(func() error { return n.silenceLoop(ctx) })
-	group.Go(func() error { return n.successionLoop(ctx) })
 	return group.Wait()
 }
 
--- a/internal/fleet/gossip/succession.go
+++ b/internal/fleet/gossip/succession.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
@@ -22,35 +22,48 @@
 	reachedOther                  // other
 )
 
-const (
-	successionInterval = 200 * time.Millisecond // between evaluations
-	// successionPatience is how long a daemon that has seen a higher incarnation at its address goes on without an answer of its peers.
-	successionPatience = 10 * time.Second
-)
+// successionPatience is how long a daemon that has seen a higher incarnation at its address goes on without an answer of its peers.
+const successionPatience = 10 * time.Second
+
+// succession is the question which daemon peers reach at this daemon's address. It is used by silenceLoop alone.
+type succession struct {
+	since  time.Time    // when it was first asked; zero while no higher incarnation is known
+	answer chan reached // gets the result of the present round of questions; nil without one
+}
 
-// successionLoop decides which of two daemons at one address goes on when a record with a higher incarnation has been seen. Incarnations
+// checkSuccession decides which of two daemons at one address goes on when a record with a higher incarnation has been seen. Incarnations
 // follow the clock, and a clock that was stepped back makes a daemon look older than its dead predecessor, so that peers tell which of the two
-// they reach. The daemon that they reach takes the address over; the other ends.
-func (n *Node) successionLoop(ctx context.Context) error {
-	var since time.Time // of the unanswered question; zero without one
-	for clock.Sleep(ctx, Jitter(successionInterval, jitterShare)) {
-		other := n.Table.Superseded()
-		if other == 0 {
-			since = time.Time{}
-			continue
-		}
-		if since.IsZero() {
-			since = time.Now()
-		}
-		answer := n.askWhoIsReached(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return nil
-		case answer == reachedSelf:
-			n.takeOver(other)
-		case answer == reachedOther, time.Since(since) > successionPatience:
-			return code.NotRunf(code.DuplicateID, "address %s is used by incarnation %x; peers reach %s", n.Self.Address, uint64(other), answer)
+// they reach. The daemon that they reach takes the address over; the other gets an error and ends. Peers are asked by the goroutines of asking.
+func (n *Node) checkSuccession(ctx context.Context, s *succession, asking *sync.WaitGroup) error {
+	other := n.Table.Superseded()
+	if other == 0 {
+		*s = succession{}
+		return nil
+	}
+	if s.answer == nil {
+		if s.since.IsZero() {
+			s.since = time.Now()
 		}
+		answer := make(chan reached, 1)
+		s.answer = answer
+		asking.Go(func() { answer <- n.askWhoIsReached(ctx) })
+		return nil
+	}
+	select {
+	case answer := <-s.answer:
+		s.answer = nil
+		return n.settleSuccession(other, answer, time.Since(s.since))
+	default:
+		return nil
+	}
+}
+
+func (n *Node) settleSuccession(other ident.Incarnation, answer reached, asked time.Duration) error {
+	switch {
+	case answer == reachedSelf:
+		n.takeOver(other)
+	case answer == reachedOther, asked > successionPatience:
+		return code.NotRunf(code.DuplicateID, "address %s is used by incarnation %x; peers reach %s", n.Self.Address, uint64(other), answer)
 	}
 	return nil
 }
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -85,7 +85,7 @@
 	return member.Record{
 		Address: address(i), Front: netip.AddrPortFrom(address(i).Addr(), 80),
 		Service: fmt.Sprintf("service-%d", i%20), Zone: fmt.Sprintf("zone-%d", i%f.zones), Region: "region-1",
-		Incarnation: ident.NewIncarnation(time.Now().Add(f.clockStep)), State: f.initial, Version: 1,
+		Incarnation: ident.Incarnation(time.Now().Add(f.clockStep).UnixNano()), State: f.initial, Version: 1,
 	}
 }
 
