--- a/internal/fleet/gossip/isolation.go
+++ b/internal/fleet/gossip/isolation.go
@@ -75,8 +75,8 @@
 	silenceCheckInterval = 150 * time.Millisecond
 )
 
-// silenceLoop contacts a peer when none has been heard for maxPeerSilence, or when a requested revision is overdue. It ends with an error when
-// peers reach another daemon at this daemon's address.
+// silenceLoop contacts a peer when none has been heard for maxPeerSilence, or when a requested revision is overdue. It ends with an error
+// when peers reach another daemon at this daemon's address.
 func (n *Node) silenceLoop(ctx context.Context) error {
 	var exchanges sync.WaitGroup
 	defer exchanges.Wait()
--- a/internal/fleet/gossip/serve.go
+++ b/internal/fleet/gossip/serve.go
@@ -59,8 +59,8 @@
 	return nil
 }
 
-// tryMember contacts a member on behalf of a peer that failed to reach it, and returns the incarnation that answered. Only known members are
-// contacted, so that a peer cannot make this daemon connect to an arbitrary address.
+// tryMember contacts a member on behalf of a peer and returns the incarnation that answered. Only known members are contacted, so that a
+// peer cannot make this daemon connect to an arbitrary address.
 func (n *Node) tryMember(ctx context.Context, address netip.AddrPort) (ident.Incarnation, bool) {
 	if address == n.Self.Address {
 		return n.Table.Self().Incarnation, true
--- a/internal/fleet/gossip/succession.go
+++ b/internal/fleet/gossip/succession.go
@@ -32,8 +32,8 @@
 }
 
 // checkSuccession decides which of two daemons at one address goes on when a record with a higher incarnation has been seen. Incarnations
-// follow the clock, and a clock that was stepped back makes a daemon look older than its dead predecessor, so that peers tell which of the two
-// they reach. The daemon that they reach takes the address over; the other gets an error and ends. Peers are asked by the goroutines of asking.
+// follow the clock, and a clock that was stepped back makes a daemon look older than its dead predecessor, so peers tell which of the
+// two they reach. That one takes the address over; the other gets an error and ends. The goroutines of asking ask the peers.
 func (n *Node) checkSuccession(ctx context.Context, s *succession, asking *sync.WaitGroup) error {
 	other := n.Table.Superseded()
 	if other == 0 {
--- a/internal/wire/proto/fleet.go
+++ b/internal/wire/proto/fleet.go
@@ -228,6 +228,14 @@
 		m.AcceptsParts = r.boolean()
 	case 13:
 		m.Held = r.digests(maxHeldDigests)
+	default:
+		readIndirect(r, m)
+	}
+}
+
+// readIndirect decodes the fields of an indirect attempt.
+func readIndirect(r *reader, m *Exchange) {
+	switch r.number {
 	case 14:
 		m.IndirectTarget = r.address()
 	case 15:
