fleet/member: accept a daemon that takes callers on all of its addresses

Only its zone is checked now. TestDaemonThatListensOnAllAddressesIsAMember failed first. TestInvalidRecordsAreRefused plays the other new bounds.

--- a/internal/fleet/member/record.go
+++ b/internal/fleet/member/record.go
@@ -45,7 +45,7 @@
 // too large a number, and its daemon could not refute it.
 func (r Record) Valid() bool {
 	switch {
-	case !isHost(r.Address), r.Front.IsValid() && !isHost(r.Front):
+	case !isHost(r.Address), r.Front.Addr().Zone() != "": // callers may be listened for on all addresses
 		return false
 	case r.State < Joining, r.State > Gone, r.Incarnation > maxIncarnation, r.Version > maxVersion:
 		return false
--- a/internal/fleet/member/table_test.go
+++ b/internal/fleet/member/table_test.go
@@ -143,6 +143,12 @@
 	table := newTable()
 	for _, corrupt := range []func(*Record){
 		func(r *Record) { r.Address = netip.AddrPort{} },
+		func(r *Record) { r.Address = netip.MustParseAddrPort("10.0.0.1:0") },
+		func(r *Record) { r.Address = netip.MustParseAddrPort("0.0.0.0:7000") },
+		func(r *Record) { r.Address = netip.MustParseAddrPort("224.0.0.1:7000") },
+		func(r *Record) { r.Front = netip.MustParseAddrPort("[fe80::1%eth0]:80") },
+		func(r *Record) { r.Incarnation = maxIncarnation + 1 },
+		func(r *Record) { r.Version = maxVersion + 1 },
 		func(r *Record) { r.State = Gone + 1 },
 		func(r *Record) { r.Service = string(make([]byte, maxName+1)) },
 	} {
@@ -153,6 +159,13 @@
 	g.Expect(table.Live()).To(Equal(1))
 }
 
+// Guards against a daemon that stays unknown because it takes callers on all of its addresses.
+func TestDaemonThatListensOnAllAddressesIsAMember(t *testing.T) {
+	r := record(1, Serving, 1)
+	r.Front = netip.MustParseAddrPort("0.0.0.0:8000")
+	NewWithT(t).Expect(newTable().Apply(r)).To(BeTrue())
+}
+
 // Guards against subscribers that miss a change or are notified of a record that was not stored.
 func TestSubscribersSeeEachChange(t *testing.T) {
 	g := NewWithT(t)
