admit/gate: do not count answered orders as cancelled or lost

Found in reading the change back. An attempt that the ledger holds as ended is now left alone. TestAnsweredOrderIsNoEnding failed first (1 in place of 0).

--- a/internal/admit/gate/call_test.go
+++ b/internal/admit/gate/call_test.go
@@ -182,6 +182,25 @@
 	})
 }
 
+// Guards against answered orders that are counted as cancelled or lost.
+func TestAnsweredOrderIsNoEnding(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		answered := newStream(r.t.Context())
+		answered.ends = true
+		r.Expect(r.Call(&proto.Peer{}, r.writeHead("/answered"), answered)).To(Succeed())
+		synctest.Wait()
+		r.Expect(r.Endings()).To(Equal(EndingCounts{}))
+		for _, end := range []func(*stream){func(s *stream) { s.cancel() }, (*stream).lose} {
+			s := r.call(&proto.Peer{}, r.writeHead("/ended"))
+			time.Sleep(time.Millisecond)
+			end(s)
+			r.calls.Wait()
+			time.Sleep(disconnectDelay)
+		}
+		r.Expect(r.Endings()).To(Equal(EndingCounts{Cancelled: 1, Lost: 1}))
+	})
+}
+
 // Guards against an order that goes on without its connection after its caller has left, and against one that runs although its router
 // gave it up before it arrived.
 func TestOrderThatNobodyWaitsForEnds(t *testing.T) {
--- a/internal/admit/gate/rig_test.go
+++ b/internal/admit/gate/rig_test.go
@@ -136,6 +136,7 @@
 	pieces chan *proto.Piece // closed when the router has closed its sending direction
 	pause  time.Duration     // simulated pause of the daemon while it sends the Ack
 	lost   atomic.Bool       // the stream ends with its connection
+	ends   bool              // the stream ends with the last frame, as drpc ends it when the router has sent its last one before
 	mu     sync.Mutex
 	sent   []proto.Frame
 }
@@ -174,6 +175,9 @@
 		frame = &proto.Piece{Data: append([]byte(nil), piece.Data...), End: piece.End, Trailer: piece.Trailer}
 	}
 	s.sent = append(s.sent, frame)
+	if answer, isAnswer := frame.(*proto.Answer); s.ends && isAnswer && answer.End {
+		s.cancel()
+	}
 	return nil
 }
 
--- a/internal/admit/ledger/ledger.go
+++ b/internal/admit/ledger/ledger.go
@@ -103,6 +103,13 @@
 	e.record.cancel = cancel
 }
 
+// Ended reports whether Answered or Failed was called.
+func (e Entry) Ended() bool {
+	e.shard.mu.Lock()
+	defer e.shard.mu.Unlock()
+	return e.record.state != running
+}
+
 // Resolved reports whether a router has sent a resolve for the attempt since it began.
 func (e Entry) Resolved() bool {
 	e.shard.mu.Lock()
