--- a/internal/admit/gate/ending.go
+++ b/internal/admit/gate/ending.go
@@ -43,8 +43,8 @@
 }
 
 // streamEnded runs in its own goroutine when the stream of a non-idempotent request ends, also with the last frame of its response. A
-// request that the router cancelled is cancelled at once: nobody waits for its response. After a lost connection it continues for resolveGrace, in
-// which the router resolves it, unless its body is incomplete or the daemon ends, so that no router can resolve it.
+// request that the router cancelled is cancelled at once: nobody waits for its response. After a lost connection it continues for
+// resolveGrace, in which the router resolves it, unless its body is incomplete or the daemon ends, so that no router can resolve it.
 func (c *call) streamEnded(ctx context.Context, cancel context.CancelFunc) {
 	if c.entry.Ended() {
 		return
