--- a/internal/cli/daemon/gone_test.go
+++ b/internal/cli/daemon/gone_test.go
@@ -56,6 +56,22 @@
 	*times = append(*times, time.Now())
 }
 
+// order sends an order through the daemon of a node.
+func (s *system) order(ctx context.Context, n *node, id string) <-chan callResult {
+	result := make(chan callResult, 1)
+	request := s.request(http.MethodPost, "/orders/new", id, strings.NewReader("licorice")).WithContext(ctx)
+	s.running.Go(func() { result <- s.send(s.client("callers"), n, request) })
+	return result
+}
+
+// expectNoCalls checks that the servers began all orders and made no calls for them.
+func (c *lateCalls) expectNoCalls(s *system, orders int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.Expect(c.began).To(HaveLen(orders), "every order has reached a server before its caller left")
+	s.Expect(c.received).To(BeEmpty(), "calls for orders whose callers left 650 ms before")
+}
+
 // Guards against calls that a server makes for an order long after the order's caller has left.
 func TestOrderEndsWithItsCaller(t *testing.T) {
 	t.Parallel()
@@ -63,18 +79,14 @@
 		c := &lateCalls{after: 700 * time.Millisecond}
 		s := c.start(t)
 		time.Sleep(10 * time.Second)
-		for i := range 6 {
+		for _, n := range s.nodes {
 			ctx, leave := context.WithCancel(t.Context())
-			request := s.request(http.MethodPost, "/orders/new", "left", strings.NewReader("licorice")).WithContext(ctx)
-			s.running.Go(func() { _ = s.send(s.client("callers"), s.nodes[i], request) })
+			s.order(ctx, n, "left")
 			time.Sleep(50 * time.Millisecond)
 			leave()
 			time.Sleep(2 * time.Second)
 		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		s.Expect(c.began).To(HaveLen(6), "every order has reached a server before its caller left")
-		s.Expect(c.received).To(BeEmpty(), "calls for orders whose callers left 650 ms before")
+		c.expectNoCalls(s, len(s.nodes))
 	})
 }
 
@@ -86,17 +98,13 @@
 		s := c.start(t)
 		time.Sleep(10 * time.Second)
 		ctx, leave := context.WithCancel(t.Context())
-		request := s.request(http.MethodPost, "/orders/new", "left", strings.NewReader("licorice")).WithContext(ctx)
-		s.running.Go(func() { _ = s.send(s.client("callers"), s.nodes[0], request) })
+		s.order(ctx, s.nodes[0], "left")
 		time.Sleep(50 * time.Millisecond)
 		s.fabric.EachPath(betweenDaemons, (*memnet.Path).Cut)
 		time.Sleep(500 * time.Millisecond) // in which the order is resolved
 		leave()
 		time.Sleep(2 * time.Second)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		s.Expect(c.began).To(HaveLen(1))
-		s.Expect(c.received).To(BeEmpty(), "calls for orders whose callers left 650 ms before")
+		c.expectNoCalls(s, 1)
 	})
 }
 
@@ -107,12 +115,10 @@
 		c := &lateCalls{after: 700 * time.Millisecond}
 		s := c.start(t)
 		time.Sleep(10 * time.Second)
-		results := make(chan callResult, 1)
-		request := s.request(http.MethodPost, "/orders/new", "once-kept", strings.NewReader("licorice"))
-		s.running.Go(func() { results <- s.send(s.client("callers"), s.nodes[0], request) })
+		order := s.order(t.Context(), s.nodes[0], "once-kept")
 		time.Sleep(50 * time.Millisecond)
 		s.fabric.EachPath(betweenDaemons, (*memnet.Path).Cut)
-		answer := <-results
+		answer := <-order
 		s.Expect(answer.err).NotTo(HaveOccurred())
 		s.Expect(answer.status).To(Equal(http.StatusOK))
 		s.Expect(s.runs("once-kept")).To(Equal(1))
