--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Four daemons: a config change, a silent outage of the store of 4.5 s, and another change 3.5 s after the store is back.
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 does the same without the disruption.
+cd "$(dirname "$0")" || exit 2
+export TROUBLE="${TROUBLE:-1}"
+PROJECT="$(cd ../.. && pwd)" || exit 2
+export PROJECT
+[ -x ../bin/standin ] && [ -x "$PROJECT/target/marigoldwinch" ] || { echo "build first"; exit 2; }
+exec ../bin/standin outage record.txt
