route/http1: giving up a body that has been read leaves its connection alone

What callers saw: an order and, behind it on one connection, a lookup. The order reached its route's timeout; its 504 came with Connection: close, and then the lookup's 200 on the same connection. By then the lookup counted as not read and was sent again elsewhere. With one more request behind, that one got 408 though it was in time.

Cause: at a request's deadline call.Do gives up the caller's body, also when the body has been read to its end. exchange.SetReadDeadline then closed the connection after this response, whatever had been read behind it, and set a read deadline in the past, which ended the reading of the next request.

Fix: the body has a state under a lock, ended or aborted, whichever comes first. Giving up a body that has ended does nothing; after one that has been given up nothing more is read, so the two can't overlap. The reader also takes up a request and makes it the last one in one step under the connection's lock, where before a response that closes could be started between the two.

--- a/internal/route/http1/body.go
+++ b/internal/route/http1/body.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,8 +19,47 @@
 	expectContinue bool          // the caller waits for 100 Continue; guarded by readLock
 	readLock       chan struct{} // held during a read
 	detached       atomic.Bool   // taken over by discard; the handler may not read any more
-	eofOnce        sync.Once
-	eof            chan struct{} // closed when the body has been read to its end
+	ended          chan struct{} // closed when the body has been read to its end
+
+	mu      sync.Mutex
+	isEnded bool // ended is closed
+	aborted bool // reading was ended early, so that nothing that follows the body can be read; only set before isEnded
+}
+
+func newBody(x *exchange, source *http.Request) *body {
+	b := &body{ReadCloser: source.Body, exchange: x, readLock: make(chan struct{}, 1), ended: make(chan struct{})}
+	b.expectContinue = source.Header.Get("Expect") != ""
+	if source.Body == http.NoBody || source.ContentLength == 0 {
+		b.end()
+	}
+	return b
+}
+
+func (b *body) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.isEnded {
+		b.isEnded = true
+		close(b.ended)
+	}
+}
+
+// abort ends the reading of the body by a read deadline of its connection. After the end of the body it does nothing: the connection is
+// then reading the next request.
+func (b *body) abort(deadline time.Time) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.isEnded {
+		return nil
+	}
+	b.aborted = true
+	return b.exchange.conn.net.SetReadDeadline(deadline)
+}
+
+func (b *body) isAborted() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.aborted
 }
 
 // Read implements io.Reader.
@@ -38,7 +79,7 @@
 func (b *body) read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.eofOnce.Do(func() { close(b.eof) })
+		b.end()
 	}
 	return n, err
 }
--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -45,7 +45,7 @@
 	mu       sync.Mutex
 	pending  int       // requests in service
 	waiting  bool      // the reader is waiting for the first byte of a request
-	stopped  bool      // no further request is read
+	stopped  bool      // no further request is started
 	lastRead *exchange // exchange of the last request read
 
 	broken atomic.Bool // nothing more may be written
@@ -145,7 +145,7 @@
 			return c.rejectMalformed(err)
 		}
 		_ = c.net.SetReadDeadline(time.Time{})
-		if c.isStopped() || c.startExchange(request) {
+		if c.startExchange(request) {
 			return false
 		}
 	}
@@ -188,15 +188,9 @@
 	}
 }
 
-func (c *conn) isStopped() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stopped
-}
-
-// closesAfter reports whether the connection closes after the response of x; if so, no further request is read. With
-// keep-alives disabled, only the response to the last request read closes the connection, because requests that were read
-// after a closing response would go unanswered.
+// closesAfter reports whether the connection closes after the response of x; if so, no further request is started. A request behind
+// a response that closes counts as not read, and its caller sends it again. Hence only the last request read may ask for it, and with
+// keep-alives disabled only its response closes the connection.
 func (c *conn) closesAfter(x *exchange, requested bool) bool {
 	keepAlivesOff := c.server.keepAlivesDisabled()
 	c.mu.Lock()
@@ -243,36 +237,51 @@
 	return false
 }
 
-// startExchange starts a request and returns when the next one may be read: its body has been read, or it has ended. It
-// reports whether it is the last request that can be read.
-func (c *conn) startExchange(request *http.Request) (last bool) {
+// newExchange returns the exchange of a request behind those read so far.
+func (c *conn) newExchange(request *http.Request) *exchange {
 	ctx, cancel := context.WithCancel(c.ctx)
 	request.RemoteAddr = c.net.RemoteAddr().String()
-	x := &exchange{conn: c, prevDone: c.lastDone, done: make(chan struct{}), cancel: cancel, close: request.Close}
-	c.lastDone = x.done
-	x.request = request.WithContext(ctx)
-	x.body = &body{ReadCloser: request.Body, exchange: x, readLock: make(chan struct{}, 1), eof: make(chan struct{})}
-	x.body.expectContinue = request.Header.Get("Expect") != ""
-	if request.Body == http.NoBody || request.ContentLength == 0 {
-		close(x.body.eof)
-	} else {
+	x := &exchange{conn: c, prevDone: c.lastDone, done: make(chan struct{}), cancel: cancel}
+	x.close = request.Close
+	x.request, x.body = request.WithContext(ctx), newBody(x, request)
+	if request.Body != http.NoBody && request.ContentLength != 0 {
 		x.request.Body = x.body
 	}
-	c.mu.Lock()
-	c.pending++
-	c.lastRead = x
-	c.mu.Unlock()
-	c.exchanges.Add(1)
+	return x
+}
+
+// startExchange starts a request and returns when the next one may be read: its body has been read, or it has ended. It
+// reports whether no further request can be read.
+func (c *conn) startExchange(request *http.Request) (last bool) {
+	x := c.newExchange(request)
+	closes := x.close // x belongs to its own goroutine from here on
+	if !c.register(x) {
+		x.cancel()
+		return true
+	}
 	go x.run()
 	select {
-	case <-x.body.eof:
+	case <-x.body.ended:
 	case <-x.done:
 		select {
-		case <-x.body.eof:
+		case <-x.body.ended:
 		default:
 			c.bodyUnread = true
 			return true // the unread body precedes the next request
 		}
 	}
-	return request.Close || x.bodyAborted.Load()
+	return closes || x.body.isAborted()
+}
+
+// register makes x the exchange of the last request read. It reports false when no further request may be started.
+func (c *conn) register(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return false
+	}
+	c.pending++
+	c.lastRead, c.lastDone = x, x.done
+	c.exchanges.Add(1)
+	return true
 }
--- a/internal/route/http1/exchange.go
+++ b/internal/route/http1/exchange.go
@@ -8,7 +8,6 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,7 +28,6 @@
 	contentLength int64          // of the response; -1 when unknown
 	written       int64          // bytes of the response body
 	chunkWriter   io.WriteCloser // nil unless the response body is chunked
-	bodyAborted   atomic.Bool    // reading of the request body was ended by SetReadDeadline
 }
 
 func (x *exchange) run() {
@@ -57,11 +55,11 @@
 // discardBody reads the rest of a request body that the handler has not read, since the next request follows it.
 func (x *exchange) discardBody() {
 	select {
-	case <-x.body.eof:
+	case <-x.body.ended:
 		return
 	default:
 	}
-	if x.bodyAborted.Load() {
+	if x.body.isAborted() {
 		x.close = true // the rest of the body cannot be read
 		return
 	}
@@ -98,7 +96,7 @@
 	if bodiless {
 		x.contentLength = 0
 	}
-	x.close = x.conn.closesAfter(x, x.close || x.contentLength < 0 && !chunked || x.bodyAborted.Load())
+	x.close = x.conn.closesAfter(x, x.close || x.contentLength < 0 && !chunked || x.body.isAborted())
 	w := x.conn.writer
 	text := http.StatusText(status)
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n", status, text) // errors are returned by the writer's next flush
@@ -156,10 +154,10 @@
 	return nil
 }
 
-// SetReadDeadline aborts the reading of the request body. The connection closes after the response.
+// SetReadDeadline aborts the reading of the request body, unless its end has been read. The connection then closes after the response,
+// and no request that follows the body is read.
 func (x *exchange) SetReadDeadline(deadline time.Time) error {
-	x.bodyAborted.Store(true)
-	return x.conn.net.SetReadDeadline(deadline)
+	return x.body.abort(deadline)
 }
 
 // finish completes the response. A response shorter than its Content-Length aborts the connection.
