route/http1: a request of HTTP/1.0 is the last one of its connection

What callers see: with HTTP/1.0, Connection: keep-alive and a request sent behind, a response without a length ended with its connection, and the later response came inside of it ("200 /plainHTTP/1.1 200 OK ... /next").

Cause: the reader went on after such a request, while WriteHeader closes the connection when the response has neither length nor chunks. No response told an HTTP/1.0 caller that the connection stays open, so it had no reason to send more.

Fix: such a request closes its connection, and nothing is read behind it.

--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -237,12 +237,12 @@
 	return false
 }
 
-// newExchange returns the exchange of a request behind those read so far.
+// newExchange returns the exchange of a request behind those read so far. Responses of HTTP/1.0 end their connections.
 func (c *conn) newExchange(request *http.Request) *exchange {
 	ctx, cancel := context.WithCancel(c.ctx)
 	request.RemoteAddr = c.net.RemoteAddr().String()
 	x := &exchange{conn: c, prevDone: c.lastDone, done: make(chan struct{}), cancel: cancel}
-	x.close = request.Close
+	x.close = request.Close || !request.ProtoAtLeast(1, 1)
 	x.request, x.body = request.WithContext(ctx), newBody(x, request)
 	if request.Body != http.NoBody && request.ContentLength != 0 {
 		x.request.Body = x.body
