route/http1: no 400 or 408 behind a response that has closed the connection

What callers see: the daemon stops, its response closes the connection, and a "400 last" for bytes that were on their way follows it.

Cause: rejectMalformed waits for the responses before it and writes without regard to how the last of them ended.

Fix: the connection records that a response that closes it has been started; nothing is written after that.

Evidence: the new case of TestNothingFollowsAResponseThatCloses failed before ("200 /stop last", then "400 last") and holds now.

--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -46,6 +46,7 @@
 	pending  int       // requests in service
 	waiting  bool      // the reader is waiting for the first byte of a request
 	stopped  bool      // no further request is started
+	closing  bool      // a response that closes the connection has been started: it is the last one, and nothing follows it
 	lastRead *exchange // exchange of the last request read
 
 	broken atomic.Bool // nothing more may be written
@@ -188,6 +189,12 @@
 	}
 }
 
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // closesAfter reports whether the connection closes after the response of x; if so, no further request is started. A request behind
 // a response that closes counts as not read, and its caller sends it again. Hence only the last request read may ask for it, and with
 // keep-alives disabled only its response closes the connection.
@@ -198,7 +205,7 @@
 	if !requested && (!keepAlivesOff || c.lastRead != x) {
 		return false
 	}
-	c.stopped = true
+	c.stopped, c.closing = true, true
 	return true
 }
 
@@ -231,7 +238,7 @@
 	}
 	c.server.Log.Info("request-malformed", "peer", c.net.RemoteAddr(), "status", status, "cause", err.Error())
 	<-c.lastDone
-	if !c.broken.Load() {
+	if !c.broken.Load() && !c.isClosing() {
 		_, _ = fmt.Fprintf(c.net, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 	}
 	return false
