fleet/watch, platform: notice a silent store within seconds, not after the longest wait

Cause: a follower reads the store's feed with one call that waits up to 20 s, with a time limit of 22 s whatever it waits. All followers begin that call half a second after each change. A silent outage at that moment takes the calls of all followers, each waits out its 22 s, and the other daemons rely on them. More followers do not help, since they are in step.

Fix: the watch decides how long a read waits, and the time limit is that wait and the limit of any other request. One follower of each zone, and each daemon that follows for itself alone, waits 3 to 3.2 s: it notices the silence 4.2 s after its read began at the latest, which is before a change has to be in force after an outage of any length, and gossip brings its change to the others. After a failed read the next one does not wait, so that it tells at once whether the store is back. A zone that is cut off from the others has its own prompt follower.

Evidence: TestChangeAfterSilentOutage, seven outages of 0.5 to 70 s which end every read under way.

--- a/internal/fleet/watch/follow_test.go
+++ b/internal/fleet/watch/follow_test.go
@@ -9,8 +9,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/datadriven"
 	. "github.com/onsi/gomega"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 )
@@ -21,6 +23,8 @@
 	revision uint64
 	files    []files.File  // of the folder, besides a.ini
 	changed  chan struct{} // closed by the next change
+	silent   chan struct{} // closed when an outage begins; reads that are under way or begin in it are never answered
+	isSilent bool
 
 	open  atomic.Int64 // reads that wait for a change
 	reads atomic.Int64
@@ -53,28 +57,71 @@
 	lastRevision uint64
 }
 
+// setSilent begins or ends a silent outage.
+func (s *notifyingSource) setSilent(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isSilent = on
+	if on {
+		close(s.silent)
+		return
+	}
+	s.silent = make(chan struct{})
+}
+
+// outage returns a channel that is closed when the source is silent.
+func (s *notifyingSource) outage() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent == nil {
+		s.silent = make(chan struct{})
+	}
+	return s.silent
+}
+
 const (
-	maxSourceWait = 20 * time.Second
-	rowShare      = 2 // size of the operators' record, JSON in base64, as a multiple of the folder's
+	sourceTimeout = time.Second // of a request, besides its wait
+	rowShare      = 2           // size of the operators' record, JSON in base64, as a multiple of the folder's
 )
 
 // Next implements Source.
-func (r *sourceReader) Next(ctx context.Context) (files.Set, uint64, error) {
+func (r *sourceReader) Next(ctx context.Context, wait time.Duration) (files.Set, uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, wait+sourceTimeout)
+	defer cancel()
+	outage := r.source.outage()
+	set, asOf, err := r.next(limited, wait, outage)
+	select {
+	case <-outage:
+		<-limited.Done()
+		return files.Set{}, 0, code.NotRunf(code.PlatformUnavailable, "no response from the source")
+	default:
+		return set, asOf, err
+	}
+}
+
+func (r *sourceReader) next(ctx context.Context, wait time.Duration, outage chan struct{}) (files.Set, uint64, error) {
 	r.source.reads.Add(1)
 	folder, changed := r.source.now()
 	if folder.Revision == r.lastRevision && r.started {
 		r.source.open.Add(1)
 		defer r.source.open.Add(-1)
-		timer := time.NewTimer(maxSourceWait)
+		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
 		case <-ctx.Done():
 			return files.Set{}, 0, ctx.Err()
+		case <-outage:
+			return files.Set{}, 0, nil
 		case <-changed:
 		case <-timer.C:
 		}
 		folder, _ = r.source.now()
 	}
+	select {
+	case <-outage:
+		return files.Set{}, 0, nil
+	default:
+	}
 	r.lastRevision, r.started = folder.Revision, true
 	if folder.Revision == 0 {
 		return files.Set{}, 0, nil
@@ -212,3 +259,45 @@
 		})
 	}
 }
+
+// Guards against accepted changes that stay out of force after a silent outage of the source, because it took the reads of all followers
+// at once and none of them is given up for long. The outage ends every read that is under way.
+func TestChangeAfterSilentOutage(t *testing.T) {
+	const calm = 3500 * time.Millisecond // from the end of the outage to the change
+	datadriven.RunTest(t, "testdata/outages", func(t *testing.T, d *datadriven.TestData) string {
+		var text string
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(followZones)
+			f.seeds, f.source = nil, &notifyingSource{revision: 1, changed: make(chan struct{})}
+			f.startAll(t, followSize, true)
+			until(10*time.Second, f.inForce(1))
+			time.Sleep(maxSourceWait + 10*time.Second)
+			g.Expect(until(applyBound, f.inForce(f.source.change()))).To(BeNumerically("<", applyBound))
+			time.Sleep(duration(d, "after"))
+			f.source.setSilent(true)
+			time.Sleep(duration(d, "for"))
+			f.source.setSilent(false)
+			time.Sleep(calm)
+			if until(time.Minute, f.inForce(f.source.change())) < applyBound {
+				text = "in force in time\n"
+			}
+		})
+		return text
+	})
+}
+
+// duration returns the duration of an argument of a script.
+func duration(d *datadriven.TestData, key string) time.Duration {
+	var text string
+	for _, arg := range d.CmdArgs {
+		if arg.Key == key {
+			text = arg.Vals[0]
+		}
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		panic(err)
+	}
+	return parsed
+}
--- a/internal/fleet/watch/role.go
+++ b/internal/fleet/watch/role.go
@@ -30,6 +30,7 @@
 type role struct {
 	poller   bool
 	follower bool
+	prompt   bool // the follower of its zone that waits briefly at the source, and so notices when the source is silent
 	sweeper  bool
 	pollers  int // in the whole fleet
 	live     int // members that are not gone
@@ -80,6 +81,7 @@
 	}
 	computed.poller = self.State == member.Serving && aboveInZone < pollersPerZone
 	computed.follower = self.State == member.Serving && aboveInZone < followersPerZone
+	computed.prompt = computed.follower && aboveInZone == 0
 	computed.sweeper = self.State == member.Serving && aboveInFleet < sweepers
 	return computed
 }
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,14 +14,22 @@
 
 // Source reads the accepted configuration from a platform that notifies its readers of changes.
 type Source interface {
-	// Next blocks until a change or until nothing has changed for a while. It returns the folder and asOf, the revision up to which
-	// the source reports that the folder is current. A set without files means that there is no folder.
-	Next(ctx context.Context) (set files.Set, asOf uint64, err error)
+	// Next blocks until a change, or until nothing has changed for the given time. It returns the folder and asOf, the revision up to
+	// which the source reports that the folder is current. A set without files means that there is no folder. It fails when the source
+	// is silent for longer than that time and the time limit of a request.
+	Next(ctx context.Context, wait time.Duration) (set files.Set, asOf uint64, err error)
 }
 
 const (
 	firstSourceRetry = 100 * time.Millisecond // after the first failure
 	maxSourceRetry   = time.Second            // in a long outage; each attempt of 7,700 daemons is a read of the store
+	// maxSourceWait is the longest wait of a follower for a change. Each wait is random, from half of it up, so that the waits of
+	// different followers end at different times.
+	maxSourceWait = 20 * time.Second
+	// maxPromptWait and promptWaitSpread bound the waits of the followers that notice a silent source for the others. A read that was
+	// lost in an outage, and the time limit of its request, end before a change has to be in force after the outage.
+	maxPromptWait    = 3200 * time.Millisecond
+	promptWaitSpread = 200 * time.Millisecond
 	// sourcePause is the time between receiving a revision and the next read of the source, so that a series of changes costs each
 	// daemon one read for several of them.
 	sourcePause = 500 * time.Millisecond
@@ -41,7 +50,7 @@
 		return nil
 	}
 	retry := firstSourceRetry
-	previous := notFollowing
+	previous, failed := notFollowing, false
 	for ctx.Err() == nil {
 		reason := w.followReason()
 		if reason != previous {
@@ -54,12 +63,13 @@
 			}
 			continue
 		}
-		set, asOf, err := w.Source.Next(ctx)
+		set, asOf, err := w.Source.Next(ctx, w.sourceWait(reason, failed))
 		if ctx.Err() != nil {
 			return nil
 		}
 		w.recordOutcome(err)
-		if err != nil {
+		failed = err != nil
+		if failed {
 			if !clock.Sleep(ctx, gossip.Jitter(retry, jitterShare)) {
 				return nil
 			}
@@ -79,6 +89,19 @@
 	return nil
 }
 
+// sourceWait returns how long the next read of the source may wait for a change. A silent source shows only when a read is not answered
+// in time, and an outage may take the reads of all followers at once. Hence one follower of each zone, and each daemon that follows for
+// itself alone, waits briefly. After a failure, a read that does not wait tells whether the source is back.
+func (w *Watch) sourceWait(reason followReason, failed bool) time.Duration {
+	switch {
+	case failed:
+		return 0
+	case reason == zoneFollower && !w.role().prompt:
+		return maxSourceWait - rand.N(maxSourceWait/2)
+	}
+	return maxPromptWait - rand.N(promptWaitSpread)
+}
+
 // awaitPeers waits a moment for the peers that a daemon relies on at the first start. It reports false when ctx has ended.
 func (w *Watch) awaitPeers(ctx context.Context) bool {
 	w.emptyReadAt = time.Now()
