cli/daemon, base/opts: a planned stop uses the time until the process is killed

What callers saw: orders that a stopping daemon had taken 1.7 s after SIGTERM got 504 at 5.2 s, while their servers were at work and would have answered at 5.5 s.

Cause: the deploy file's [stop] timeout of 3.2 s fits a platform that kills after 6 s and was used everywhere.

A stop ends 0.8 s before it, and has all of the time until then; with 6 s that is what it was. It's passed as an argument because the platform tells it at the start of the process; a daemon that isn't told waits for its requests for the default of [stop] timeout, in place of a guess that breaks them off.

--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -158,6 +158,8 @@
 			func(s *Settings, v string) error { return setDuration(&s.StopGrace, v, 0, time.Minute) }),
 		optional("stop", "timeout", "5m", "1s to 24h", "for requests in flight at a planned stop",
 			func(s *Settings, v string) error { return setDuration(&s.StopTimeout, v, time.Second, 24*time.Hour) }),
+		optional("stop", "kill-after", "0s", "0s to 24h", "from SIGTERM until the process is killed; 0s: not known",
+			func(s *Settings, v string) error { return setDuration(&s.KillAfter, v, 0, 24*time.Hour) }),
 	}
 }
 
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -58,6 +58,7 @@
 
 	StopGrace   time.Duration // from the announcement of the stop to the refusal of new work
 	StopTimeout time.Duration // for requests in flight after StopGrace
+	KillAfter   time.Duration // from the signal to stop until the platform kills the process; 0 when that is not known
 
 	LogLevel slog.Level
 }
@@ -70,6 +71,20 @@
 	return s.Daemons
 }
 
+// killReserve is the part of KillAfter in which the last responses leave and the process ends.
+const killReserve = 800 * time.Millisecond
+
+// StopPeriods returns how long a planned stop still takes new work, and how long it then waits for requests in flight. Both end in time
+// before the platform kills the process.
+func (s *Settings) StopPeriods() (grace, timeout time.Duration) {
+	if s.KillAfter == 0 {
+		return s.StopGrace, s.StopTimeout
+	}
+	left := max(s.KillAfter-killReserve, 0)
+	grace = min(s.StopGrace, left)
+	return grace, min(s.StopTimeout, left-grace)
+}
+
 func (s *Settings) equal(other *Settings) bool {
 	return reflect.DeepEqual(s, other)
 }
--- a/internal/base/opts/opts_test.go
+++ b/internal/base/opts/opts_test.go
@@ -45,6 +45,18 @@
 	})
 }
 
+// Guards against a planned stop that ends long before the process is killed, and against one that is still answering when it is.
+func TestStopPeriods(t *testing.T) {
+	datadriven.RunTest(t, "testdata/stop-periods", func(t *testing.T, d *datadriven.TestData) string {
+		settings, err := opts.Parse("daemon.ini", []byte(minimal+d.Input))
+		if err != nil {
+			t.Fatal(err)
+		}
+		grace, timeout := settings.StopPeriods()
+		return fmt.Sprintf("grace %s, timeout %s", grace, timeout)
+	})
+}
+
 func withoutKey(text, name string) string {
 	var kept []string
 	for _, line := range strings.Split(text, "\n") {
--- a/internal/base/opts/reload.go
+++ b/internal/base/opts/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"os"
 	"sync/atomic"
@@ -16,10 +17,11 @@
 // Reloader applies changes of the settings file while the daemon runs. The log level and the platform's addresses and timeout take
 // effect immediately, the other keys at the next start.
 type Reloader struct {
-	File    string          // if empty, nothing is reloaded
-	Signals <-chan struct{} // each value requests an immediate read of the file; may be nil
-	Log     logr.Logger
-	Changed func(settings *Settings) // called with the merged settings after each valid change; may be nil
+	File      string          // if empty, nothing is reloaded
+	KillAfter time.Duration   // in place of that of the file; 0 for the file's
+	Signals   <-chan struct{} // each value requests an immediate read of the file; may be nil
+	Log       logr.Logger
+	Changed   func(settings *Settings) // called with the merged settings after each valid change; may be nil
 
 	current     atomic.Pointer[Settings]
 	lastContent []byte // as last read, valid or not
@@ -82,6 +84,7 @@
 		r.Log.Error(err, "settings-refused", "file", r.File)
 		return
 	}
+	next.KillAfter = cmp.Or(r.KillAfter, next.KillAfter)
 	current := r.current.Load()
 	merged := *current
 	merged.LogLevel = next.LogLevel
--- a/internal/base/opts/reload_test.go
+++ b/internal/base/opts/reload_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -24,7 +24,10 @@
 		settings, err := opts.Load(file)
 		Expect(err).NotTo(HaveOccurred())
 		signals := make(chan struct{})
-		reloader := &opts.Reloader{File: file, Signals: signals, Log: logr.Discard()}
+		logged := make(chan string, 16)
+		log := funcr.New(func(_, args string) { logged <- args }, funcr.Options{})
+		settings.KillAfter = 10 * time.Second
+		reloader := &opts.Reloader{File: file, KillAfter: settings.KillAfter, Signals: signals, Log: log}
 		reloader.Start(settings)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
@@ -33,6 +36,7 @@
 		write(minimal + "\n[log]\nlevel = debug\n")
 		signals <- struct{}{}
 		Eventually(func() slog.Level { return reloader.Get().LogLevel }).Should(Equal(slog.LevelDebug))
+		Expect(<-logged).To(ContainSubstring(`"waits-for-restart"=false`), "the time until the kill is not from the file")
 		write("[daemon]\nservice = \n")
 		signals <- struct{}{}
 		Consistently(func() slog.Level { return reloader.Get().LogLevel }, 50*time.Millisecond).Should(Equal(slog.LevelDebug))
--- a/internal/cli/cmds/daemon.go
+++ b/internal/cli/cmds/daemon.go
@@ -5,9 +5,11 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/cli/daemon"
@@ -43,9 +45,9 @@
 const settingsEnv = "MARIGOLDWINCH_CONFIG"
 
 func newDaemon() *cobra.Command {
-	var file string
+	var file, killAfter string
 	cmd := &cobra.Command{
-		Use:   "daemon --settings FILE",
+		Use:   "daemon --settings FILE [--kill-after DURATION]",
 		Short: "Run the daemon beside a server",
 		Long: `Runs the daemon until SIGTERM or SIGINT, then stops it gracefully: it announces its departure, refuses new work and
 finishes the requests in flight.`,
@@ -55,6 +57,10 @@
 			if err != nil {
 				return err
 			}
+			kill, err := parseKillAfter(killAfter)
+			if err != nil {
+				return err
+			}
 			daemon.TuneGC(settings.MemoryMB)
 			level := &slog.LevelVar{}
 			level.Set(settings.LogLevel)
@@ -63,15 +69,29 @@
 			out := logs.NewWriter(os.Stdout)
 			defer out.Close()
 			run := &daemon.Daemon{
-				Settings: settings, File: file, Reload: reload, Log: logs.New(out, level),
+				Settings: settings, KillAfter: kill, File: file, Reload: reload, Log: logs.New(out, level),
 				Changed: func(changed *opts.Settings) { level.Set(changed.LogLevel) },
 			}
 			return run.Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", os.Getenv(settingsEnv), "settings file, see docs/settings.md; default $"+settingsEnv)
+	cmd.Flags().StringVar(&killAfter, "kill-after", "",
+		"time from SIGTERM until the process is killed, in place of the setting of that name; empty for the setting")
 	if os.Getenv(settingsEnv) == "" {
 		_ = cmd.MarkFlagRequired("settings") // the flag exists
 	}
 	return cmd
 }
+
+// parseKillAfter parses the flag of that name. A platform that does not tell the time passes an empty text.
+func parseKillAfter(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	killAfter, err := time.ParseDuration(text)
+	if err != nil || killAfter < 0 {
+		return 0, code.NotRunf(code.BadRequest, "--kill-after: %q is not a duration of 0s or more", text).WithCause(err)
+	}
+	return killAfter, nil
+}
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -219,13 +219,14 @@
 }
 
 func newLinkServer(parts linkParts) *link.Server {
+	_, timeout := parts.Settings.StopPeriods()
 	return &link.Server{
 		Listener:    countedListener{Listener: parts.Listeners.Daemons, traffic: parts.Traffic},
 		Calls:       parts.Gate,
 		Fleet:       parts.Node,
 		Incarnation: parts.Incarnation,
 		MaxConns:    parts.Settings.AcceptedConns,
-		StopTimeout: min(parts.Settings.StopTimeout, flushTimeout),
+		StopTimeout: min(timeout, flushTimeout),
 		Log:         parts.Log,
 	}
 }
--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -22,12 +23,13 @@
 
 // Daemon is one daemon. Set the exported fields before Run.
 type Daemon struct {
-	Settings *opts.Settings
-	File     string                 // source of the settings, reread when it changes; empty for none
-	Reload   <-chan struct{}        // requests an immediate read of the file; may be nil
-	Changed  func(s *opts.Settings) // called after each valid change of the file; may be nil
-	Network  Network                // TCP when its fields are nil
-	Log      logr.Logger
+	Settings  *opts.Settings
+	KillAfter time.Duration          // in place of that of the settings, which may not know it; 0 for theirs
+	File      string                 // source of the settings, reread when it changes; empty for none
+	Reload    <-chan struct{}        // requests an immediate read of the file; may be nil
+	Changed   func(s *opts.Settings) // called after each valid change of the file; may be nil
+	Network   Network                // TCP when its fields are nil
+	Log       logr.Logger
 }
 
 // Listeners are the listening sockets of a daemon. They are opened first, so that a wrong address fails the start before anything
@@ -44,12 +46,14 @@
 // Run runs the daemon until ctx ends or a task fails. It then stops without aborting requests in flight.
 func (d *Daemon) Run(ctx context.Context) error {
 	failures := make(chan error, 1)
-	live := &opts.Reloader{File: d.File, Signals: d.Reload, Changed: d.Changed, Log: d.Log}
+	d.Settings.KillAfter = cmp.Or(d.KillAfter, d.Settings.KillAfter)
+	live := &opts.Reloader{File: d.File, KillAfter: d.KillAfter, Signals: d.Reload, Changed: d.Changed, Log: d.Log}
 	live.Start(d.Settings)
+	grace, timeout := d.Settings.StopPeriods()
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(d.Settings.StopGrace+d.Settings.StopTimeout+stopMargin),
+		fx.StopTimeout(grace+timeout+stopMargin),
 		fx.Supply(d.Settings, live, d.Network.orTCP(), failures),
 		fx.Provide(func() logr.Logger { return d.Log }),
 		fx.Provide(newIncarnation, openListeners),
--- a/internal/cli/daemon/stop_test.go
+++ b/internal/cli/daemon/stop_test.go
@@ -191,6 +191,36 @@
 	})
 }
 
+// Guards against a planned stop that breaks off orders although the platform leaves it time to answer them, and against one that exceeds
+// that time.
+func TestStopUsesTheTimeThatItHas(t *testing.T) {
+	for killAfter, lastOrder := range map[time.Duration]string{6 * time.Second: "3900ms", 10 * time.Second: "7200ms"} {
+		t.Run(killAfter.String(), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := sleepLayout().start(t)
+				n := s.nodes[0]
+				n.settings.StopGrace, n.settings.KillAfter = 2*time.Second, killAfter
+				time.Sleep(10 * time.Second)
+				plan := s.plan(300, 5*time.Second)
+				plan.Daemons = []netip.AddrPort{n.settings.Callers}
+				<-s.load(plan)
+				began := time.Now()
+				inTime, late := s.sleepThrough(n, http.MethodPost, "/orders/4s"), s.sendThrough(n, "/stock/20s", 1)
+				time.Sleep(20 * time.Millisecond)
+				n.stop()
+				time.Sleep(time.Second)
+				last := s.sleepThrough(n, http.MethodPost, "/orders/"+lastOrder) // ends right before the last sixth of the time
+				s.Expect(<-inTime).To(Equal(http.StatusOK))
+				s.Expect(<-last).To(Equal(http.StatusOK))
+				s.Expect(<-late).To(Equal(http.StatusBadGateway), "a response to what can't be answered in time")
+				s.Expect(<-n.stopped).To(HaveOccurred(), "one request outlasts the stop")
+				s.Expect(time.Since(began)).To(BeNumerically("<", killAfter))
+			})
+		})
+	}
+}
+
 // Guards against a request that fails because its server, which was allowed to finish it, can no longer make calls, and against callers'
 // requests that are taken so late that they may be cut.
 func TestRunsCanMakeCallsUntilTheirDaemonStops(t *testing.T) {
