admit/server: bound the memory of response headers that a server holds back

What operators of similar systems reported: a faulty server sent bytes that were no answer, without end, and the machine that had called it kept them all and ran out of memory, with the requests of its other clients.

Can it happen here: yes, in a head. 100 heads of short header lines, each held back before its end at 250 KiB, took 113 MiB of heap (115,426 KiB, TestMemoryOfHeldHeads on the code before); a daemon may have 250 connections to its server, and 184 MB in all. The existing test's heads run into their bound at once and are given up, so that they are never all there.

Cause: a header was bounded by its bytes alone, at 256 KiB. A line of ten bytes takes many times that in memory.

Fix: a header ends at 64 KiB, and each of its lines counts 128 bytes more, so that some 500 lines are the most. The parse of what was read ahead of a body may count that as lines too; the bound is only checked when more has to be read for the header.

Evidence: the same test, four shapes of lines, far above the bound and right below it: at most 11.4 MiB (11,629 KiB) for 100 heads; it failed before. Bodies are streamed as before (TestEndlessBytes).

--- a/internal/admit/server/client.go
+++ b/internal/admit/server/client.go
@@ -30,8 +30,10 @@
 const (
 	dialBurst   = 1 // simultaneous connections queue at the server, so dials are spaced evenly without a burst
 	dialTimeout = time.Second
-	// maxHeader bounds the size of a response header, in bytes.
-	maxHeader = 256 << 10
+	// maxHeader bounds the size of a response header in bytes, where each line counts headerLineCost bytes more. A server can hold back
+	// the end of a header on all of its connections at once.
+	maxHeader      = 64 << 10
+	headerLineCost = 128
 )
 
 // codeHeader is set on responses that a marigoldwinch daemon generated.
--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -31,7 +32,7 @@
 )
 
 var (
-	errHeaderTooLong  = errors.New("the server's response header exceeds 256 KiB")
+	errHeaderTooLong  = errors.New("the server's response header exceeds 64 KiB or some 500 lines")
 	errStrayResponses = errors.New("the server sent responses to other requests, none to this request")
 	errManyResponses  = errors.New("the server sent too many interim responses or responses to other requests")
 	errLateUpload     = errors.New("the request was not sent completely within the time allowed after its response")
@@ -53,10 +54,11 @@
 	closed   atomic.Bool
 }
 
-// headerLimit bounds the bytes that are read from a connection while a response header is read.
+// headerLimit bounds what is read from a connection while a response header is read: its bytes and its lines, of which each takes memory
+// of its own. The last read may take in a part of the body, which does no harm, because no further one follows for the header.
 type headerLimit struct {
 	reader    io.Reader
-	remaining int64 // negative: unlimited
+	remaining int // bytes; unlimited when negative
 }
 
 // Read implements io.Reader.
@@ -64,12 +66,12 @@
 	if l.remaining == 0 {
 		return 0, errHeaderTooLong
 	}
-	if l.remaining > 0 && int64(len(p)) > l.remaining {
+	if l.remaining > 0 && len(p) > l.remaining {
 		p = p[:l.remaining]
 	}
 	n, err := l.reader.Read(p)
 	if l.remaining > 0 {
-		l.remaining -= int64(n)
+		l.remaining = max(0, l.remaining-n-headerLineCost*bytes.Count(p[:n], []byte{'\n'}))
 	}
 	return n, err
 }
--- a/internal/admit/server/endless_test.go
+++ b/internal/admit/server/endless_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -44,6 +45,8 @@
 	endlessConns    = 100
 	endlessDeadline = 2 * time.Second
 	daemonMemory    = 256 << 20 // bytes; the target for a daemon
+	heldHeader      = 250 << 10 // bytes of a header without its end
+	maxHeldMemory   = 24 << 20  // bytes; a daemon without load has 30 MiB less than the smallest instance gives it
 	headStart       = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
 	chunkedStart    = headStart + "Transfer-Encoding: chunked\r\n\r\n"
 	longText        = "0123456789012345678901234567890123456789012345678901234567890123"
@@ -137,6 +140,43 @@
 	pieces := endlessHeads["header lines"]
 	c := endlessClient(pieces[0], pieces[1], 0)
 	defer c.Close()
+	grown := heapGrowth(func() {
+		var all sync.WaitGroup
+		for range endlessConns {
+			all.Go(func() { _, _ = sendEndless(t, c, endlessDeadline) })
+		}
+		all.Wait()
+	})
+	t.Logf("100 endless heads: %d KiB of heap at the peak", grown>>10)
+	g.Expect(grown).To(BeNumerically("<", daemonMemory), "bytes")
+}
+
+// Guards against memory that grows with what servers send and hold back: heads of which each stops before its end, far above the bound or
+// right below it.
+func TestMemoryOfHeldHeads(t *testing.T) {
+	for name, line := range map[string]string{
+		"short lines": "a:\r\n", "repeated names": "X-More: 1\r\n", "long lines": "X-More: " + longText + "\r\n",
+		"one line": strings.Repeat("x", maxHeader/2) + ": 1\r\n",
+	} {
+		for _, count := range []int{heldHeader / len(line), maxHeader * 7 / 8 / (len(line) + headerLineCost)} {
+			g := NewWithT(t)
+			c := endlessClient(headStart+strings.Repeat(line, max(count, 1)), "x", 20*time.Millisecond)
+			grown := heapGrowth(func() {
+				var all sync.WaitGroup
+				for range endlessConns {
+					all.Go(func() { _, _ = sendEndless(t, c, endlessDeadline/4) })
+				}
+				all.Wait()
+			})
+			t.Logf("100 held heads of %d %s: %d KiB of heap at the peak", count, name, grown>>10)
+			g.Expect(grown).To(BeNumerically("<", maxHeldMemory), "bytes, %s", name)
+			c.Close()
+		}
+	}
+}
+
+// heapGrowth returns by how many bytes the heap grows at the most while f runs.
+func heapGrowth(f func()) int64 {
 	peak, stop, sampled := uint64(0), make(chan struct{}), make(chan struct{})
 	var before, now runtime.MemStats
 	runtime.GC()
@@ -153,14 +193,8 @@
 			}
 		}
 	}()
-	var all sync.WaitGroup
-	for range endlessConns {
-		all.Go(func() { _, _ = sendEndless(t, c, endlessDeadline) })
-	}
-	all.Wait()
+	f()
 	close(stop)
 	<-sampled
-	grown := int64(peak) - int64(before.HeapAlloc)
-	t.Logf("100 endless heads: %d KiB of heap at the peak", grown>>10)
-	g.Expect(grown).To(BeNumerically("<", daemonMemory), "bytes")
+	return int64(peak) - int64(before.HeapAlloc)
 }
