fleet/watch: write a departure that was acknowledged while the store was away

Cause: the departure is written for at most 300 ms before the ack, and nothing tried again: a server that reports its leave sends no further check-in. At the planned stop Withdraw knew the departure, took it for written, and left the row as it was.

Fix: departureLoop writes it as soon as the store answers, with 0.3 s between attempts, and Withdraw writes one that is still missing, unless the row belongs to a later process. An announcement that began before the departure and ended after its write asks for it again too.

Not mended: a write of the row that got no answer may still be carried out by the store seconds later and replace a departure.

--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -46,6 +46,7 @@
 func (w *Watch) announce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
+	defer w.requestDeparture()
 	if err := w.readOwnRow(ctx); err != nil {
 		return err
 	}
@@ -61,21 +62,26 @@
 }
 
 // Withdraw deletes this daemon's row at a planned stop. The row is kept when it belongs to a later incarnation at the same address,
-// or when it holds a departure, because the next daemon at this address must honor that too.
+// or when this daemon has acknowledged a departure, because the next daemon at this address must honor that too. A departure that could
+// not be written before is written now.
 func (w *Watch) Withdraw(ctx context.Context) error {
-	if w.currentDeparture().Server != "" {
+	leaves := w.currentDeparture().Server != ""
+	if leaves && w.departurePersisted() {
 		return nil
 	}
 	self := w.Table.Self()
 	row, err := w.Store.Get(ctx, rowKey(self.Address))
-	if err != nil {
-		if code.Of(err).Code == code.NotFound {
-			return nil
-		}
+	absent := code.Of(err).Code == code.NotFound
+	if err != nil && !absent {
 		return err
 	}
 	held, err := decodeAnnouncement(row.Value)
-	if err == nil && held.Record.Incarnation > self.Incarnation {
+	switch {
+	case err == nil && held.Record.Incarnation > self.Incarnation:
+		return nil
+	case leaves:
+		return w.announce(ctx)
+	case absent:
 		return nil
 	}
 	return w.Store.Commit(ctx, table.Txn{
--- a/internal/fleet/watch/departure.go
+++ b/internal/fleet/watch/departure.go
@@ -4,32 +4,75 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 )
 
+// departureRetry is the time between attempts to write a departure into this daemon's row. It is short, because a process that ends
+// before one succeeds leaves nothing of the departure to the next process.
+const departureRetry = 300 * time.Millisecond
+
 // departures tracks the acknowledged departure of this daemon's server. It is stored in the daemon's row, so that a daemon that dies
 // after acknowledging a departure still honors it after a restart.
 type departures struct {
+	unwritten chan struct{} // has a value after an announcement that has not written current
+
 	mu        sync.Mutex
 	rowRead   bool      // the row of an earlier daemon was read or does not exist, or current was set
 	current   Departure // written with each announcement
 	persisted Departure // in the row, as far as this daemon knows
 }
 
-// PersistDeparture writes a departure into this daemon's row unless it is there already.
+// PersistDeparture writes a departure into this daemon's row unless it is there already. After a failure, Run goes on trying.
 func (w *Watch) PersistDeparture(ctx context.Context, d Departure) error {
 	w.departures.mu.Lock()
 	w.departures.rowRead, w.departures.current = true, d
-	persisted := w.departures.persisted == d
 	w.departures.mu.Unlock()
-	if persisted {
+	if w.departurePersisted() {
 		return nil
 	}
 	return w.announce(ctx)
 }
 
+// requestDeparture makes departureLoop write the current departure if the last announcement did not.
+func (w *Watch) requestDeparture() {
+	if w.departurePersisted() {
+		return
+	}
+	select {
+	case w.departures.unwritten <- struct{}{}:
+	default: // departureLoop has yet to take the last request
+	}
+}
+
+// departureLoop writes the departures that announcements could not write, when the store answers again. An announcement that began
+// before a departure, and ended after its write, has replaced it.
+func (w *Watch) departureLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.departures.unwritten:
+		}
+		for !w.departurePersisted() && clock.Sleep(ctx, gossip.Jitter(departureRetry, jitterShare)) {
+			if w.announce(ctx) == nil {
+				w.Log.Info("departure-kept-late", "server", w.currentDeparture().Server)
+			}
+		}
+	}
+}
+
+// departurePersisted reports whether this daemon's row holds the current departure, as far as this daemon knows.
+func (w *Watch) departurePersisted() bool {
+	w.departures.mu.Lock()
+	defer w.departures.mu.Unlock()
+	return w.departures.current == w.departures.persisted
+}
+
 // currentDeparture returns the departure that each announcement must contain, zero when there is none.
 func (w *Watch) currentDeparture() Departure {
 	w.departures.mu.Lock()
--- a/internal/fleet/watch/departure_test.go
+++ b/internal/fleet/watch/departure_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/datadriven"
 	. "github.com/onsi/gomega"
 )
 
@@ -49,6 +53,50 @@
 	})
 }
 
+// Guards against a departure that was acknowledged while the store was away and is unknown after the next restart.
+func TestDepartureInOutageSurvivesRestart(t *testing.T) {
+	datadriven.RunTest(t, "testdata/departures", func(t *testing.T, d *datadriven.TestData) string {
+		text := "not restored\n"
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(1)
+			f.platform.change()
+			f.onDepartureRestored = func(i int, d Departure) { text = fmt.Sprintf("daemon %d restored %s\n", i, d.Server) }
+			f.startAll(t, 5, true)
+			time.Sleep(10 * time.Second)
+			for step := range strings.SplitSeq(strings.TrimSpace(d.Input), "\n") {
+				runDepartureStep(g, f, step)
+			}
+		})
+		return text
+	})
+}
+
+func runDepartureStep(g *WithT, f *fleet, step string) {
+	const daemon = 3
+	switch name, argument, _ := strings.Cut(step, " "); name {
+	case "down":
+		f.platform.setDown(true)
+	case "up":
+		f.platform.setDown(false)
+	case "leave":
+		err := f.get(daemon).watch.PersistDeparture(context.Background(), Departure{Server: argument})
+		g.Expect(err).To(HaveOccurred())
+	case "wait":
+		d, err := time.ParseDuration(argument)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(d)
+	case "withdraw":
+		g.Expect(f.get(daemon).watch.Withdraw(context.Background())).To(Succeed())
+	case "restart":
+		f.kill(daemon)
+		f.start(daemon)
+		time.Sleep(10 * time.Second)
+	default:
+		g.Expect(step).To(BeEmpty(), "unknown step")
+	}
+}
+
 // Guards against a daemon overwriting the departure in its row before it has read it.
 func TestAnnouncementKeepsDeparture(t *testing.T) {
 	run(t, 5, func(g *WithT, f *fleet) {
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -93,6 +93,7 @@
 	w.init()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return w.announceLoop(ctx) })
+	group.Go(func() error { return w.departureLoop(ctx) })
 	group.Go(func() error { return w.discoverLoop(ctx) })
 	if w.Source != nil {
 		group.Go(func() error { return w.sourceLoop(ctx) })
@@ -107,6 +108,7 @@
 	w.announced = make(chan struct{})
 	w.ready = make(chan struct{})
 	w.firstRead = make(chan struct{})
+	w.departures.unwritten = make(chan struct{}, 1)
 	if w.StartSpread == 0 {
 		w.StartSpread = DefaultStartSpread
 	}
