cli/cmds: SIGHUP does not end a daemon that is starting

The platform sends SIGHUP to many machines at once, also to those that it has just started.

Cause: the signal was asked for after the settings had been read; until then its default ends the process.

Fix: it is asked for before anything else. A reload that comes before the daemon runs is done when it does.

--- a/internal/cli/cmds/daemon.go
+++ b/internal/cli/cmds/daemon.go
@@ -53,6 +53,8 @@
 finishes the requests in flight.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			reload, stop := notifyReload() // first of all, because SIGHUP ends a process that has not asked for it
+			defer stop()
 			settings, err := opts.Load(file)
 			if err != nil {
 				return err
@@ -64,8 +66,6 @@
 			daemon.TuneGC(settings.MemoryMB)
 			level := &slog.LevelVar{}
 			level.Set(settings.LogLevel)
-			reload, stop := notifyReload()
-			defer stop()
 			out := logs.NewWriter(os.Stdout)
 			defer out.Close()
 			run := &daemon.Daemon{
