route/call: a caller that is slow with its body is late, not malformed

Cause: at the end of a request the reading of its body is aborted, and the read error was taken for a fault of the body.

Fix: the request records that it has aborted its body. The failure is then deadline-exceeded or cancelled, with the outcome that is known: not run when no server has been chosen yet, so that the caller gets 503 and may come back; unknown otherwise.

--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -140,6 +140,8 @@
 	body       *replayBuffer
 	claim      *claim.Claim // nil when no idempotency key is claimed
 
+	bodyAborted atomic.Bool // reading the body was given up because the request has ended
+
 	mu           sync.Mutex
 	attempts     uint32
 	tried        []netip.AddrPort
@@ -156,7 +158,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, errDeadline)
 	if req.Body != nil && req.Abort != nil {
-		stop, end := context.AfterFunc(ctx, req.Abort), cancel
+		stop, end := context.AfterFunc(ctx, r.abortBody), cancel
 		cancel = func() { // a normal end must not abort the read: the connection may serve further requests
 			stop()
 			end()
@@ -182,6 +184,12 @@
 	return response, nil
 }
 
+// abortBody unblocks a read of the body that waits for the caller.
+func (r *request) abortBody() {
+	r.bodyAborted.Store(true)
+	r.req.Abort()
+}
+
 // durations holds the recent durations of the requests of a service by class.
 type durations [ident.Classes]recent.Times
 
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -46,7 +47,7 @@
 		return scripts[min(int(head.ID.Attempt)-1, len(scripts)-1)]
 	}
 	c := newClient(f, 3)
-	tokens, depth, size, p95, failed, leave := 50, 0, 0, 0, 0, 0
+	tokens, depth, size, p95, failed, leave, stall := 50, 0, 0, 0, 0, 0, 0
 	req := &Request{Service: "stock", Method: d.Cmd, Path: "/", Target: "/", Timeout: 5500 * time.Millisecond, ContentLength: -1}
 	scan := func(key string, into *int) {
 		if d.HasArg(key) {
@@ -65,6 +66,7 @@
 	scan("p95", &p95)
 	scan("errors", &failed)
 	scan("leave", &leave)
+	scan("stall", &stall)
 	if depth > 0 {
 		req.Context = &ident.CallContext{Request: ident.RequestID{Router: 1, Seq: 1}, Depth: depth - 1, Class: ident.Lookup}
 	}
@@ -72,6 +74,11 @@
 		req.Body = strings.NewReader(strings.Repeat("b", size))
 		req.Abort = func() { f.logf("aborted the caller's body") }
 	}
+	if d.HasArg("stall") {
+		aborted, abort := context.WithCancel(context.Background())
+		defer abort() // the connection's server discards the rest of the body
+		req.Body, req.Abort = &stalledBody{bytes: stall, aborted: aborted.Done()}, abort
+	}
 	stock := c.Budgets.Service("stock")
 	for range tokens * 10 {
 		stock.RecordRequest(0.1, 0.05)
@@ -128,6 +135,23 @@
 	return out.String()
 }
 
+// stalledBody is a body of which the caller sends so many bytes and then no more, until reading is aborted.
+type stalledBody struct {
+	bytes   int
+	aborted <-chan struct{}
+}
+
+// Read implements io.Reader.
+func (b *stalledBody) Read(p []byte) (int, error) {
+	if b.bytes > 0 {
+		n := min(b.bytes, len(p))
+		b.bytes -= n
+		return n, nil
+	}
+	<-b.aborted
+	return 0, os.ErrDeadlineExceeded
+}
+
 // Guards invariants 5 and 6 of the design under random failures: a non-idempotent request runs at most once, and a request that
 // is reported as not run did not run.
 func TestRandomFailuresKeepOutcomesTrue(t *testing.T) {
--- a/internal/route/call/send.go
+++ b/internal/route/call/send.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -46,7 +47,7 @@
 	piece := make([]byte, min(proto.MaxPiece, r.body.readSize))
 	n, err := r.body.read(a.bodyGeneration, 0, piece)
 	if err != nil && !errors.Is(err, io.EOF) {
-		return nil, code.NotRunf(code.BadRequest, "the request body could not be read").WithCause(err)
+		return nil, a.unreadBody(code.NotRun, err)
 	}
 	head.Body = piece[:n]
 	a.offset = int64(n)
@@ -65,7 +66,7 @@
 		offset += int64(n)
 		end := errors.Is(err, io.EOF)
 		if err != nil && !end {
-			a.bodyErr.Store(code.Unknownf(code.BadRequest, "the request body could not be read").WithCause(err))
+			a.bodyErr.Store(a.unreadBody(code.Unknown, err))
 			a.cancel()
 			return
 		}
@@ -78,3 +79,16 @@
 		}
 	}
 }
+
+// unreadBody returns the failure of a request whose body could not be read. At the deadline or when the caller leaves, reading is
+// aborted: the request is then late or cancelled, not malformed.
+func (a *attempt) unreadBody(outcome code.Outcome, cause error) *code.Error {
+	failure := &code.Error{Code: code.BadRequest, Outcome: outcome, Detail: "the request body could not be read", Cause: cause}
+	switch {
+	case !time.Now().Before(a.r.deadline):
+		failure.Code, failure.Detail = code.DeadlineExceeded, "the deadline passed before the request body was received"
+	case a.r.bodyAborted.Load():
+		failure.Code, failure.Detail = code.Cancelled, "the request was cancelled before its body was received"
+	}
+	return failure
+}
