--- a/internal/fleet/watch/follow_test.go
+++ b/internal/fleet/watch/follow_test.go
@@ -24,7 +24,6 @@
 	files    []files.File  // of the folder, besides a.ini
 	changed  chan struct{} // closed by the next change
 	silent   chan struct{} // closed when an outage begins; reads that are under way or begin in it are never answered
-	isSilent bool
 
 	open  atomic.Int64 // reads that wait for a change
 	reads atomic.Int64
@@ -61,7 +60,6 @@
 func (s *notifyingSource) setSilent(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.isSilent = on
 	if on {
 		close(s.silent)
 		return
