--- a/internal/admit/server/endless_test.go
+++ b/internal/admit/server/endless_test.go
@@ -23,6 +23,7 @@
 // endlessClient returns a client of a server that answers each request with start and then with unit, again and again, after each pause.
 func endlessClient(start, unit string, pause time.Duration) *Client {
 	c := &Client{Address: netip.MustParseAddrPort("127.0.0.1:80"), MaxConns: endlessConns, Dialect: testDialect, Log: logr.Discard()}
+	first, next := []byte(start), []byte(unit) // shared, so that the server takes no memory for each connection
 	c.Dial = func(context.Context) (net.Conn, error) {
 		clientEnd, serverEnd := net.Pipe()
 		go func() {
@@ -30,10 +31,10 @@
 			if _, err := http.ReadRequest(bufio.NewReader(serverEnd)); err != nil {
 				return
 			}
-			_, err := io.WriteString(serverEnd, start)
+			_, err := serverEnd.Write(first)
 			for err == nil {
 				time.Sleep(pause)
-				_, err = io.WriteString(serverEnd, unit)
+				_, err = serverEnd.Write(next)
 			}
 		}()
 		return clientEnd, nil
