--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -46,7 +46,7 @@
 func (w *Watch) announce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	defer w.requestDeparture()
+	defer w.requestDepartureWrite()
 	if err := w.readOwnRow(ctx); err != nil {
 		return err
 	}
--- a/internal/fleet/watch/departure.go
+++ b/internal/fleet/watch/departure.go
@@ -38,8 +38,8 @@
 	return w.announce(ctx)
 }
 
-// requestDeparture makes departureLoop write the current departure if the last announcement did not.
-func (w *Watch) requestDeparture() {
+// requestDepartureWrite makes departureLoop write the current departure if the last announcement did not.
+func (w *Watch) requestDepartureWrite() {
 	if w.departurePersisted() {
 		return
 	}
--- a/internal/route/call/send.go
+++ b/internal/route/call/send.go
@@ -47,7 +47,7 @@
 	piece := make([]byte, min(proto.MaxPiece, r.body.readSize))
 	n, err := r.body.read(a.bodyGeneration, 0, piece)
 	if err != nil && !errors.Is(err, io.EOF) {
-		return nil, a.unreadBody(code.NotRun, err)
+		return nil, a.bodyFailure(code.NotRun, err)
 	}
 	head.Body = piece[:n]
 	a.offset = int64(n)
@@ -66,7 +66,7 @@
 		offset += int64(n)
 		end := errors.Is(err, io.EOF)
 		if err != nil && !end {
-			a.bodyErr.Store(a.unreadBody(code.Unknown, err))
+			a.bodyErr.Store(a.bodyFailure(code.Unknown, err))
 			a.cancel()
 			return
 		}
@@ -80,9 +80,9 @@
 	}
 }
 
-// unreadBody returns the failure of a request whose body could not be read. At the deadline or when the caller leaves, reading is
+// bodyFailure returns the failure of a request whose body could not be read. At the deadline or when the caller leaves, reading is
 // aborted: the request is then late or cancelled, not malformed.
-func (a *attempt) unreadBody(outcome code.Outcome, cause error) *code.Error {
+func (a *attempt) bodyFailure(outcome code.Outcome, cause error) *code.Error {
 	failure := &code.Error{Code: code.BadRequest, Outcome: outcome, Detail: "the request body could not be read", Cause: cause}
 	switch {
 	case !time.Now().Before(a.r.deadline):
