--- a/internal/admit/gate/check.go
+++ b/internal/admit/gate/check.go
@@ -67,20 +67,6 @@
 	return service, c.expired()
 }
 
-// outlastsStop refuses a call that may still run when the stopping daemon ends. Uploads may take until their deadline; other calls are
-// judged by those of their class.
-func (c *call) outlastsStop() *code.Error {
-	g, class := c.gate, c.head.Class
-	end := g.stopTime.Load()
-	if end == nil || !c.deadline.After(*end) {
-		return nil
-	}
-	if class != ident.Upload && g.times[class].Fits(time.Until(*end), c.head.Idempotent) {
-		return nil
-	}
-	return g.stoppingError()
-}
-
 // recheck repeats, just before the run, the checks whose result can change while the request waits or the process is paused.
 // A request that holds a slot when the daemon begins to stop still runs.
 func (g *Gate) recheck(c *call) *code.Error {
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -148,41 +148,6 @@
 	return nil
 }
 
-// SetStopTime sets the time at which a stopping daemon cuts running calls. Calls that may take longer are refused from now on, while
-// another server can still run them.
-func (g *Gate) SetStopTime(end time.Time) {
-	g.stopTime.Store(&end)
-}
-
-// ends reports whether the stop time has come.
-func (g *Gate) ends() bool {
-	end := g.stopTime.Load()
-	return end != nil && !time.Now().Before(*end)
-}
-
-// Drain refuses new and queued calls and waits until the admitted calls have ended, or until ctx ends.
-func (g *Gate) Drain(ctx context.Context) error {
-	g.stopping.Store(true)
-	g.refreshRefusing()
-	g.mu.Lock()
-	if g.calls.Load() == 0 {
-		g.mu.Unlock()
-		return nil
-	}
-	if g.idle == nil {
-		g.idle = make(chan struct{})
-	}
-	idle, left := g.idle, g.calls.Load()
-	g.mu.Unlock()
-	g.Log.Info("drain-waiting", "calls", left)
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Resolve implements proto.CallHandler. The connection named in resolve must have been revoked before.
 func (g *Gate) Resolve(_ context.Context, _ *proto.Peer, resolve *proto.Resolve) (*proto.Resolution, error) {
 	resolution := g.Ledger.Resolve(resolve)
--- a/internal/admit/gate/queue.go
+++ b/internal/admit/gate/queue.go
@@ -233,10 +233,6 @@
 	return true
 }
 
-func (g *Gate) stoppingError() *code.Error {
-	return code.NotRunf(code.Stopping, "daemon %s is stopping", g.Address)
-}
-
 // enter includes a call in g.calls until leave. The caller holds g.mu.
 func (g *Gate) enter(c *call) {
 	if !c.counted {
