cli/daemon: do not write into the settings that a daemon is given

The command applies it now, before the daemon gets its settings; only the reload still needs the value, since the file may not have it.

--- a/internal/cli/cmds/daemon.go
+++ b/internal/cli/cmds/daemon.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -63,6 +64,7 @@
 			if err != nil {
 				return err
 			}
+			settings.KillAfter = cmp.Or(kill, settings.KillAfter)
 			daemon.TuneGC(settings.MemoryMB)
 			level := &slog.LevelVar{}
 			level.Set(settings.LogLevel)
--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -2,7 +2,6 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -23,8 +22,8 @@
 
 // Daemon is one daemon. Set the exported fields before Run.
 type Daemon struct {
-	Settings  *opts.Settings
-	KillAfter time.Duration          // in place of that of the settings, which may not know it; 0 for theirs
+	Settings  *opts.Settings         // not modified, as daemons may share it
+	KillAfter time.Duration          // that of Settings where File does not have it; else 0
 	File      string                 // source of the settings, reread when it changes; empty for none
 	Reload    <-chan struct{}        // requests an immediate read of the file; may be nil
 	Changed   func(s *opts.Settings) // called after each valid change of the file; may be nil
@@ -46,7 +45,6 @@
 // Run runs the daemon until ctx ends or a task fails. It then stops without aborting requests in flight.
 func (d *Daemon) Run(ctx context.Context) error {
 	failures := make(chan error, 1)
-	d.Settings.KillAfter = cmp.Or(d.KillAfter, d.Settings.KillAfter)
 	live := &opts.Reloader{File: d.File, KillAfter: d.KillAfter, Signals: d.Reload, Changed: d.Changed, Log: d.Log}
 	live.Start(d.Settings)
 	grace, timeout := d.Settings.StopPeriods()
