fleet/gossip, fleet/watch: tell from whom a revision came, and which reads of the source were lost

A daemon that took a change up late logged its revision alone. Hypothesis 1 (reads lost together) and 2 (spread late) could not be told apart: now revision-in-force names the sender, the revision before, the silence of platform and peers and the age of the latest known read, source-read-lost tells each read that was not answered, and both are counted and measured. Hypothesis 3 showed already (revision-not-merged, intent-unreadable).

--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -9,6 +9,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
 	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 )
@@ -22,6 +23,7 @@
 	Node    *gossip.Node
 	Members *member.Table
 	Holder  *config.Holder
+	Watch   *watch.Watch
 }
 
 // registerMetrics registers gauges that read their values on each scrape, so that they cost nothing on the call path.
@@ -93,6 +95,12 @@
 		_, age := parts.Node.HeadSeen()
 		return age.Seconds()
 	})
+	parts.Set.Gauge("platform_silence_seconds", func() float64 { return parts.Node.PlatformSilence().Seconds() })
+	parts.Set.Gauge("peer_silence_seconds", func() float64 { return parts.Node.PeerSilence().Seconds() })
+	registerCounts(parts.Set, parts.Watch.SourceCounts, map[string]func(watch.SourceCounts) uint64{
+		"source_reads_total":      func(c watch.SourceCounts) uint64 { return c.Reads },
+		"source_reads_lost_total": func(c watch.SourceCounts) uint64 { return c.Lost },
+	})
 	registerCounts(parts.Set, parts.Node.Counts, map[string]func(gossip.CounterDump) uint64{
 		"configuration_requests_total":          func(d gossip.CounterDump) uint64 { return d.RevisionRequests },
 		"configuration_repeated_requests_total": func(d gossip.CounterDump) uint64 { return d.RepeatedRequests },
--- a/internal/fleet/gossip/isolation.go
+++ b/internal/fleet/gossip/isolation.go
@@ -62,10 +62,23 @@
 	n.init()
 	n.lastContact.mu.Lock()
 	defer n.lastContact.mu.Unlock()
-	if n.lastContact.peer.IsZero() {
-		return time.Since(n.lastContact.start)
+	return n.lastContact.since(n.lastContact.peer)
+}
+
+// PlatformSilence returns the time since the last response of the platform, or since the start when there was none.
+func (n *Node) PlatformSilence() time.Duration {
+	n.init()
+	n.lastContact.mu.Lock()
+	defer n.lastContact.mu.Unlock()
+	return n.lastContact.since(n.lastContact.platform)
+}
+
+// since returns the time since a contact, or since the start when the contact is zero.
+func (c *lastContact) since(contact time.Time) time.Duration {
+	if contact.IsZero() {
+		contact = c.start
 	}
-	return time.Since(n.lastContact.peer)
+	return time.Since(contact)
 }
 
 const (
--- a/internal/fleet/gossip/part.go
+++ b/internal/fleet/gossip/part.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -140,7 +141,7 @@
 }
 
 // acceptPart keeps the files of a part, and puts the folder in force when all of its files are here.
-func (n *Node) acceptPart(part *proto.FolderPart) error {
+func (n *Node) acceptPart(sender netip.AddrPort, part *proto.FolderPart) error {
 	unpacked, err := unpack(part)
 	if err != nil {
 		return err
@@ -152,7 +153,7 @@
 	if !sortedByName(set.Files) {
 		return code.NotRunf(code.BadRequest, "files of revision %d are not in the order of their names", set.Revision)
 	}
-	return n.AcceptSet(set)
+	return n.acceptSetFrom(sender, set)
 }
 
 // unpack returns the files of a part, all of which must belong to its folder.
--- a/internal/fleet/gossip/part_test.go
+++ b/internal/fleet/gossip/part_test.go
@@ -134,14 +134,14 @@
 		"of another folder": {[]proto.PackedFile{{Name: "b.ini", Content: compress("")}}, code.BadRequest},
 	} {
 		part := &proto.FolderPart{Revision: 6, Digests: []uint64{zeros.Digest()}, Files: malformed.files}
-		g.Expect(code.Of(node.acceptPart(part)).Code).To(Equal(malformed.want), name)
+		g.Expect(code.Of(node.acceptPart(address(2), part)).Code).To(Equal(malformed.want), name)
 	}
 	unsorted := &proto.FolderPart{Revision: 7, Digests: digestsOf(swapped)}
 	for _, file := range swapped.Files {
 		unsorted.Files = append(unsorted.Files, proto.PackedFile{Name: file.Name, Content: compress(file.Content)})
 	}
-	g.Expect(code.Of(node.acceptPart(unsorted)).Code).To(Equal(code.BadRequest))
-	g.Expect(node.acceptPart(&proto.FolderPart{Revision: 4})).To(Succeed())
+	g.Expect(code.Of(node.acceptPart(address(2), unsorted)).Code).To(Equal(code.BadRequest))
+	g.Expect(node.acceptPart(address(2), &proto.FolderPart{Revision: 4})).To(Succeed())
 	g.Expect(node.FileSet()).To(Equal(held))
 }
 
--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
@@ -67,9 +68,16 @@
 	return n.FileSet().Revision
 }
 
-// Accept applies the changes above the held revision in order and puts the result in force. When a change is missing in
+// Accept applies the platform's changes above the held revision in order and puts the result in force. When a change is missing in
 // between, it applies the changes before the gap and returns ErrGap.
 func (n *Node) Accept(changes []files.Change) error {
+	return n.acceptFrom(fromPlatform, changes)
+}
+
+// fromPlatform stands for the platform where the sender of a revision is a peer otherwise.
+var fromPlatform = netip.AddrPort{}
+
+func (n *Node) acceptFrom(sender netip.AddrPort, changes []files.Change) error {
 	n.revisions.applyMu.Lock()
 	defer n.revisions.applyMu.Unlock()
 	set := n.FileSet()
@@ -90,29 +98,34 @@
 	if set.Revision == held {
 		return gap
 	}
-	if err := n.install(set, applied, false); err != nil {
+	if err := n.install(sender, set, applied, false); err != nil {
 		return err
 	}
 	return gap
 }
 
-// AcceptSet replaces the folder with one of a higher revision and puts it in force.
+// AcceptSet replaces the folder with the platform's of a higher revision and puts it in force.
 func (n *Node) AcceptSet(set files.Set) error {
+	return n.acceptSetFrom(fromPlatform, set)
+}
+
+func (n *Node) acceptSetFrom(sender netip.AddrPort, set files.Set) error {
 	n.revisions.applyMu.Lock()
 	defer n.revisions.applyMu.Unlock()
 	if held := n.HeldRevision(); set.Revision <= held {
 		return code.NotRunf(code.StaleRevision, "revision %d is not above the held revision %d", set.Revision, held)
 	}
 	n.counters.snapshots.Add(1)
-	return n.install(set, nil, true)
+	return n.install(sender, set, nil, true)
 }
 
 // install stores the set, starts spreading it and puts it in force. The set is kept even when it cannot be merged, so that a
 // later change can correct it.
-func (n *Node) install(set files.Set, applied []files.Change, restart bool) error {
+func (n *Node) install(sender netip.AddrPort, set files.Set, applied []files.Change, restart bool) error {
 	n.init()
 	r := &n.revisions
 	r.mu.Lock()
+	before := r.set.Revision
 	r.set, r.digests = set, digestsOf(set)
 	if restart {
 		r.log, r.logBytes = nil, 0
@@ -121,7 +134,7 @@
 	r.recordProgress()
 	r.roundsLeft = eagerRounds
 	r.mu.Unlock()
-	err := n.activate(set)
+	err := n.activate(sender, set, before)
 	n.rumors.signal()
 	return err
 }
@@ -140,7 +153,7 @@
 	r.discardPacked()
 }
 
-func (n *Node) activate(set files.Set) error {
+func (n *Node) activate(sender netip.AddrPort, set files.Set, before uint64) error {
 	next, err := n.Merge(set)
 	if err != nil {
 		n.Log.Error(err, "revision-not-merged", "revision", set.Revision)
@@ -149,10 +162,21 @@
 	if err := n.Holder.Set(next); err != nil {
 		return err
 	}
-	n.Log.Info("revision-in-force", "revision", set.Revision)
+	n.logInForce(sender, set.Revision, before)
 	return nil
 }
 
+// logInForce logs from whom a revision came, and for how long the platform and the peers have been silent.
+func (n *Node) logInForce(sender netip.AddrPort, revision, before uint64) {
+	from := "platform"
+	if sender != fromPlatform {
+		from = sender.String()
+	}
+	_, headAge := n.HeadSeen()
+	n.Log.Info("revision-in-force", "revision", revision, "before", before, "from", from,
+		"platform-silence", n.PlatformSilence(), "peer-silence", n.PeerSilence(), "head-age", headAge)
+}
+
 // shouldRequest reports whether to request the offered revision from a peer. A revision is requested again when some of it has
 // arrived, else only after requestTimeout.
 func (r *revisions) shouldRequest(offered uint64) bool {
@@ -226,13 +250,13 @@
 // exchange.
 func (n *Node) mergeRevisions(message *proto.Exchange) {
 	if message.Part != nil {
-		n.logRefusal(n.acceptPart(message.Part), message)
+		n.logRefusal(n.acceptPart(message.From.Address, message.Part), message)
 	}
 	if message.Snapshot != nil {
-		n.logRefusal(n.AcceptSet(*message.Snapshot), message)
+		n.logRefusal(n.acceptSetFrom(message.From.Address, *message.Snapshot), message)
 	}
 	if len(message.Changes) > 0 {
-		n.logRefusal(n.Accept(message.Changes), message)
+		n.logRefusal(n.acceptFrom(message.From.Address, message.Changes), message)
 	}
 }
 
--- a/internal/fleet/watch/dump.go
+++ b/internal/fleet/watch/dump.go
@@ -18,6 +18,18 @@
 	HeadReads     uint64
 	Fetches       uint64
 	Swept         uint64
+	Source        SourceCounts
+}
+
+// SourceCounts counts the reads of the source since the start.
+type SourceCounts struct {
+	Reads uint64
+	Lost  uint64 // of Reads: failed, or not answered in time
+}
+
+// SourceCounts returns the counts of the reads of the source.
+func (w *Watch) SourceCounts() SourceCounts {
+	return SourceCounts{Reads: w.counters.sourceReads.Load(), Lost: w.counters.sourceLost.Load()}
 }
 
 // Dump returns the state for the state dump.
@@ -32,6 +44,7 @@
 		HeadReads:     w.counters.headReads.Load(),
 		Fetches:       w.counters.fetches.Load(),
 		Swept:         w.counters.swept.Load(),
+		Source:        w.SourceCounts(),
 	}
 	dump.Departed = w.currentDeparture().Server
 	if w.Source != nil {
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -63,11 +63,10 @@
 			}
 			continue
 		}
-		set, asOf, err := w.Source.Next(ctx, w.sourceWait(reason, failed))
+		set, asOf, err := w.readSource(ctx, w.sourceWait(reason, failed))
 		if ctx.Err() != nil {
 			return nil
 		}
-		w.recordOutcome(err)
 		failed = err != nil
 		if failed {
 			if !clock.Sleep(ctx, gossip.Jitter(retry, jitterShare)) {
@@ -89,6 +88,22 @@
 	return nil
 }
 
+// readSource reads the source once, and counts and logs the outcome.
+func (w *Watch) readSource(ctx context.Context, wait time.Duration) (set files.Set, asOf uint64, err error) {
+	begun := time.Now()
+	w.counters.sourceReads.Add(1)
+	set, asOf, err = w.Source.Next(ctx, wait)
+	if ctx.Err() != nil {
+		return set, asOf, err
+	}
+	if err != nil {
+		w.counters.sourceLost.Add(1)
+		w.Log.Info("source-read-lost", "wait", wait, "took", time.Since(begun), "held", w.Node.HeldRevision(), "cause", err.Error())
+	}
+	w.recordOutcome(err)
+	return set, asOf, err
+}
+
 // sourceWait returns how long the next read of the source may wait for a change. A silent source shows only when a read is not answered
 // in time, and an outage may take the reads of all followers at once. Hence one follower of each zone, and each daemon that follows for
 // itself alone, waits briefly. After a failure, a read that does not wait tells whether the source is back.
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -85,7 +85,7 @@
 }
 
 type counters struct {
-	announcements, pages, headReads, fetches, swept atomic.Uint64
+	announcements, pages, headReads, fetches, swept, sourceReads, sourceLost atomic.Uint64
 }
 
 // Run announces this daemon, discovers the members and follows the configuration until ctx ends.
