platform: changes around troubles of the store on real daemons, judged by what callers get (fails)

Each answer is compared with the configurations that may be in force when its request was sent; the judge has a scripted test of its own. Another build is played by FORCE_BINARY and FORCE_TEMPLATE.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Exact names of known failures, so that the verdict of the others stays visible.
 KNOWN_RED = $(shell sed -n 's/^test: \([A-Za-z0-9_]*\).*/^\1$$/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
-.PHONY: build run test soak lint format generate bench
+.PHONY: build run test soak force lint format generate bench
 
 build:
 	go build -o bin/marigoldwinch .
@@ -42,6 +42,21 @@
 		xargs -P $(SOAK_PROCESSES) -I {} env SOAK_SEEDS=1 SOAK_FIRST={} LABEL="seed {}" $(CURDIR)/bench/one.sh $(CURDIR)/bin/soak.test TestProc \
 		-ginkgo.focus 'a soak' -ginkgo.no-color
 
+# Changes of the configuration around troubles of the store, on daemons of the deploy file: make force FORCE_SEEDS=10 FORCE_DAEMONS=68.
+# FORCE_BINARY and FORCE_TEMPLATE name another build and its deploy/daemon.ini.
+FORCE_SEEDS = 5
+FORCE_DAEMONS = 12
+FORCE_ROUNDS = 6
+FORCE_BINARY = $(CURDIR)/bin/marigoldwinch
+FORCE_TEMPLATE = $(CURDIR)/deploy/daemon.ini
+FORCE_LOGS = $(CURDIR)/bin/force
+
+force: build
+	go test -c -o bin/force.test ./platform
+	cd platform && seq $(FIRST) $$(($(FIRST) + $(FORCE_SEEDS) - 1)) | xargs -I {} env FORCE_SEED={} FORCE_DAEMONS=$(FORCE_DAEMONS) \
+		FORCE_ROUNDS=$(FORCE_ROUNDS) FORCE_TEMPLATE=$(FORCE_TEMPLATE) FORCE_LOGS=$(FORCE_LOGS)/{} MARIGOLDWINCH_BINARY=$(FORCE_BINARY) \
+		$(CURDIR)/bin/force.test -test.v -test.timeout 20m -test.run TestChangesAreInForceOnRealDaemons
+
 lint:
 	$(TOOL) golangci-lint run ./...
 
