fleet/watch: followers of the source take turns, so that a lost read is noticed in time

Cause: a read that begins in a silence is never answered, and only its time limit tells. All followers read again in step after each change, so that one silence takes the reads of all.

Why this works: the waits of the followers end one after the other, every 1.7 s, instead of together; a lost read is given up 0.7 s after its wait and repeated at once. So some follower reads the store within 2.6 s of the end of any silence, and the others have the change from it. Between changes the fleet now makes one read in 1.7 s, where before each zone's follower made one in 3.6 s and the others one in 15 s.

--- a/internal/fleet/watch/follow_test.go
+++ b/internal/fleet/watch/follow_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -78,13 +79,13 @@
 }
 
 const (
-	sourceTimeout = time.Second // of a request, besides its wait
+	sourceTimeout = time.Second // of a request without a limit of its own, besides its wait
 	rowShare      = 2           // size of the operators' record, JSON in base64, as a multiple of the folder's
 )
 
 // Next implements Source.
-func (r *sourceReader) Next(ctx context.Context, wait time.Duration) (files.Set, uint64, error) {
-	limited, cancel := context.WithTimeout(ctx, wait+sourceTimeout)
+func (r *sourceReader) Next(ctx context.Context, wait, limit time.Duration) (files.Set, uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, wait+cmp.Or(limit, sourceTimeout))
 	defer cancel()
 	outage := r.source.outage()
 	set, asOf, err := r.next(limited, wait, outage)
--- a/internal/fleet/watch/role.go
+++ b/internal/fleet/watch/role.go
@@ -30,10 +30,12 @@
 type role struct {
 	poller   bool
 	follower bool
-	prompt   bool // the follower of its zone that waits briefly at the source, and so notices when the source is silent
 	sweeper  bool
 	pollers  int // in the whole fleet
 	live     int // members that are not gone
+
+	followers int // in the whole fleet
+	rank      int // of this daemon among the followers, from 0; those of one zone are far apart. 0 unless follower
 }
 
 // role returns this daemon's role. It is recomputed when the members have changed, at most once per roleInterval.
@@ -59,7 +61,7 @@
 	ownPoll := score("head", self)
 	ownSweep := score("sweep", self)
 	aboveInZone, aboveInFleet := 0, 0
-	zones := make(map[string]int)
+	zones := make(map[string]int) // followers of each zone
 	computed := role{}
 	t.Each(func(r member.Record) {
 		if r.State != member.Gone {
@@ -68,7 +70,7 @@
 		if r.State != member.Serving {
 			return
 		}
-		zones[r.Zone] = min(zones[r.Zone]+1, pollersPerZone)
+		zones[r.Zone] = min(zones[r.Zone]+1, followersPerZone)
 		if r.Zone == self.Zone && score("head", r) > ownPoll {
 			aboveInZone++
 		}
@@ -76,16 +78,32 @@
 			aboveInFleet++
 		}
 	})
-	for _, pollers := range zones {
-		computed.pollers += pollers
+	for _, followers := range zones {
+		computed.pollers += min(followers, pollersPerZone)
+		computed.followers += followers
 	}
 	computed.poller = self.State == member.Serving && aboveInZone < pollersPerZone
 	computed.follower = self.State == member.Serving && aboveInZone < followersPerZone
-	computed.prompt = computed.follower && aboveInZone == 0
+	if computed.follower {
+		computed.rank = rankOf(self.Zone, aboveInZone, zones)
+	}
 	computed.sweeper = self.State == member.Serving && aboveInFleet < sweepers
 	return computed
 }
 
+// rankOf returns the rank among all followers of one that has aboveInZone others of its zone above it: the first of each zone come before
+// the second of each, in the order of the names of the zones.
+func rankOf(zone string, aboveInZone int, followers map[string]int) int {
+	rank := 0
+	for other, count := range followers {
+		rank += min(count, aboveInZone)
+		if other < zone && count > aboveInZone {
+			rank++
+		}
+	}
+	return rank
+}
+
 func score(purpose string, r member.Record) uint64 {
 	var buffer [64]byte
 	b := append(buffer[:0], purpose...)
--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,22 +13,23 @@
 
 // Source reads the accepted configuration from a platform that notifies its readers of changes.
 type Source interface {
-	// Next blocks until a change, or until nothing has changed for the given time. It returns the folder and asOf, the revision up to
+	// Next blocks until a change, or until nothing has changed for the given wait. It returns the folder and asOf, the revision up to
 	// which the source reports that the folder is current. A set without files means that there is no folder. It fails when the source
-	// is silent for longer than that time and the time limit of a request.
-	Next(ctx context.Context, wait time.Duration) (set files.Set, asOf uint64, err error)
+	// does not begin to answer within the limit after the wait; 0 stands for the time limit of any request.
+	Next(ctx context.Context, wait, limit time.Duration) (set files.Set, asOf uint64, err error)
 }
 
 const (
 	firstSourceRetry = 100 * time.Millisecond // after the first failure
 	maxSourceRetry   = time.Second            // in a long outage; each attempt of 7,700 daemons is a read of the store
-	// maxSourceWait is the longest wait of a follower for a change. Each wait is random, from half of it up, so that the waits of
-	// different followers end at different times.
-	maxSourceWait = 20 * time.Second
-	// maxPromptWait and promptWaitSpread bound the waits of the followers that notice a silent source for the others. A read that was
-	// lost in an outage, and the time limit of its request, end before a change has to be in force after the outage.
-	maxPromptWait    = 3200 * time.Millisecond
-	promptWaitSpread = 200 * time.Millisecond
+	retryDoublings   = 4                      // from firstSourceRetry to above maxSourceRetry
+	// maxSourceWait is the longest wait of a follower for a change.
+	maxSourceWait = 24 * time.Second
+	// readSpacing is the time between the ends of the waits of successive followers, and answerLimit the time limit of an answer after a
+	// wait. A read that was lost in a silence of the source is given up after both, before a daemon has to have the latest change in force,
+	// 3 s after the end of the silence.
+	readSpacing = 1700 * time.Millisecond
+	answerLimit = 700 * time.Millisecond
 	// sourcePause is the time between receiving a revision and the next read of the source, so that a series of changes costs each
 	// daemon one read for several of them.
 	sourcePause = 500 * time.Millisecond
@@ -37,8 +37,9 @@
 	// arrive about twice a second, and a silent period makes gossip contact a peer.
 	maxPeerSilence = 1400 * time.Millisecond
 	// maxReadAge is the age of the fleet's latest known read above which any daemon follows the source. Each follower's read ends
-	// within 20 s, and it takes a few exchanges until other daemons know of it.
+	// within maxSourceWait, and it takes a few exchanges until other daemons know of it.
 	maxReadAge          = 30 * time.Second
+	emptyWait           = 2 * readSpacing        // shortest wait for the first configuration: no older one is in force
 	followCheckInterval = 100 * time.Millisecond // between evaluations of followReason
 	// emptyPatience is how long a daemon that found no configuration in the source relies on the followers for the first one.
 	emptyPatience = 5 * time.Second
@@ -49,50 +50,50 @@
 	if w.FirstStart && !w.awaitPeers(ctx) {
 		return nil
 	}
-	retry := firstSourceRetry
-	previous, failed := notFollowing, false
+	previous := notFollowing
+	var turn turn
 	for ctx.Err() == nil {
 		reason := w.followReason()
 		if reason != previous {
 			w.Log.Info("source-following-changed", "reason", reason.String(), "before", previous.String())
 			previous = reason
 		}
-		if reason == notFollowing {
-			if !clock.Sleep(ctx, gossip.Jitter(followCheckInterval, jitterShare)) {
-				return nil
-			}
-			continue
+		pause := gossip.Jitter(followCheckInterval, jitterShare)
+		if reason != notFollowing {
+			pause = w.followSource(ctx, &turn, reason)
 		}
-		set, asOf, err := w.readSource(ctx, w.sourceWait(reason, failed))
-		if ctx.Err() != nil {
-			return nil
-		}
-		failed = err != nil
-		if failed {
-			if !clock.Sleep(ctx, gossip.Jitter(retry, jitterShare)) {
-				return nil
-			}
-			retry = min(2*retry, maxSourceRetry)
-			continue
-		}
-		retry = firstSourceRetry
-		if len(set.Files) > 0 {
-			w.acceptFromSource(set, asOf)
-		} else {
-			w.emptyReadAt = time.Now()
-		}
-		if !clock.Sleep(ctx, gossip.Jitter(sourcePause, jitterShare)) {
+		if !clock.Sleep(ctx, pause) {
 			return nil
 		}
 	}
 	return nil
 }
 
+// followSource reads the source once, accepts what it has, and returns the time until the next read.
+func (w *Watch) followSource(ctx context.Context, turn *turn, reason followReason) time.Duration {
+	begun := time.Now()
+	set, asOf, err := w.readSource(ctx, turn.wait(reason, w.role()))
+	took := time.Since(begun)
+	if err != nil {
+		return turn.lost(took)
+	}
+	if len(set.Files) > 0 {
+		w.acceptFromSource(set, asOf)
+	} else {
+		w.emptyReadAt = time.Now()
+	}
+	return turn.answered(set.Revision, took)
+}
+
 // readSource reads the source once, and counts and logs the outcome.
 func (w *Watch) readSource(ctx context.Context, wait time.Duration) (set files.Set, asOf uint64, err error) {
 	begun := time.Now()
 	w.counters.sourceReads.Add(1)
-	set, asOf, err = w.Source.Next(ctx, wait)
+	limit := time.Duration(0)
+	if wait > 0 {
+		limit = answerLimit
+	}
+	set, asOf, err = w.Source.Next(ctx, wait, limit)
 	if ctx.Err() != nil {
 		return set, asOf, err
 	}
@@ -104,19 +105,6 @@
 	return set, asOf, err
 }
 
-// sourceWait returns how long the next read of the source may wait for a change. A silent source shows only when a read is not answered
-// in time, and an outage may take the reads of all followers at once. Hence one follower of each zone, and each daemon that follows for
-// itself alone, waits briefly. After a failure, a read that does not wait tells whether the source is back.
-func (w *Watch) sourceWait(reason followReason, failed bool) time.Duration {
-	switch {
-	case failed:
-		return 0
-	case reason == zoneFollower && !w.role().prompt:
-		return maxSourceWait - rand.N(maxSourceWait/2)
-	}
-	return maxPromptWait - rand.N(promptWaitSpread)
-}
-
 // awaitPeers waits a moment for the peers that a daemon relies on at the first start. It reports false when ctx has ended.
 func (w *Watch) awaitPeers(ctx context.Context) bool {
 	w.emptyReadAt = time.Now()
--- a/internal/fleet/watch/source_test.go
+++ b/internal/fleet/watch/source_test.go
@@ -29,7 +29,7 @@
 }
 
 // Next implements Source.
-func (s *risingSource) Next(ctx context.Context, _ time.Duration) (files.Set, uint64, error) {
+func (s *risingSource) Next(ctx context.Context, _, _ time.Duration) (files.Set, uint64, error) {
 	s.reads++
 	now := func() uint64 { return min(s.last, 1+uint64(time.Since(s.start)/s.interval)) }
 	for now() <= s.lastRevision {
