--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -75,7 +75,7 @@
 	set, asOf, err := w.readSource(ctx, turn.wait(reason, w.role()))
 	took := time.Since(begun)
 	if err != nil {
-		return turn.lost(took)
+		return turn.failed(took)
 	}
 	if len(set.Files) > 0 {
 		w.acceptFromSource(set, asOf)
--- a/internal/fleet/watch/turn.go
+++ b/internal/fleet/watch/turn.go
@@ -7,14 +7,14 @@
 )
 
 // turn schedules the reads of the source by one daemon. A source that is silent shows only when a read is not answered in time, and a
-// silence takes all reads that begin in it. Hence the followers of the fleet wait for different times, so that the wait of one of them
-// ends every readSpacing. A change answers all reads at once; after it, as after a lost read or a change of rank, they take turns anew.
+// silence takes all reads that begin in it. Hence the followers of the fleet take turns: the wait of one of them ends every readSpacing. A
+// change ends the waits of all at once and begins a new round.
 type turn struct {
-	revision  uint64 // of the last answer
-	restarted bool   // the wait of the last read was, or would have been, counted from a change, a lost read or a change of rank
-	failures  int    // since the last answer
-	rank      int    // at the last wait
-	slots     int    // at the last wait
+	revision uint64 // of the last answer; 0 while there is no configuration
+	newRound bool   // the next wait is counted by rank, not as a whole round
+	failures int    // since the last answer
+	rank     int    // at the last wait; below slots
+	slots    int    // turns of a round at the last wait; 0 before the first
 }
 
 // wait returns how long the next read may wait for a change. After a failure, a read that does not wait tells whether the source is back.
@@ -28,13 +28,13 @@
 		rank = current.rank % slots
 	}
 	if rank != t.rank || slots != t.slots {
-		t.rank, t.slots, t.restarted = rank, slots, true
+		t.rank, t.slots, t.newRound = rank, slots, true
 	}
 	wait := time.Duration(slots) * readSpacing
-	if t.restarted {
+	if t.newRound {
 		wait = time.Duration(rank+1) * readSpacing
 	}
-	t.restarted = false
+	t.newRound = false
 	if t.revision == 0 {
 		return max(wait, emptyWait)
 	}
@@ -45,7 +45,7 @@
 // After an answer without a change the next read follows at once if the last one waited.
 func (t *turn) answered(revision uint64, took time.Duration) time.Duration {
 	changed := revision != t.revision
-	t.restarted = t.restarted || changed || t.failures > 0
+	t.newRound = t.newRound || changed || t.failures > 0
 	t.revision, t.failures = revision, 0
 	pause := gossip.Jitter(sourcePause, jitterShare)
 	if changed {
@@ -54,9 +54,9 @@
 	return max(0, pause-took)
 }
 
-// lost returns the pause after a read that failed after the given time. A read that waited for a change and was not answered is repeated at
+// failed returns the pause after a read that failed after the given time. A read that waited for a change and was not answered is repeated at
 // once, since the source may long be back.
-func (t *turn) lost(took time.Duration) time.Duration {
+func (t *turn) failed(took time.Duration) time.Duration {
 	pause := min(firstSourceRetry<<min(t.failures, retryDoublings), maxSourceRetry)
 	t.failures++
 	pause = gossip.Jitter(pause, jitterShare)
--- a/internal/fleet/watch/turn_test.go
+++ b/internal/fleet/watch/turn_test.go
@@ -59,8 +59,8 @@
 			var revision uint64
 			d.ScanArgs(t, "revision", &revision)
 			return describePause(d, current.answered(revision, duration(d, "took")))
-		case "lost":
-			return describePause(d, current.lost(duration(d, "took")))
+		case "failed":
+			return describePause(d, current.failed(duration(d, "took")))
 		}
 		return ""
 	})
