--- a/internal/fleet/watch/turn.go
+++ b/internal/fleet/watch/turn.go
@@ -54,8 +54,8 @@
 	return max(0, pause-took)
 }
 
-// failed returns the pause after a read that failed after the given time. A read that waited for a change and was not answered is repeated at
-// once, since the source may long be back.
+// failed returns the pause after a read that failed after the given time. A read that waited for a change and was not answered is repeated
+// at once, since the source may long be back.
 func (t *turn) failed(took time.Duration) time.Duration {
 	pause := min(firstSourceRetry<<min(t.failures, retryDoublings), maxSourceRetry)
 	t.failures++
