--- a/internal/fleet/watch/follow_test.go
+++ b/internal/fleet/watch/follow_test.go
@@ -264,7 +264,8 @@
 func TestChangeAfterSilentOutage(t *testing.T) {
 	const calm = 3500 * time.Millisecond // from the end of the outage to the change
 	datadriven.RunTest(t, "testdata/outages", func(t *testing.T, d *datadriven.TestData) string {
-		if runOutage(t, duration(d, "after"), duration(d, "for"), calm) < applyBound {
+		o := outage{after: duration(d, "after"), length: duration(d, "for"), calm: calm}
+		if o.run(t) < applyBound {
 			return "in force in time\n"
 		}
 		return ""
@@ -278,17 +279,24 @@
 // the silence are given up too late.
 func TestChangeSoonAfterShortSilence(t *testing.T) {
 	datadriven.RunTest(t, "testdata/silences", func(t *testing.T, d *datadriven.TestData) string {
-		calm := duration(d, "calm")
-		if runOutage(t, duration(d, "after"), duration(d, "for"), calm) < max(applyBound, contactBound-calm) {
+		o := outage{after: duration(d, "after"), length: duration(d, "for"), calm: duration(d, "calm"), killsFirst: d.HasArg("kill-first")}
+		if o.run(t) < max(applyBound, contactBound-o.calm) {
 			return "in force in time\n"
 		}
 		return ""
 	})
 }
 
-// runOutage makes a change, an outage that begins later by after, and another change once the outage has been over for the time calm. It
-// returns how long the last change takes until it is in force everywhere, at most a minute.
-func runOutage(t *testing.T, after, length, calm time.Duration) (took time.Duration) {
+// outage is a silent outage between two changes.
+type outage struct {
+	after      time.Duration // from the first change to the outage
+	length     time.Duration
+	calm       time.Duration // from the outage to the last change
+	killsFirst bool          // the follower of the first turn is killed after the first change
+}
+
+// run plays the outage and returns how long the last change takes until it is in force everywhere, at most a minute.
+func (o outage) run(t *testing.T) (took time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newFleet(followZones)
@@ -297,16 +305,28 @@
 		until(10*time.Second, f.inForce(1))
 		time.Sleep(maxSourceWait + 10*time.Second)
 		g.Expect(until(applyBound, f.inForce(f.source.change()))).To(BeNumerically("<", applyBound))
-		time.Sleep(after)
+		if o.killsFirst {
+			f.killFirstFollower()
+		}
+		time.Sleep(o.after)
 		f.source.setSilent(true)
-		time.Sleep(length)
+		time.Sleep(o.length)
 		f.source.setSilent(false)
-		time.Sleep(calm)
+		time.Sleep(o.calm)
 		took = until(time.Minute, f.inForce(f.source.change()))
 	})
 	return took
 }
 
+func (f *fleet) killFirstFollower() {
+	for i := range followSize {
+		if r := f.get(i).watch.role(); r.follower && r.rank == 0 {
+			f.kill(i)
+			return
+		}
+	}
+}
+
 // duration returns the duration of an argument of a script.
 func duration(d *datadriven.TestData, key string) time.Duration {
 	var text string
