fleet/watch: a daemon that leaves while its role is computed does not end with a division by zero

Found on reading the diff: the state of the daemon itself may change between the two looks at it, and in a fleet of one no follower is counted then. The script of TestTurns panics without the guard.

--- a/internal/fleet/watch/turn.go
+++ b/internal/fleet/watch/turn.go
@@ -24,7 +24,7 @@
 	}
 	rank, slots := 0, 1 // of a daemon that follows for itself alone
 	if current.follower && (reason == zoneFollower || reason == noRevision) {
-		slots = min(current.followers, int(maxSourceWait/readSpacing))
+		slots = min(max(1, current.followers), int(maxSourceWait/readSpacing))
 		rank = current.rank % slots
 	}
 	if rank != t.rank || slots != t.slots {
