--- a/review/standin/pipeline.go
+++ b/review/standin/pipeline.go
@@ -25,14 +25,8 @@
 
 // pipelineFleet has four order servers, so that one of them is the share that the site file allows, rounded up.
 var pipelineFleet = []place{
-	{lookupService, "zd-noord"},
-	{orderService, "zd-noord"},
-	{orderService, "zd-noord"},
-	{lookupService, "zd-haven"},
-	{orderService, "zd-haven"},
-	{lookupService, "zd-markt"},
-	{orderService, "zd-markt"},
-	{lookupService, "zd-markt"},
+	{lookupService, "zd-noord"}, {orderService, "zd-noord"}, {orderService, "zd-noord"}, {lookupService, "zd-haven"},
+	{orderService, "zd-haven"}, {lookupService, "zd-markt"}, {orderService, "zd-markt"}, {lookupService, "zd-markt"},
 }
 
 // pipeline: on one connection an order to a server that has turned slow, and a lookup sent before the order is answered.
