conf, base/opts: sections and settings of organisations, roll-outs and precedence

Cause: none of these could be expressed in the configuration. Change: sections organisation, roll-out and precedence, key public and kind download of routes, result codes over-cap, out-of-service and low-precedence, settings of the bounds. Nothing acts on the new sections yet.

--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -94,8 +94,8 @@
 
 var _ proto.CallHandler = (*Gate)(nil)
 
-// failureCodes is the length of Gate.failures. A code that is added after StaleTransit is not counted until this is updated.
-const failureCodes = int(code.StaleTransit) + 1
+// failureCodes is the length of Gate.failures. A code that is added after LowPrecedence is not counted until this is updated.
+const failureCodes = int(code.LowPrecedence) + 1
 
 // endings counts the non-idempotent calls whose stream ended while their request ran.
 type endings struct {
--- a/internal/base/code/code.go
+++ b/internal/base/code/code.go
@@ -49,6 +49,9 @@
 	BadSettings                     // bad-settings
 	StaleTransit                    // stale-transit
 	NoRoute                         // no-route
+	OverCap                         // over-cap
+	OutOfService                    // out-of-service
+	LowPrecedence                   // low-precedence
 )
 
 // Outcome says whether a server ran the request.
@@ -77,6 +80,8 @@
 		return http.StatusRequestEntityTooLarge
 	case HeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
+	case OverCap:
+		return http.StatusTooManyRequests
 	case DeadlineExceeded:
 		return http.StatusGatewayTimeout
 	case OutcomeUnknown, ResponseTruncated, ServerUnreachable, PeerUnreachable, VersionMismatch:
--- a/internal/base/code/names.go
+++ b/internal/base/code/names.go
@@ -47,11 +47,14 @@
 	_ = x[BadSettings-36]
 	_ = x[StaleTransit-37]
 	_ = x[NoRoute-38]
+	_ = x[OverCap-39]
+	_ = x[OutOfService-40]
+	_ = x[LowPrecedence-41]
 }
 
-const _Code_name = "nonebad-requestunknown-servicedeadline-exceededno-configurationisolatedzone-outserver-leavingoverloadedwarming-upqueue-deadlinerevokedno-serveroutcome-unknownresponse-truncatedbody-too-largeheader-too-largeclaim-unavailablealready-claimedserver-unreachableserver-shedwrong-serverduplicate-idstoppingversion-mismatchcancelledinternalpeer-unreachableprobe-budgetchange-conflictchange-overriddeninvalid-configurationplatform-unavailablestale-revisionunauthorizednot-foundbad-settingsstale-transitno-route"
+const _Code_name = "nonebad-requestunknown-servicedeadline-exceededno-configurationisolatedzone-outserver-leavingoverloadedwarming-upqueue-deadlinerevokedno-serveroutcome-unknownresponse-truncatedbody-too-largeheader-too-largeclaim-unavailablealready-claimedserver-unreachableserver-shedwrong-serverduplicate-idstoppingversion-mismatchcancelledinternalpeer-unreachableprobe-budgetchange-conflictchange-overriddeninvalid-configurationplatform-unavailablestale-revisionunauthorizednot-foundbad-settingsstale-transitno-routeover-capout-of-servicelow-precedence"
 
-var _Code_index = [...]uint16{0, 4, 15, 30, 47, 63, 71, 79, 93, 103, 113, 127, 134, 143, 158, 176, 190, 206, 223, 238, 256, 267, 279, 291, 299, 315, 324, 332, 348, 360, 375, 392, 413, 433, 447, 459, 468, 480, 493, 501}
+var _Code_index = [...]uint16{0, 4, 15, 30, 47, 63, 71, 79, 93, 103, 113, 127, 134, 143, 158, 176, 190, 206, 223, 238, 256, 267, 279, 291, 299, 315, 324, 332, 348, 360, 375, 392, 413, 433, 447, 459, 468, 480, 493, 501, 509, 523, 537}
 
 func (i Code) String() string {
 	idx := int(i) - 0
--- a/internal/base/opts/keys.go
+++ b/internal/base/opts/keys.go
@@ -30,6 +30,7 @@
 	keys := daemonKeys()
 	keys = append(keys, serverKeys()...)
 	keys = append(keys, fleetKeys()...)
+	keys = append(keys, boundKeys()...)
 	return append(keys, limitKeys()...)
 }
 
@@ -134,6 +135,28 @@
 	}
 }
 
+// boundKeys are the bounds of roll-outs and of the caps of organisations.
+func boundKeys() []Key {
+	return []Key{
+		optional("roll-out", "exposure-share", "0.1", "0 to 1", "share of a service's requests that a release in trial may get",
+			func(s *Settings, v string) error { return setRatio(&s.ExposureShare, v) }),
+		optional("roll-out", "exposure-slack", "50", "0 to 1000000", "requests that a release in trial may get in addition",
+			func(s *Settings, v string) error { return setCount(&s.ExposureSlack, v, 0, 1000000) }),
+		optional("roll-out", "rollback", "5s", "100ms to 10m", "until a bad release gets no more requests",
+			func(s *Settings, v string) error {
+				return setDuration(&s.RollbackTime, v, 100*time.Millisecond, 10*time.Minute)
+			}),
+		optional("caps", "window", "5s", "100ms to 10m", "in which the requests of an organisation are counted",
+			func(s *Settings, v string) error {
+				return setDuration(&s.CapWindow, v, 100*time.Millisecond, 10*time.Minute)
+			}),
+		optional("caps", "overage", "0.1", "0 to 1", "share of the cap by which it may be exceeded within the window",
+			func(s *Settings, v string) error { return setRatio(&s.CapOverage, v) }),
+		optional("caps", "slack", "20", "0 to 1000000", "requests by which it may be exceeded in addition",
+			func(s *Settings, v string) error { return setCount(&s.CapSlack, v, 0, 1000000) }),
+	}
+}
+
 func limitKeys() []Key {
 	return []Key{
 		optional("limits", "ack-timeout", "250ms", "10ms to 10s", "until a connection without an ack is taken to be silent",
@@ -253,6 +276,15 @@
 	return nil
 }
 
+func setRatio(target *float64, value string) error {
+	ratio, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(ratio >= 0 && ratio <= 1) {
+		return errors.Newf("%q is not a number in 0 to 1", value)
+	}
+	*target = ratio
+	return nil
+}
+
 func setDuration(target *time.Duration, value string, low, high time.Duration) error {
 	duration, err := time.ParseDuration(value)
 	if err != nil {
--- a/internal/base/opts/opts.go
+++ b/internal/base/opts/opts.go
@@ -56,6 +56,14 @@
 	MaxDeadline       time.Duration // longest deadline that a caller may ask for
 	MemoryMB          int           // memory of 10^6 bytes that the process may use
 
+	ExposureShare float64       // of a service's requests that a release in trial may get, at most
+	ExposureSlack int           // requests that it may get in addition
+	RollbackTime  time.Duration // within which a bad release gets no more requests
+
+	CapWindow  time.Duration // in which the requests of an organisation are counted
+	CapOverage float64       // share of the cap by which it may be exceeded within the window
+	CapSlack   int           // requests by which it may be exceeded in addition
+
 	StopGrace   time.Duration // from the announcement of the stop to the refusal of new work
 	StopTimeout time.Duration // for requests in flight after StopGrace
 	KillAfter   time.Duration // from the signal to stop until the platform kills the process; 0 when that is not known
--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -54,7 +54,12 @@
 	Callers  CallerLimits
 	Budgets  Budgets
 
-	routesByHost map[string][]*Route // by host, longest prefix first; set by Index
+	Organisations map[string]*Organisation // by the name of their section
+	Rollouts      map[string]*Rollout      // ordered roll-outs by service
+	Precedence    bool                     // when there is too little room, requests are ordered by what a refusal costs callers
+
+	routesByHost map[string][]*Route         // by host, longest prefix first; set by Index
+	byKeyDigest  map[KeyDigest]*Organisation // set by Index
 }
 
 // Service is the configuration of one service.
--- a/internal/conf/config/names.go
+++ b/internal/conf/config/names.go
@@ -49,11 +49,12 @@
 	_ = x[Idempotent-0]
 	_ = x[Once-1]
 	_ = x[UploadOnce-2]
+	_ = x[Download-3]
 }
 
-const _RouteKind_name = "idempotentonceupload"
+const _RouteKind_name = "idempotentonceuploaddownload"
 
-var _RouteKind_index = [...]uint8{0, 10, 14, 20}
+var _RouteKind_index = [...]uint8{0, 10, 14, 20, 28}
 
 func (i RouteKind) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/internal/conf/config/organisation.go
@@ -0,0 +1,72 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/cockroachdb/errors"
+)
+
+// KeyDigest is the SHA-256 digest of a key. Keys themselves are not kept, so that no log, dump or message can disclose them.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest {
+	return sha256.Sum256([]byte(key))
+}
+
+// ParseKeyDigest reads the form that String writes.
+func ParseKeyDigest(text string) (KeyDigest, error) {
+	var digest KeyDigest
+	decoded, err := hex.DecodeString(text)
+	if err != nil || len(decoded) != len(digest) {
+		return digest, errors.Newf("want the SHA-256 digest of a key as %d hexadecimal digits", hex.EncodedLen(len(digest)))
+	}
+	return KeyDigest(decoded), nil
+}
+
+// String returns the digest in hexadecimal digits.
+func (d KeyDigest) String() string {
+	return hex.EncodeToString(d[:])
+}
+
+// Organisation is a customer whose callers identify themselves by keys.
+type Organisation struct {
+	Name     string      // as servers receive it
+	Keys     []KeyDigest // a key belongs to at most one organisation
+	Priority int         // replaces the priority of the route; 0 is the highest
+	Rate     float64     // requests per second of all its callers together; unlimited when 0
+	Burst    int         // requests beyond Rate that may come at once
+}
+
+// NewOrganisation returns an organisation with the default values.
+func NewOrganisation(name string) *Organisation {
+	return &Organisation{Name: name, Priority: DefaultPriority}
+}
+
+// Capped reports whether the requests of the organisation are limited.
+func (o *Organisation) Capped() bool {
+	return o.Rate > 0
+}
+
+// NeedsKey reports whether a request on the route must carry the key of an organisation.
+func (c *Config) NeedsKey(route *Route) bool {
+	return len(c.Organisations) > 0 && !route.Public
+}
+
+// OrganisationByKey returns the organisation to which a key belongs, or nil.
+func (c *Config) OrganisationByKey(key string) *Organisation {
+	if len(c.byKeyDigest) == 0 {
+		return nil
+	}
+	return c.byKeyDigest[DigestKey(key)]
+}
+
+func (c *Config) indexKeys() {
+	c.byKeyDigest = make(map[KeyDigest]*Organisation)
+	for _, organisation := range c.Organisations {
+		for _, digest := range organisation.Keys {
+			c.byKeyDigest[digest] = organisation
+		}
+	}
+}
--- a/internal/conf/config/route.go
+++ b/internal/conf/config/route.go
@@ -25,7 +25,7 @@
 	DefaultIdleTimeout   = 90 * time.Second
 )
 
-// RouteKind is whether the requests of a route may be run more than once, and whether they are uploads.
+// RouteKind is whether the requests of a route may be run more than once, and whether their bodies or responses are large.
 type RouteKind int
 
 // The kinds of routes.
@@ -33,8 +33,14 @@
 	Idempotent RouteKind = iota // idempotent
 	Once                        // once
 	UploadOnce                  // upload
+	Download                    // download
 )
 
+// IsIdempotent reports whether requests of the kind may run more than once.
+func (k RouteKind) IsIdempotent() bool {
+	return k == Idempotent || k == Download
+}
+
 // Route sends the requests for a host and path prefix to one service, or to several in proportion to their weights.
 type Route struct {
 	Name      string
@@ -46,6 +52,7 @@
 	Objective time.Duration // target latency; a later response is worth less to the caller
 	Priority  int           // 0 is the highest
 	Servers   int           // maximum number of servers that one request is sent to; at least 1
+	Public    bool          // requests need no key, also while organisations are configured
 
 	isCheck bool // requests have class check because of their short objective; set by Index
 }
@@ -76,13 +83,15 @@
 func NewRoute(name string) *Route {
 	return &Route{
 		Name: name, Timeout: DefaultRouteTimeout, Objective: DefaultObjective, Priority: DefaultPriority, Servers: DefaultRouteServers,
+		Public: true,
 	}
 }
 
-// Index prepares RouteFor and marks the routes whose requests are checks. It must be called once, before the configuration is
-// published.
+// Index prepares RouteFor and OrganisationByKey, and marks the routes whose requests are checks. It must be called once, before the
+// configuration is published.
 func (c *Config) Index() {
 	c.markChecks()
+	c.indexKeys()
 	c.routesByHost = make(map[string][]*Route)
 	for _, route := range c.Routes {
 		c.routesByHost[route.Host] = append(c.routesByHost[route.Host], route)
@@ -118,7 +127,7 @@
 func (c *Config) markChecks() {
 	longestObjective := make(map[string]time.Duration)
 	for _, route := range c.Routes {
-		if route.Kind == Idempotent {
+		if route.Kind.IsIdempotent() {
 			continue
 		}
 		for _, part := range route.Parts {
--- a/internal/conf/files/files_test.go
+++ b/internal/conf/files/files_test.go
@@ -99,6 +99,16 @@
 			Objective: 400 * time.Millisecond, Priority: 2, Servers: 3,
 			Parts: []config.Part{{Service: "orders", Weight: 90}, {Service: "stock", Weight: 10}},
 		}))
+		Expect(merged.Config.Organisations["bakers"]).To(Equal(&config.Organisation{
+			Name: "Bakers & Sons", Keys: []config.KeyDigest{config.DigestKey("first"), config.DigestKey("second")}, Priority: 3,
+			Rate: 12.5, Burst: 40,
+		}))
+		Expect(merged.Config.OrganisationByKey("second")).To(BeIdenticalTo(merged.Config.Organisations["bakers"]))
+		Expect(merged.Config.OrganisationByKey("third")).To(BeNil())
+		Expect(merged.Config.Rollouts["orders"]).To(Equal(&config.Rollout{
+			Service: "orders", Target: "v2", Duration: 15 * time.Second, Order: 412,
+		}))
+		Expect(merged.Config.Precedence).To(BeTrue())
 		Expect(merged.Config.Callers).To(Equal(config.CallerLimits{
 			HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 		}))
@@ -125,12 +135,19 @@
 				files.ServiceSection: "[service s]", files.ZoneSection: "[zone z]",
 				files.ServerSection: "[server 10.0.0.1:80]", files.BudgetsSection: "[budgets]",
 				files.RouteSection: "[route r]", files.CallersSection: "[callers]",
+				files.OrganisationSection: "[organisation o]", files.RolloutSection: "[roll-out s]", files.PrecedenceSection: "[precedence]",
 			}[key.Section]
 			defaultText := strings.TrimPrefix(strings.Split(key.Default, ":")[0], "empty")
 			content := section + "\n" + key.Name + " = " + defaultText
 			if key.Section == files.RouteSection {
 				content = completeRoute(key.Name, defaultText)
 			}
+			if key.Section == files.OrganisationSection && key.Name == "name" {
+				continue // the default depends on the section
+			}
+			if key.Section == files.RolloutSection {
+				content = completeRollout(key.Name, defaultText)
+			}
 			_, err := files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: content}}})
 			Expect(err).NotTo(HaveOccurred(), key.Name)
 			invalid := strings.Repeat("-1, ", 100)
@@ -155,6 +172,15 @@
 	return text + "\n" + name + " = " + value
 }
 
+// completeRollout returns a roll-out that sets the required key and the given one.
+func completeRollout(name, value string) string {
+	const required = "[service s]\n[roll-out s]\ntarget = v2"
+	if value == "required" {
+		return required
+	}
+	return required + "\n" + name + " = " + value
+}
+
 var _ = ginkgo.Describe("routes", func() {
 	merge := func(text string) (*files.Merged, error) {
 		return files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: text}}})
@@ -275,7 +301,7 @@
 	})
 })
 
-const everyKey = `
+var everyKey = fmt.Sprintf(`
 [service orders]
 owner = shop = team # 1
 zones = a, b-1
@@ -310,6 +336,22 @@
 objective = 400ms
 priority = 2
 servers = 3
+public = false
+
+[organisation bakers]
+name = Bakers & Sons
+key-digests = %s, %s
+priority = 3
+rate = 12.5
+burst = 40
+
+[roll-out orders]
+target = v2
+duration = 15s
+order = 412
+
+[precedence]
+enabled = true
 
 [callers]
 header-bytes = 16384
@@ -327,4 +369,22 @@
 probes-per-second = 10
 head-reads-per-second = 20.5
 exchanges-per-second = 4
-`
+`, config.DigestKey("first"), config.DigestKey("second"))
+
+var _ = ginkgo.Describe("organisations", func() {
+	// Guards against a key that is disclosed by an error, and against one that identifies two organisations.
+	ginkgo.It("have keys of their own, which errors do not quote", func() {
+		_, err := files.Merge(files.Set{Files: []files.File{{Name: "a.ini", Content: "[organisation a]\nkey-digests = th5mgjy5rcp\n"}}})
+		problems := files.Problems(err)
+		Expect(problems).To(HaveLen(1))
+		Expect(problems[0].Detail).NotTo(ContainSubstring("th5m"))
+		digest := config.DigestKey("shared").String()
+		_, err = files.Merge(files.Set{Files: []files.File{{
+			Name: "a.ini", Content: "[organisation a]\nkey-digests = " + digest + "\n[organisation b]\nkey-digests = " + digest + "\n",
+		}}})
+		problems = files.Problems(err)
+		Expect(problems).To(HaveLen(1))
+		Expect(problems[0].Key).To(Equal("[organisation b] key-digests"))
+		Expect(problems[0].Line).To(Equal(4))
+	})
+})
--- a/internal/conf/files/keys.go
+++ b/internal/conf/files/keys.go
@@ -13,7 +13,7 @@
 // Section is the type of a section.
 type Section int
 
-// Section types. In a header, each type but budgets and callers is followed by a name.
+// Section types. In a header, each type but budgets, callers and precedence is followed by a name.
 const (
 	ServiceSection Section = iota // service
 	ZoneSection                   // zone
@@ -21,6 +21,10 @@
 	BudgetsSection                // budgets
 	RouteSection                  // route
 	CallersSection                // callers
+
+	OrganisationSection // organisation
+	RolloutSection      // roll-out
+	PrecedenceSection   // precedence
 )
 
 // Key describes a key of a section. The parser and docs/configuration.md follow the list that Keys returns.
@@ -34,7 +38,7 @@
 	set func(b *builder, name, value string) error
 }
 
-var keys = slices.Concat(serviceKeys(), otherKeys(), routeKeys(), callersKeys())
+var keys = slices.Concat(serviceKeys(), otherKeys(), routeKeys(), callersKeys(), organisationKeys(), rolloutKeys(), precedenceKeys())
 
 // Keys returns the descriptions of all keys.
 func Keys() []Key {
--- a/internal/conf/files/limits.go
+++ b/internal/conf/files/limits.go
@@ -37,8 +37,11 @@
 	MaxPriority       = 1000
 	MaxRouteServers   = 64
 	MaxWeight         = 1000000
-	MaxCallerHeader   = 1 << 20
-	MaxCallerBody     = 1 << 40
+	// MaxOrganisationKeys keeps the list of digests below a quarter of MaxFileBytes.
+	MaxOrganisationKeys = 240
+	MaxOrganisationRate = 10000000
+	MaxCallerHeader     = 1 << 20
+	MaxCallerBody       = 1 << 40
 )
 
 var (
--- a/internal/conf/files/merge.go
+++ b/internal/conf/files/merge.go
@@ -30,6 +30,9 @@
 		Routes:   map[string]*config.Route{},
 		Callers:  config.DefaultCallerLimits(),
 		Budgets:  config.DefaultBudgets(),
+
+		Organisations: map[string]*config.Organisation{},
+		Rollouts:      map[string]*config.Rollout{},
 	}}
 }
 
@@ -41,6 +44,14 @@
 	return named(b.config.Routes, name, config.NewRoute)
 }
 
+func (b *builder) organisation(name string) *config.Organisation {
+	return named(b.config.Organisations, name, config.NewOrganisation)
+}
+
+func (b *builder) rollout(service string) *config.Rollout {
+	return named(b.config.Rollouts, service, config.NewRollout)
+}
+
 // named returns the value of a name, which is created on first use.
 func named[T any](values map[string]*T, name string, create func(name string) *T) *T {
 	value, found := values[name]
@@ -104,7 +115,7 @@
 	merged.Config = b.config
 	problems = append(problems, merged.checkServices()...)
 	if len(problems) == 0 { // skipped after an invalid value, which leaves its route incomplete
-		problems = merged.checkRoutes()
+		problems = slices.Concat(merged.checkRoutes(), merged.checkOrganisations(), merged.checkRollouts())
 	}
 	if err := newInvalidError(problems); err != nil {
 		return nil, err
--- a/internal/conf/files/names.go
+++ b/internal/conf/files/names.go
@@ -14,11 +14,14 @@
 	_ = x[BudgetsSection-3]
 	_ = x[RouteSection-4]
 	_ = x[CallersSection-5]
+	_ = x[OrganisationSection-6]
+	_ = x[RolloutSection-7]
+	_ = x[PrecedenceSection-8]
 }
 
-const _Section_name = "servicezoneserverbudgetsroutecallers"
+const _Section_name = "servicezoneserverbudgetsroutecallersorganisationroll-outprecedence"
 
-var _Section_index = [...]uint8{0, 7, 11, 17, 24, 29, 36}
+var _Section_index = [...]uint8{0, 7, 11, 17, 24, 29, 36, 48, 56, 66}
 
 func (i Section) String() string {
 	idx := int(i) - 0
--- a/internal/conf/files/parse.go
+++ b/internal/conf/files/parse.go
@@ -131,7 +131,8 @@
 	return r != '\t' && (unicode.IsControl(r) || r == '\uFEFF' || r == '\u2028' || r == '\u2029')
 }
 
-const wantSections = "[service NAME], [zone NAME], [server ADDRESS], [route NAME], [callers] or [budgets]"
+const wantSections = "[service NAME], [zone NAME], [server ADDRESS], [route NAME], [organisation NAME], [roll-out SERVICE], " +
+	"[callers], [budgets] or [precedence]"
 
 func (p *parser) scanHeader(line int, text string) (name string, ok bool) {
 	name = strings.TrimSuffix(strings.TrimPrefix(text, "["), "]")
@@ -191,17 +192,17 @@
 	kind, name, named := strings.Cut(text, " ")
 	switch kind {
 	case BudgetsSection.String():
-		if named {
-			return BudgetsSection, "", "this section takes no name"
-		}
-		return BudgetsSection, "", ""
+		return unnamedSection(BudgetsSection, named)
+	case CallersSection.String():
+		return unnamedSection(CallersSection, named)
+	case PrecedenceSection.String():
+		return unnamedSection(PrecedenceSection, named)
 	case ServiceSection.String():
 		section = ServiceSection
-	case CallersSection.String():
-		if named {
-			return CallersSection, "", "this section takes no name"
-		}
-		return CallersSection, "", ""
+	case OrganisationSection.String():
+		section = OrganisationSection
+	case RolloutSection.String():
+		section = RolloutSection
 	case ZoneSection.String():
 		section = ZoneSection
 	case RouteSection.String():
@@ -218,6 +219,13 @@
 	return section, name, ""
 }
 
+func unnamedSection(section Section, named bool) (Section, string, string) {
+	if named {
+		return section, "", "this section takes no name"
+	}
+	return section, "", ""
+}
+
 // checkAddress accepts only the canonical spelling of an address, so that files cannot name the same server in two ways. It
 // returns a description of the error, or an empty string.
 func checkAddress(name string) string {
--- a/internal/conf/files/routes.go
+++ b/internal/conf/files/routes.go
@@ -21,6 +21,8 @@
 	return Key{Section: RouteSection, Name: row.name, Default: row.defaultText, Allowed: row.allowed, Meaning: row.meaning, set: set}
 }
 
+const routeKindNames = "idempotent, once, upload or download"
+
 func routeKeys() []Key {
 	durations := fmt.Sprintf("%s to %s", MinTimeout, MaxTimeout)
 	rows := []routeKey{
@@ -30,7 +32,10 @@
 			"services", textRequired, fmt.Sprintf("at most %d services", MaxListEntries),
 			"service, or several as NAME:WEIGHT separated by commas", setParts,
 		},
-		{"kind", "idempotent", "idempotent, once or upload", "what may be repeated; an upload runs once and has a large body", setKind},
+		{
+			"kind", "idempotent", routeKindNames,
+			"what may be repeated; an upload runs once and has a large body, a download is idempotent and has a large response", setKind,
+		},
 		{"timeout", config.DefaultRouteTimeout.String(), durations, "longest time that a caller is kept waiting", setRouteTimeout},
 		{"objective", config.DefaultObjective.String(), durations, "an answer within it has its full value", setObjective},
 		{
@@ -41,6 +46,10 @@
 			"servers", strconv.Itoa(config.DefaultRouteServers), fmt.Sprintf("1 to %d", MaxRouteServers),
 			"servers that one request may be sent to", setRouteServers,
 		},
+		{
+			"public", textTrue, boolValues,
+			"requests need no key; false: they need the key of an organisation, while organisations are configured", setPublic,
+		},
 	}
 	list := make([]Key, 0, len(rows))
 	for _, row := range rows {
@@ -128,13 +137,17 @@
 }
 
 func setKind(r *config.Route, value string) error {
-	for kind := config.Idempotent; kind <= config.UploadOnce; kind++ {
+	for kind := config.Idempotent; kind <= config.Download; kind++ {
 		if kind.String() == value {
 			r.Kind = kind
 			return nil
 		}
 	}
-	return errors.Newf("%q: want idempotent, once or upload", clip(value))
+	return errors.Newf("%q: want %s", clip(value), routeKindNames)
+}
+
+func setPublic(r *config.Route, value string) error {
+	return setBool(&r.Public, value)
 }
 
 func setRouteTimeout(r *config.Route, value string) error {
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -220,7 +220,7 @@
 		if req.Timeout == 0 || route.Timeout < timeout {
 			timeout = route.Timeout
 		}
-		class, idempotent, maxServers = route.Class(), route.Kind == config.Idempotent, route.Servers
+		class, idempotent, maxServers = route.Class(), route.Kind.IsIdempotent(), route.Servers
 	}
 	now := time.Now()
 	r := &request{
