platform: one entry that cannot be read no longer keeps a configuration out of force

Change: entries are decoded one by one; an unreadable one is left out, requests of an unknown kind are not repeated, each with a log line and a metric. Organisations, public routes, roll-out orders and releases of servers are translated too.

--- a/internal/admit/status/status.go
+++ b/internal/admit/status/status.go
@@ -34,6 +34,7 @@
 	ColdFor  time.Duration // time for which it stays cold; 0 when it is not cold
 	Sequence uint64        // rises within a lifetime
 	Born     time.Time     // start of the lifetime by the server's own clock
+	Release  string        // of the server's software; empty when unknown
 }
 
 // Bounds of an accepted check-in.
@@ -41,6 +42,7 @@
 	maxSlots    = 100000
 	maxColdFor  = time.Hour
 	maxSequence = 1 << 53
+	maxRelease  = 200 // bytes
 )
 
 // maxBorn is the latest accepted start of a lifetime, in the year 2248. A server's clock may be fast.
@@ -49,7 +51,8 @@
 // check returns an error if the numbers of the check-in cannot be true. One of another writer would otherwise hide all later check-ins of
 // the server.
 func (c CheckIn) check() error {
-	if c.Slots < 0 || c.Slots > maxSlots || c.ColdFor < 0 || c.ColdFor > maxColdFor || c.Sequence > maxSequence || c.Born.After(maxBorn) {
+	if c.Slots < 0 || c.Slots > maxSlots || c.ColdFor < 0 || c.ColdFor > maxColdFor || c.Sequence > maxSequence || c.Born.After(maxBorn) ||
+		len(c.Release) > maxRelease {
 		return code.NotRunf(code.BadRequest, "check-in of %q with a number out of range: %d slots, cold for %s, sequence %d, born %s",
 			c.ID, c.Slots, c.ColdFor, c.Sequence, c.Born)
 	}
@@ -67,6 +70,7 @@
 	id           string // empty before the first check-in or health response
 	born         time.Time
 	sequence     uint64
+	release      string // of the present lifetime, by its last check-in
 	slots        int
 	checkedIn    bool // the server has checked in during this lifetime
 	draining     bool
@@ -102,6 +106,7 @@
 	s.checkedIn = true
 	s.born = c.Born
 	s.sequence = c.Sequence
+	s.release = c.Release
 	if c.Slots > 0 {
 		s.slots = c.Slots
 	}
@@ -118,6 +123,7 @@
 	s.id, s.sequence, s.born = id, 0, time.Time{}
 	s.checkedIn, s.draining, s.left, s.unhealthy = false, false, false, false
 	s.coldUntil, s.warmProvenAt = time.Time{}, time.Time{}
+	s.release = ""
 }
 
 // Leave records that the server with the id has left or is about to leave. Any id but the present one is of a server that no
@@ -225,6 +231,13 @@
 	return s.id
 }
 
+// Release returns the release of the server's software, or the empty string before the first check-in of its lifetime.
+func (s *Server) Release() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.release
+}
+
 // Slots returns how many requests the server runs at once, or 0 while unknown.
 func (s *Server) Slots() int {
 	s.mu.Lock()
@@ -312,6 +325,7 @@
 // Dump is the state of the server in the state dump.
 type Dump struct {
 	ID       string
+	Release  string
 	Slots    int
 	Checked  bool
 	Draining bool
@@ -328,7 +342,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Dump{
-		ID: s.id, Slots: s.slots, Checked: s.checkedIn, Draining: s.draining, Left: s.left, Healthy: !s.unhealthy,
+		ID: s.id, Release: s.release, Slots: s.slots, Checked: s.checkedIn, Draining: s.draining, Left: s.left, Healthy: !s.unhealthy,
 		ColdFor: max(0, time.Until(s.coldUntil)), WarmAge: time.Since(s.warmProvenAt), Pace: s.load.Pace, LastSent: len(s.sent),
 	}
 }
--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -150,11 +150,14 @@
 }
 
 // newSource returns nil unless the platform is a hosted one; the watch then polls the head of the configuration.
-func newSource(live *opts.Reloader, network Network, log logr.Logger) watch.Source {
+func newSource(live *opts.Reloader, network Network, set *stats.Set, log logr.Logger) watch.Source {
 	if !live.Get().Hosted {
 		return nil
 	}
-	return &platform.Intent{Client: tableClient(live, network), Log: log}
+	intent := &platform.Intent{Client: tableClient(live, network), Log: log}
+	set.Gauge("configuration_odd_entries_total", func() float64 { entries, _ := intent.Odd(); return float64(entries) })
+	set.Gauge("configuration_unreadable_total", func() float64 { _, unreadable := intent.Odd(); return float64(unreadable) })
+	return intent
 }
 
 type watchParts struct {
--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -45,7 +45,7 @@
 		"admission_streams_cancelled_total": func(e gate.EndingCounts) uint64 { return e.Cancelled },
 		"admission_streams_lost_total":      func(e gate.EndingCounts) uint64 { return e.Lost },
 	})
-	for c := code.None + 1; c <= code.StaleTransit; c++ {
+	for c := code.None + 1; c <= code.LowPrecedence; c++ {
 		set.Gauge("admission_failures_total", func() float64 { return float64(admission.Failures(c)) }, "code", c.String())
 	}
 }
