route/call: interface of the caps of organisations

Permits of organisations come from another package (quota), which implements call.Caps: one permit for each request, released with whether a server may have run it. code.Error gets RetryAfter for the time after which a refused request may succeed. Nothing calls the interface yet.

--- a/internal/base/code/error.go
+++ b/internal/base/code/error.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,6 +14,8 @@
 	Outcome Outcome // NotRun only if it is certain that no server ran the request
 	Detail  string  // human-readable, one line
 	Cause   error   // may be nil
+
+	RetryAfter time.Duration // after which a repetition may succeed; for 429 and 503 only, 0 when not known
 }
 
 // Error implements error.
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -40,6 +40,7 @@
 	Pool        *pool.Pool
 	Budgets     *budget.Budgets
 	Claims      *claim.Claims // if nil, requests that need a claim are refused
+	Caps        Caps          // if nil, the requests of organisations are not limited
 	Incarnation ident.Incarnation
 	Start       time.Time                               // start of the daemon, to which send times are relative
 	FindParent  func(id ident.RequestID) (Parent, bool) // looks up a running request of the daemon's own server; may be nil
