route/front, route/call: keys and organisations of callers

Callers of a deployment with organisations identify themselves by a key. The front finds the organisation by the digest of the key, answers 401 (not-run) where the route needs a key, and always removes the key and sets or removes the header with the organisation's name. Each attempt is checked against the configuration in force before its server is selected, because a request may wait while a revision takes its key away. The priority of the organisation replaces that of the route, also for the class. Malformed headers are no longer quoted in the log, because a malformed line may contain a key.

--- a/internal/cli/daemon/administration.go
+++ b/internal/cli/daemon/administration.go
@@ -8,6 +8,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/admin/rest"
 	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/base/stats"
 	"marigoldwinch.example/marigoldwinch/internal/conf/change"
@@ -40,6 +41,7 @@
 	Calls     *call.Client
 	Members   *member.Table
 	Holder    *config.Holder
+	Decisions *logs.Sampler
 	Log       logr.Logger
 }
 
@@ -62,6 +64,7 @@
 		MaxHeaderBytes: settings.CallerHeaderBytes,
 		HeaderTimeout:  settings.HeaderTimeout,
 		MaxTimeout:     settings.MaxDeadline,
+		Decisions:      parts.Decisions,
 		Log:            parts.Log,
 	}
 }
--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -11,6 +11,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
+	"marigoldwinch.example/marigoldwinch/internal/route/front"
 	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 )
 
@@ -19,6 +20,7 @@
 	Set     *stats.Set
 	Gate    *gate.Gate
 	Calls   *call.Client
+	Front   *front.Front
 	Queries *dgram.Reporter
 	Node    *gossip.Node
 	Members *member.Table
@@ -30,6 +32,10 @@
 func registerMetrics(parts metricParts) {
 	registerAdmission(parts.Set, parts.Gate)
 	registerCalls(parts.Set, parts.Calls)
+	registerCounts(parts.Set, parts.Front.Counts, map[string]func(front.Dump) uint64{
+		"front_without_key_total": func(d front.Dump) uint64 { return d.WithoutKey },
+		"front_unknown_key_total": func(d front.Dump) uint64 { return d.UnknownKey },
+	})
 	registerQueries(parts.Set, parts.Queries)
 	registerFleet(parts)
 }
--- a/internal/cli/daemon/router.go
+++ b/internal/cli/daemon/router.go
@@ -120,6 +120,8 @@
 			running, found := parts.Ledger.Lookup(id)
 			return call.Parent(running), found
 		},
+		Dialect:    dialect(parts.Settings),
+		Usage:      &call.Usage{Metrics: parts.Metrics},
 		AckTimeout: parts.Settings.AckTimeout,
 		Decisions:  parts.Decisions,
 		Durations: func(service string) *metrics.Histogram {
--- a/internal/conf/config/organisation.go
+++ b/internal/conf/config/organisation.go
@@ -30,6 +30,19 @@
 	return hex.EncodeToString(d[:])
 }
 
+// shortDigest is the number of digits of the short form of a digest, enough to compare it with that of a key.
+const shortDigest = 8
+
+// Short returns the first digits of the digest, for logs and dumps.
+func (d KeyDigest) Short() string {
+	return d.String()[:shortDigest]
+}
+
+// MarshalText implements encoding.TextMarshaler with the short form, so that dumps do not disclose the digest.
+func (d KeyDigest) MarshalText() ([]byte, error) {
+	return []byte(d.Short()), nil
+}
+
 // Organisation is a customer whose callers identify themselves by keys.
 type Organisation struct {
 	Name     string      // as servers receive it
@@ -49,17 +62,34 @@
 	return o.Rate > 0
 }
 
-// NeedsKey reports whether a request on the route must carry the key of an organisation.
+// HasOrganisations reports whether any organisation is configured. It is false for a nil configuration.
+func (c *Config) HasOrganisations() bool {
+	return c != nil && len(c.Organisations) > 0
+}
+
+// NeedsKey reports whether a request on the route must carry the key of an organisation. The route may be of an earlier revision; it is
+// nil when the path names the service, which needs no key.
 func (c *Config) NeedsKey(route *Route) bool {
-	return len(c.Organisations) > 0 && !route.Public
+	if !c.HasOrganisations() || route == nil {
+		return false
+	}
+	if current := c.Routes[route.Name]; current != nil {
+		route = current
+	}
+	return !route.Public
 }
 
 // OrganisationByKey returns the organisation to which a key belongs, or nil.
 func (c *Config) OrganisationByKey(key string) *Organisation {
-	if len(c.byKeyDigest) == 0 {
+	if len(c.byKeyDigest) == 0 || key == "" {
 		return nil
 	}
-	return c.byKeyDigest[DigestKey(key)]
+	return c.OrganisationByDigest(DigestKey(key))
+}
+
+// OrganisationByDigest returns the organisation to which the key with the digest belongs, or nil.
+func (c *Config) OrganisationByDigest(digest KeyDigest) *Organisation {
+	return c.byKeyDigest[digest]
 }
 
 func (c *Config) indexKeys() {
--- a/internal/conf/config/route.go
+++ b/internal/conf/config/route.go
@@ -147,15 +147,15 @@
 	}
 }
 
-// Class returns the class of the route's requests. Idempotent requests of priority 0 have the class check too, so that they
-// take precedence, but no slots are reserved for them.
-func (r *Route) Class() ident.Class {
+// Class returns the class of the route's requests of a priority, which is that of the route or of the caller's organisation. Idempotent
+// requests of priority 0 have the class check too, so that they take precedence, but no slots are reserved for them.
+func (r *Route) Class(priority int) ident.Class {
 	switch {
 	case r.Kind == UploadOnce:
 		return ident.Upload
 	case r.Kind == Once:
 		return ident.Write
-	case r.isCheck || r.Priority == 0:
+	case r.isCheck || priority == 0:
 		return ident.Check
 	}
 	return ident.Lookup
--- a/internal/conf/files/files_test.go
+++ b/internal/conf/files/files_test.go
@@ -218,7 +218,7 @@
 		Expect(merged.Config.Services["a"].HasChecks).To(BeTrue())
 		Expect(merged.Config.Services["b"].HasChecks).To(BeFalse(), "priority 0 alone reserves no slots")
 		for name, class := range classes {
-			Expect(merged.Config.Routes[name].Class()).To(Equal(class), name)
+			Expect(merged.Config.Routes[name].Class(merged.Config.Routes[name].Priority)).To(Equal(class), name)
 		}
 	})
 
--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -63,7 +63,7 @@
 		a.cancel()
 		return nil, err
 	}
-	if err := a.choose(); err != nil {
+	if err := a.choose(head); err != nil {
 		a.cancel()
 		return nil, err
 	}
--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -25,6 +25,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/route/choice"
 	"marigoldwinch.example/marigoldwinch/internal/route/claim"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -46,6 +47,8 @@
 	FindParent  func(id ident.RequestID) (Parent, bool) // looks up a running request of the daemon's own server; may be nil
 	AckTimeout  time.Duration                           // DefaultAckTimeout when 0
 	Durations   func(service string) *metrics.Histogram // histogram of the times to the response header; may be nil
+	Dialect     hdrs.Dialect                            // names of the headers of keys and organisations
+	Usage       *Usage                                  // counts the requests of organisations; may be nil
 	Decisions   *logs.Sampler                           // may be nil
 	Log         logr.Logger
 
@@ -82,6 +85,10 @@
 	Context       *ident.CallContext // of the parent request; nil for a request from outside
 	WaitForAck    bool               // the caller expects 100 Continue before it sends the body
 	Abort         func()             // unblocks a read of Body that waits for the caller; may be nil
+
+	Organisation *config.Organisation // whose key the request carried; nil without a known key
+	KeyDigest    config.KeyDigest     // of that key
+	Priority     int                  // of the organisation, or of the route; 0 is the highest
 }
 
 type counters struct {
@@ -169,8 +176,7 @@
 		cancel()
 		return stored, err
 	}
-	r.budget.RecordRequest(r.service.RetryShare, r.service.HedgeShare)
-	response, err := r.run(ctx)
+	response, err := r.runPermitted(ctx)
 	if err != nil {
 		cancel()
 		failure := r.finalFailure(r.stopFailure(code.Of(err)))
@@ -221,7 +227,7 @@
 		if req.Timeout == 0 || route.Timeout < timeout {
 			timeout = route.Timeout
 		}
-		class, idempotent, maxServers = route.Class(), route.Kind.IsIdempotent(), route.Servers
+		class, idempotent, maxServers = route.Class(req.Priority), route.Kind.IsIdempotent(), route.Servers
 	}
 	now := time.Now()
 	r := &request{
--- a/internal/route/call/log.go
+++ b/internal/route/call/log.go
@@ -33,6 +33,9 @@
 	if r.c.Durations != nil {
 		r.c.Durations(r.req.Service).Update(elapsed.Seconds())
 	}
+	if r.c.Usage != nil && r.req.Organisation != nil {
+		r.c.Usage.record(r.req.Organisation.Name, failure)
+	}
 	if r.c.Decisions == nil {
 		return
 	}
@@ -43,6 +46,9 @@
 		"service", r.req.Service, "route", r.routeName(), "class", r.class.String(), "attempts", attempts,
 		"unanswered", possibleRuns, "took", elapsed, "left", time.Until(r.deadline), "revision", r.revision,
 	}
+	if organisation := r.req.Organisation; organisation != nil {
+		pairs = append(pairs, "organisation", organisation.Name, "priority", r.req.Priority)
+	}
 	switch {
 	case failure != nil:
 		pairs = append(pairs, "code", failure.Code.String(), "outcome", failure.Outcome.String(), "detail", failure.Error())
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -103,7 +103,7 @@
 func isFinal(c code.Code) bool {
 	switch c {
 	case code.BadRequest, code.UnknownService, code.DeadlineExceeded, code.BodyTooLarge, code.HeaderTooLarge,
-		code.Cancelled, code.ResponseTruncated, code.NoServer:
+		code.Cancelled, code.ResponseTruncated, code.NoServer, code.Unauthorized:
 		return true
 	default:
 		return false
--- a/internal/route/call/send.go
+++ b/internal/route/call/send.go
@@ -11,13 +11,19 @@
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
-// choose selects the server.
-func (a *attempt) choose() error {
+// choose selects the server. It checks the key of the request after the wait for load reports, so that only the connection to the server
+// can still delay the attempt.
+func (a *attempt) choose(head *proto.Head) error {
 	r := a.r
 	r.mu.Lock()
 	tried := slices.Clone(r.tried)
 	r.mu.Unlock()
 	r.c.Choice.Refresh(a.ctx, r.req.Service, tried)
+	header, err := r.authorize()
+	if err != nil {
+		return err
+	}
+	head.Header = header
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	sent, err := r.c.Choice.Select(r.req.Service, r.tried, r.class)
@@ -38,7 +44,7 @@
 	r := a.r
 	head := &proto.Head{
 		ID: a.id, Service: r.req.Service, Method: r.req.Method, Target: r.req.Target, Host: r.req.Host,
-		Header: r.req.Header, ContentLength: r.req.ContentLength, Class: r.class, Idempotent: r.idempotent,
+		ContentLength: r.req.ContentLength, Class: r.class, Idempotent: r.idempotent,
 		Depth: r.depth, Revision: r.revision, End: r.req.Body == nil,
 	}
 	if head.End || r.req.WaitForAck || r.service.ReportsLoad && r.req.ContentLength > maxInlineBody {
--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -6,8 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
-	"sort"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +15,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
@@ -69,6 +68,7 @@
 	Unlist       func()                          // removes this daemon from the lists of the other daemons; may be nil
 	GracePeriod  time.Duration                   // accepting continues for this long after Unlist, while callers refresh their lists
 	DrainTimeout time.Duration                   // maximum wait for requests in flight; unlimited when 0
+	Decisions    *logs.Sampler                   // may be nil
 	Log          logr.Logger
 
 	MaxHeaderBytes int           // used unless Routed with a configuration in force; DefaultMaxHeaderBytes when 0
@@ -83,6 +83,8 @@
 	requests  atomic.Uint64
 	failures  atomic.Uint64
 	truncated atomic.Uint64
+
+	withoutKey, unknownKey atomic.Uint64 // requests refused with 401
 }
 
 // Run serves until ctx ends and then shuts down gracefully: it waits for requests in flight, for at most DrainTimeout.
@@ -181,12 +183,12 @@
 	request := &call.Request{
 		Method: r.Method, Host: r.Host, ContentLength: r.ContentLength, Key: r.Header.Get(headerKey),
 	}
-	if err := f.setTarget(r, request); err != nil {
-		return nil, err
-	}
 	if f.Dialect.RequestID != "" {
 		request.Name = r.Header.Get(f.Dialect.RequestID)
 	}
+	if err := f.setTarget(r, request); err != nil {
+		return nil, err
+	}
 	if text := r.Header.Get(f.Dialect.Timeout); text != "" {
 		timeout, ok := f.Dialect.ParseTimeout(text)
 		maxTimeout := cmp.Or(f.MaxTimeout, DefaultMaxTimeout)
@@ -203,6 +205,11 @@
 		request.Context = &parent
 	}
 	request.Header = f.endToEnd(r.Header)
+	if request.Organisation != nil {
+		request.Header = f.Dialect.WithOrganisation(request.Header, request.Organisation.Name)
+	} else {
+		request.Header = f.removeIdentity(request.Header)
+	}
 	f.setBody(w, r, request)
 	return request, nil
 }
@@ -223,7 +230,10 @@
 	if r.URL.RawQuery != "" {
 		request.Target += "?" + r.URL.RawQuery
 	}
-	return nil
+	if f.Config == nil {
+		return nil
+	}
+	return f.identify(f.Config.Get(), r, request)
 }
 
 // setRoutedTarget selects the service by the configured routes. The request target is forwarded unchanged.
@@ -236,10 +246,14 @@
 	if route == nil {
 		return code.NotRunf(code.NoRoute, "no route matches %s%s", r.Host, r.URL.EscapedPath())
 	}
+	request.Route = route
+	if err := f.identify(conf, r, request); err != nil {
+		return err
+	}
 	if r.ContentLength > conf.Callers.BodyBytes {
 		return code.NotRunf(code.BodyTooLarge, "request body of %d bytes exceeds the limit of %d", r.ContentLength, conf.Callers.BodyBytes)
 	}
-	request.Route, request.Service = route, f.splits.next(route)
+	request.Service = f.splits.next(route)
 	request.Target, request.Path = r.URL.RequestURI(), r.URL.Path
 	return nil
 }
@@ -254,7 +268,7 @@
 	request.Abort = func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }
 	request.WaitForAck = strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	if len(r.Trailer) > 0 {
-		request.Trailer = func() http.Header { return r.Trailer }
+		request.Trailer = func() http.Header { return f.removeIdentity(r.Trailer) }
 	}
 }
 
@@ -304,29 +318,21 @@
 	Requests  uint64
 	Failures  uint64 // error responses that the daemon generated itself
 	Truncated uint64 // server responses that failed before their end
+
+	WithoutKey uint64 // requests refused because their route needs a key
+	UnknownKey uint64 // requests refused because their key belongs to no organisation
 }
 
 // Dump returns the state for the state dump.
 func (f *Front) Dump() any {
+	return f.Counts()
+}
+
+// Counts returns the counts since the start.
+func (f *Front) Counts() Dump {
 	return Dump{
 		Stopping: f.stopping.Load(), InFlight: f.inFlight.Load(), Requests: f.requests.Load(),
 		Failures: f.failures.Load(), Truncated: f.truncated.Load(),
+		WithoutKey: f.withoutKey.Load(), UnknownKey: f.unknownKey.Load(),
 	}
 }
-
-// usableDaemons returns the daemons that callers may connect to, those in the local zone first.
-func (f *Front) usableDaemons() []member.Record {
-	var list []member.Record
-	for _, r := range f.Members.All() {
-		if r.State == member.Serving && r.Front != (netip.AddrPort{}) && (f.Usable == nil || f.Usable(r)) {
-			list = append(list, r)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool {
-		if iOwnZone, jOwnZone := list[i].Zone == f.Zone, list[j].Zone == f.Zone; iOwnZone != jOwnZone {
-			return iOwnZone
-		}
-		return list[i].Front.Compare(list[j].Front) < 0
-	})
-	return list
-}
--- a/internal/route/front/response.go
+++ b/internal/route/front/response.go
@@ -94,31 +94,16 @@
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(headerCode, strconv.Itoa(int(failure.Code)))
 	header.Set(headerOutcome, failure.Outcome.String())
-	if status := failure.HTTPStatus(); status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter().Seconds(), 'f', 3, 64))
+	switch failure.HTTPStatus() {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		wait := failure.RetryAfter
+		if wait <= 0 {
+			wait = retryAfter()
+		}
+		header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	case http.StatusUnauthorized:
+		header.Set("WWW-Authenticate", f.Dialect.KeyScheme)
 	}
 	w.WriteHeader(failure.HTTPStatus())
 	_, _ = w.Write(body) // fails only if the caller has disconnected
 }
-
-// serveDaemons sends the list of daemons that callers may connect to.
-func (f *Front) serveDaemons(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet && r.Method != http.MethodHead {
-		f.writeError(w, code.NotRunf(code.BadRequest, "method not allowed for %s: want GET or HEAD", DaemonsPath))
-		return
-	}
-	daemons := []map[string]string{}
-	for _, record := range f.usableDaemons() {
-		daemons = append(daemons, map[string]string{
-			"address": record.Front.String(), "service": record.Service, "zone": record.Zone,
-		})
-	}
-	body, err := json.Marshal(map[string]any{"daemons": daemons})
-	if err != nil {
-		f.writeError(w, err)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Cache-Control", "no-store")
-	_, _ = w.Write(body)
-}
--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -236,7 +237,7 @@
 	if status == http.StatusBadRequest && errors.As(err, &netErr) {
 		return true
 	}
-	c.server.Log.Info("request-malformed", "peer", c.net.RemoteAddr(), "status", status, "cause", err.Error())
+	c.server.Log.Info("request-malformed", "peer", c.net.RemoteAddr(), "status", status, "cause", safeCause(err))
 	<-c.lastDone
 	if !c.broken.Load() && !c.isClosing() {
 		_, _ = fmt.Fprintf(c.net, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
@@ -244,6 +245,15 @@
 	return false
 }
 
+// safeCause returns the text of a parse error without the part of the request that it quotes, which may contain a caller's key.
+func safeCause(err error) string {
+	text := err.Error()
+	if end := strings.IndexAny(text, ":\""); end >= 0 {
+		text = text[:end]
+	}
+	return strings.TrimSpace(text)
+}
+
 // newExchange returns the exchange of a request behind those read so far. Responses of HTTP/1.0 end their connections.
 func (c *conn) newExchange(request *http.Request) *exchange {
 	ctx, cancel := context.WithCancel(c.ctx)
--- a/internal/wire/hdrs/dialect.go
+++ b/internal/wire/hdrs/dialect.go
@@ -22,11 +22,17 @@
 	NotRun          string // present if the server did not run the request
 	Load            string // comma-separated Running, Waiting, Slots and Pace of type Load; Pace is optional
 	Cold            string // milliseconds until the server is warm, in its health responses
+	Key             string // KeyScheme and the key of the caller's organisation; servers never receive it
+	KeyScheme       string
+	Organisation    string // name of the caller's organisation, for servers; never taken from the caller
 }
 
 // Default returns the header names of marigoldwinch itself.
 func Default() Dialect {
-	return Dialect{Timeout: "Request-Timeout", Context: ident.ContextHeader}
+	return Dialect{
+		Timeout: "Request-Timeout", Context: ident.ContextHeader,
+		Key: "Authorization", KeyScheme: "Bearer", Organisation: "Marigoldwinch-Organisation",
+	}
 }
 
 // ParseTimeout parses a value of the Timeout header.
