route/http1: reject header names with a space

http.ReadRequest accepts 'Authorization : Token KEY' under a name that is not compared with any other, so that a key or a forged organisation could pass the front in this spelling. net/http drops such headers when the server's daemon writes them, so none has reached a server; the request is now answered with 400, as RFC 9112 requires.

--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -27,7 +27,10 @@
 // headerSlack is added to the header limit, as in net/http.
 const headerSlack = 4 << 10
 
-var errHeaderTooLarge = errors.New("request header exceeds the size limit")
+var (
+	errHeaderTooLarge = errors.New("request header exceeds the size limit")
+	errHeaderName     = errors.New("space in a header name")
+)
 
 // conn is a caller's connection. Its reader goroutine starts a goroutine for each request.
 type conn struct {
@@ -143,6 +146,9 @@
 		c.headerReader.remaining = max(0, limits.HeaderBytes+headerSlack-c.reader.Buffered())
 		request, err := http.ReadRequest(c.reader)
 		c.headerReader.remaining = -1
+		if err == nil {
+			err = checkNames(request.Header)
+		}
 		if err != nil {
 			return c.rejectMalformed(err)
 		}
@@ -245,6 +251,17 @@
 	return false
 }
 
+// checkNames returns an error if a header name contains a space, the only invalid byte that http.ReadRequest accepts there. A server could
+// take such a header, which is not compared with any name here, for the one without the space.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if strings.Contains(name, " ") {
+			return errHeaderName
+		}
+	}
+	return nil
+}
+
 // safeCause returns the text of a parse error without the part of the request that it quotes, which may contain a caller's key.
 func safeCause(err error) string {
 	text := err.Error()
--- a/internal/route/http1/server_test.go
+++ b/internal/route/http1/server_test.go
@@ -192,6 +192,7 @@
 	for request, want := range map[string]string{
 		"GET / HTTP/1.1\r\nHost h\r\n\r\n": "400  last",
 		"nonsense\r\n\r\n":                 "400  last",
+		"GET / HTTP/1.1\r\nHost: h\r\nAuthorization : Token k\r\n\r\n":                   "400  last",
 		"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 9<<10) + "\r\n\r\n":     "431  last",
 		"GET / HTTP/1.1\r\nHost: h\r\n":                                                  "408  last",
 		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab": "400  last",
