cli/cmds: config digest, and notes of explain on 401 and 429

config digest prints the digest of a key that it reads from standard input, for key-digests of an organisation. explain adds what to look at when a request was refused because of its key or of the cap of its organisation.

--- a/internal/cli/cmds/cmds_test.go
+++ b/internal/cli/cmds/cmds_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/cli/cmds"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/plat/fake"
 )
 
@@ -160,7 +161,30 @@
 	return len(text), nil
 }
 
-// Guards against output that lacks the lines of one daemon, is out of order, or contains lines of another request.
+// Guards against a digest that differs from that of the key which callers send, and against a key that no caller can send.
+func TestDigest(t *testing.T) {
+	g := NewWithT(t)
+	stdin := os.Stdin
+	defer func() { os.Stdin = stdin }()
+	for input, want := range map[string]string{
+		"key-1\n": config.DigestKey("key-1").String() + "\n", "key-1\r\nsecond": config.DigestKey("key-1").String() + "\n",
+		"key-1": config.DigestKey("key-1").String() + "\n", "": "", "\n": "", "a key\n": "", " key\n": "", "k\x00\n": "", "kéy\n": "",
+		strings.Repeat("k", 4097): "",
+	} {
+		reader, writer, err := os.Pipe()
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _ = writer.WriteString(input)
+		_ = writer.Close()
+		os.Stdin = reader
+		status, out, errOut := command("config", "digest")
+		_ = reader.Close()
+		g.Expect(out).To(Equal(want), "%q", input)
+		g.Expect(status == cmds.StatusOK).To(Equal(want != ""), errOut)
+	}
+}
+
+// Guards against output that lacks the lines of one daemon, is out of order, or contains lines of another request, and against a refusal
+// that is not explained.
 func TestExplain(t *testing.T) {
 	g := NewWithT(t)
 	folder := t.TempDir()
@@ -189,6 +213,20 @@
 		}
 	}
 	g.Expect(events).To(Equal([]string{"call-refused", "attempt-failed", "call-failed", "request-failed", "server-cold"}))
+	refusals := write("refusals", `time=2026-01-02T10:00:00.300Z level=INFO event=request-refused request=b1 route=r code=unauthorized outcome=not-run detail=x
+time=2026-01-02T10:00:00.300Z level=INFO event=request-failed request=b2 service=s code=over-cap outcome=not-run detail=x
+time=2026-01-02T10:00:00.300Z level=INFO event=request-failed request=b3 service=s code=outcome-unknown outcome=unknown detail="code=over-cap outcome=not-run"
+time=2026-01-02T10:00:00.300Z level=INFO event=request-failed request=b4 service=s code=overloaded outcome=not-run detail=x
+`)
+	for id, note := range map[string]string{"b1": "answered with 401", "b2": "answered with 429", "b3": "", "b4": ""} {
+		out.Reset()
+		g.Expect(cmds.Run(t.Context(), []string{"explain", id, refusals}, &out, &errOut)).To(Equal(cmds.StatusOK), errOut.String())
+		if note == "" {
+			g.Expect(out.String()).NotTo(ContainSubstring("answered with"), id)
+			continue
+		}
+		g.Expect(out.String()).To(ContainSubstring(note), id)
+	}
 	g.Expect(cmds.Run(t.Context(), []string{"explain", "a9", router}, &out, &errOut)).NotTo(Equal(cmds.StatusOK))
 	g.Expect(cmds.Run(t.Context(), []string{"explain", "a1", filepath.Join(folder, "none")}, &out, &errOut)).NotTo(Equal(cmds.StatusOK))
 }
--- a/internal/cli/cmds/config.go
+++ b/internal/cli/cmds/config.go
@@ -6,7 +6,7 @@
 
 func newConfig() *cobra.Command {
 	cmd := newGroup("config", "Check, change and show the configuration folder")
-	cmd.AddCommand(newCheck(), newAdd(), newRemove(), newList(), newShow(), newLog(), newPush(), newConfigWait())
+	cmd.AddCommand(newCheck(), newAdd(), newRemove(), newList(), newShow(), newLog(), newPush(), newConfigWait(), newDigest())
 	return cmd
 }
 
--- a/internal/cli/cmds/explain.go
+++ b/internal/cli/cmds/explain.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 )
 
 func newExplain() *cobra.Command {
@@ -21,7 +23,8 @@
 		Short: "Print the log lines about a request from the logs of daemons",
 		Long: `Reads the logs of daemons and prints every line about the request, and about nested calls made on its behalf, in order of
 time. Lines that concern no request follow, from two seconds before the first to two seconds after the last, because they can show the
-cause. With - as FILE, standard input is read.`,
+cause. A request that was refused because of its key or of the cap of its organisation gets a note on what to look at. With - as FILE,
+standard input is read.`,
 		Args: cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			log := &requestLog{id: args[0]}
@@ -55,8 +58,17 @@
 var (
 	linePattern    = regexp.MustCompile(`time=(\S+) level=\S+ event=(\S+)(.*)`)
 	requestPattern = regexp.MustCompile(`(?:^| )request=(\S+)`)
+	codePattern    = regexp.MustCompile(` event=request-(?:failed|refused) .* code=(\S+) outcome=not-run`)
 )
 
+// codeNotes says what to look at for the codes of refusals that concern the organisation of a request.
+var codeNotes = map[string]string{
+	code.Unauthorized.String(): "answered with 401: the route needs a key, and the request had none, or one that belongs to no organisation in the revision " +
+		"of the line. Compare the digest in the line with that of the caller's key (config digest) and the revision with config log.",
+	code.OverCap.String(): "answered with 429: the callers of the organisation have sent more than its rate and burst allow over all daemons. See " +
+		"organisation_requests_total and organisation_refused_total of the daemons, and rate and burst in config show.",
+}
+
 func (l *requestLog) read(file string, stdin io.Reader) error {
 	source := stdin
 	if file != "-" {
@@ -95,6 +107,16 @@
 	}
 }
 
+// note returns the note on the refusal of the request, or an empty string.
+func (l *requestLog) note() string {
+	for _, line := range l.matches {
+		if found := codePattern.FindStringSubmatch(line.text); found != nil && codeNotes[found[1]] != "" {
+			return codeNotes[found[1]]
+		}
+	}
+	return ""
+}
+
 func (l *requestLog) print(out io.Writer) error {
 	if len(l.matches) == 0 {
 		return usagef("no log line about request %s; under load only a sample of the requests is logged, see event decisions-not-logged", l.id)
@@ -107,6 +129,9 @@
 			return errors.Wrap(err, "print")
 		}
 	}
+	if note := l.note(); note != "" {
+		_, _ = fmt.Fprintln(out, "\n"+note) // a write error shows in the next line
+	}
 	from, to := l.matches[0].at.Add(-nearbyWindow), l.matches[len(l.matches)-1].at.Add(nearbyWindow)
 	first := true
 	for _, line := range l.withoutRequest {
