--- a/internal/cli/cmds/cmds_test.go
+++ b/internal/cli/cmds/cmds_test.go
@@ -213,11 +213,11 @@
 		}
 	}
 	g.Expect(events).To(Equal([]string{"call-refused", "attempt-failed", "call-failed", "request-failed", "server-cold"}))
-	refusals := write("refusals", `time=2026-01-02T10:00:00.300Z level=INFO event=request-refused request=b1 route=r code=unauthorized outcome=not-run detail=x
-time=2026-01-02T10:00:00.300Z level=INFO event=request-failed request=b2 service=s code=over-cap outcome=not-run detail=x
-time=2026-01-02T10:00:00.300Z level=INFO event=request-failed request=b3 service=s code=outcome-unknown outcome=unknown detail="code=over-cap outcome=not-run"
-time=2026-01-02T10:00:00.300Z level=INFO event=request-failed request=b4 service=s code=overloaded outcome=not-run detail=x
-`)
+	const line = "time=2026-01-02T10:00:00.300Z level=INFO event=request-"
+	refusals := write("refusals", line+"refused request=b1 route=r code=unauthorized outcome=not-run detail=x\n"+
+		line+"failed request=b2 service=s code=over-cap outcome=not-run detail=x\n"+
+		line+"failed request=b3 service=s code=outcome-unknown outcome=unknown detail=\"code=over-cap outcome=not-run\"\n"+
+		line+"failed request=b4 service=s code=overloaded outcome=not-run detail=x\n")
 	for id, note := range map[string]string{"b1": "answered with 401", "b2": "answered with 429", "b3": "", "b4": ""} {
 		out.Reset()
 		g.Expect(cmds.Run(t.Context(), []string{"explain", id, refusals}, &out, &errOut)).To(Equal(cmds.StatusOK), errOut.String())
--- a/internal/cli/cmds/digest.go
+++ b/internal/cli/cmds/digest.go
@@ -21,8 +21,8 @@
 	return &cobra.Command{
 		Use:   "digest",
 		Short: "Print the digest of an organisation's key",
-		Long: `Reads a key from the first line of standard input and prints its SHA-256 digest for key-digests of [organisation NAME]. The key is not
-an argument, because other users of the host can read arguments and shells keep them.`,
+		Long: `Reads a key from the first line of standard input and prints its SHA-256 digest, for key-digests of [organisation NAME]. The key
+is not an argument, because other users of the host can read arguments and shells keep them.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			line, err := bufio.NewReader(io.LimitReader(cmd.InOrStdin(), maxKeyBytes+2)).ReadString('\n')
--- a/internal/cli/cmds/explain.go
+++ b/internal/cli/cmds/explain.go
@@ -63,10 +63,11 @@
 
 // codeNotes says what to look at for the codes of refusals that concern the organisation of a request.
 var codeNotes = map[string]string{
-	code.Unauthorized.String(): "answered with 401: the route needs a key, and the request had none, or one that belongs to no organisation in the revision " +
-		"of the line. Compare the digest in the line with that of the caller's key (config digest) and the revision with config log.",
-	code.OverCap.String(): "answered with 429: the callers of the organisation have sent more than its rate and burst allow over all daemons. See " +
-		"organisation_requests_total and organisation_refused_total of the daemons, and rate and burst in config show.",
+	code.Unauthorized.String(): "answered with 401: the route needs a key, and the request had none, or one that belongs to no " +
+		"organisation in the revision of the line. Compare the digest in the line with that of the caller's key (config digest) " +
+		"and the revision with config log.",
+	code.OverCap.String(): "answered with 429: the callers of the organisation have sent more than its rate and burst allow over all " +
+		"daemons. See organisation_requests_total and organisation_refused_total of the daemons, and rate and burst in config show.",
 }
 
 func (l *requestLog) read(file string, stdin io.Reader) error {
--- a/internal/route/front/organisation_test.go
+++ b/internal/route/front/organisation_test.go
@@ -99,7 +99,8 @@
 		_, _, err := send(g, base, get(path, "authorization: Token k1", "x-marigoldwinch-tenant: me"))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		seen := back.requests[len(back.requests)-1]
-		g.Expect(seen.Header).To(gomega.And(gomega.HaveKeyWithValue(secret, []string{"Token k1"}), gomega.HaveKeyWithValue(forged, []string{"me"})))
+		g.Expect(seen.Header[secret]).To(gomega.Equal([]string{"Token k1"}))
+		g.Expect(seen.Header[forged]).To(gomega.Equal([]string{"me"}))
 		g.Expect(seen.Organisation).To(gomega.BeNil())
 	}
 	g.Expect(holder.Set(withOrganisations(2, "k1"))).To(gomega.Succeed())
@@ -177,8 +178,8 @@
 		g.Expect(body).NotTo(gomega.ContainSubstring("secret-1"))
 	}
 	const line = "GET / HTTP/1.1\n"
-	for _, malformed := range []string{line + "Authorization : Token secret-1", line + " Authorization: Token secret-1", "Authorization: Token secret-1"} {
-		r, _, err := send(g, base, malformed+"\n\n")
+	for _, malformed := range []string{line + "Authorization : ", line + " Authorization: ", "Authorization: "} {
+		r, _, err := send(g, base, malformed+"Token secret-1\n\n")
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(r.StatusCode).To(gomega.Equal(http.StatusBadRequest))
 	}
--- a/internal/route/http1/server_test.go
+++ b/internal/route/http1/server_test.go
@@ -190,8 +190,8 @@
 func TestMalformedAndSlowCallers(t *testing.T) {
 	r := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	for request, want := range map[string]string{
-		"GET / HTTP/1.1\r\nHost h\r\n\r\n": "400  last",
-		"nonsense\r\n\r\n":                 "400  last",
+		"GET / HTTP/1.1\r\nHost h\r\n\r\n":                                               "400  last",
+		"nonsense\r\n\r\n":                                                               "400  last",
 		"GET / HTTP/1.1\r\nHost: h\r\nAuthorization : Token k\r\n\r\n":                   "400  last",
 		"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 9<<10) + "\r\n\r\n":     "431  last",
 		"GET / HTTP/1.1\r\nHost: h\r\n":                                                  "408  last",
