conf/config: the route of the request decides whether it needs a key

Cause: the check before an attempt looked the route up by its name in the configuration in force. Change: the route of the request itself decides.

--- a/internal/conf/config/organisation.go
+++ b/internal/conf/config/organisation.go
@@ -67,16 +67,10 @@
 	return c != nil && len(c.Organisations) > 0
 }
 
-// NeedsKey reports whether a request on the route must carry the key of an organisation. The route may be of an earlier revision; it is
-// nil when the path names the service, which needs no key.
+// NeedsKey reports whether a request on the route must carry the key of an organisation. The route may be of an earlier revision, in which
+// other routes had the names of the present ones. It is nil when the path names the service, which needs no key.
 func (c *Config) NeedsKey(route *Route) bool {
-	if !c.HasOrganisations() || route == nil {
-		return false
-	}
-	if current := c.Routes[route.Name]; current != nil {
-		route = current
-	}
-	return !route.Public
+	return c.HasOrganisations() && route != nil && !route.Public
 }
 
 // OrganisationByKey returns the organisation to which a key belongs, or nil.
