route/call: a response that nobody reads yet is not stalled

Cause: on a connection with pipelined requests, a response that has begun is not read until the earlier responses have been written. Change: a stream counts as idle only while somebody waits for its next frame. The case in testdata/outcomes failed before.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -40,7 +40,8 @@
 	ackTimer      *time.Timer
 	stallTimer    *time.Timer
 
-	lastFrame       atomic.Int64                     // time of the last frame as a duration since began
+	lastFrame       atomic.Int64                     // time of the last frame, or of the last begin of a wait, as a duration since began
+	unread          atomic.Bool                      // the response has begun, and nobody waits for its next frame
 	stallResolution atomic.Pointer[proto.Resolution] // result of the resolve that ended a stalled stream
 	bodyErr         atomic.Pointer[code.Error]       // failure to read the caller's body
 }
@@ -211,6 +212,17 @@
 	return frame, err
 }
 
+// awaitFrame waits for the next frame of a response that has begun. The stream counts as idle only while somebody waits: a response whose
+// caller takes an earlier one of its connection first stays unread for any time.
+func (a *attempt) awaitFrame() (proto.Frame, error) {
+	a.lastFrame.Store(int64(time.Since(a.began)))
+	a.unread.Store(false)
+	frame, err := a.recv()
+	a.unread.Store(true)
+	a.lastFrame.Store(int64(time.Since(a.began)))
+	return frame, err
+}
+
 var errLateAck = errors.New("the ack arrived after the timeout")
 
 func (a *attempt) isAcked() bool {
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -47,7 +47,7 @@
 		return scripts[min(int(head.ID.Attempt)-1, len(scripts)-1)]
 	}
 	c := newClient(f, 3)
-	tokens, depth, size, p95, failed, leave, stall := 50, 0, 0, 0, 0, 0, 0
+	tokens, depth, size, p95, failed, leave, stall, unread := 50, 0, 0, 0, 0, 0, 0, 0
 	req := &Request{Service: "stock", Method: d.Cmd, Path: "/", Target: "/", Timeout: 5500 * time.Millisecond, ContentLength: -1}
 	scan := func(key string, into *int) {
 		if d.HasArg(key) {
@@ -67,6 +67,7 @@
 	scan("errors", &failed)
 	scan("leave", &leave)
 	scan("stall", &stall)
+	scan("unread", &unread)
 	if depth > 0 {
 		req.Context = &ident.CallContext{Request: ident.RequestID{Router: 1, Seq: 1}, Depth: depth - 1, Class: ident.Lookup}
 	}
@@ -105,6 +106,7 @@
 	x, err := c.Do(ctx, req)
 	var out strings.Builder
 	if err == nil {
+		time.Sleep(time.Duration(unread) * time.Millisecond) // the caller takes an earlier response of its connection first
 		var body string
 		body, err = readAll(x)
 		fmt.Fprintf(&out, "status %d body %q\n", x.Status, body)
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -169,6 +169,10 @@
 // connection at the other end; it is named only after the stream has failed.
 func (a *attempt) checkStall(failures int) {
 	timeout := a.stallTimeout()
+	if a.unread.Load() {
+		a.scheduleStallCheck(timeout, 0)
+		return
+	}
 	last := a.lastFrame.Load()
 	if idle := time.Since(a.began) - time.Duration(last); idle < timeout {
 		a.scheduleStallCheck(timeout-idle, 0)
@@ -190,7 +194,7 @@
 	if !clock.Sleep(a.ctx, answerGrace) {
 		return
 	}
-	if a.lastFrame.Load() != last {
+	if a.lastFrame.Load() != last || a.unread.Load() {
 		a.scheduleStallCheck(timeout, 0)
 		return
 	}
--- a/internal/route/call/response.go
+++ b/internal/route/call/response.go
@@ -35,6 +35,7 @@
 	if x.done {
 		x.complete(answer.Body)
 	} else {
+		a.unread.Store(true)
 		x.keepForClaim(answer.Body)
 	}
 	return x
@@ -59,11 +60,10 @@
 	if x.done {
 		return nil, io.EOF
 	}
-	frame, err := x.a.recv()
+	frame, err := x.a.awaitFrame()
 	if err != nil {
 		return x.resume(err)
 	}
-	x.a.lastFrame.Store(int64(time.Since(x.a.began)))
 	switch f := frame.(type) {
 	case *proto.Piece:
 		return x.nextPiece(f)
