admit/server: a response with an invalid status ends the attempt

A status below 100 (000, 099, +20) was passed over like an interim response, so that the request waited for another response or until its deadline; one above 599 (600, 700, 999) was handed on to the caller. Both now end the attempt at once with server-unreachable and an unknown outcome, because the server may have run the request.

--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -27,6 +27,9 @@
 	maxRefusals = 64
 	// lateUploadTimeout bounds the time to send the rest of a request after its response is complete.
 	lateUploadTimeout = time.Second
+	// minStatus and maxStatus bound the statuses of responses, including interim ones (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
 	// writeBuffer is large enough for a typical request, so that it is sent in one segment.
 	writeBuffer = 4 << 10
 )
--- a/internal/admit/server/exchange.go
+++ b/internal/admit/server/exchange.go
@@ -120,6 +120,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+			return nil, errors.Newf("invalid status %03d of the server's response", response.StatusCode)
+		}
 		k.noteRefusal(response)
 		switch {
 		case response.StatusCode == http.StatusSwitchingProtocols:
--- a/internal/admit/server/fuzz_test.go
+++ b/internal/admit/server/fuzz_test.go
@@ -8,11 +8,16 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 )
 
 // answeringClient returns a client of a server that answers a request with the bytes and closes the connection.
@@ -32,7 +37,16 @@
 	return c
 }
 
-// Guards against bytes of a server that end the process, hold a request, or pass for a complete answer of another request or length.
+// statusLine matches the status of the first response.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[01] +([^ \r\n]*)`)
+
+func invalidStatus(status []byte) bool {
+	number, err := strconv.Atoi(string(status))
+	return err != nil || len(status) != 3 || number < 100 || number > 599
+}
+
+// Guards against bytes of a server that end the process, hold a request, or pass for a complete answer of another request or length, and
+// against a response with an invalid status or one behind it.
 func FuzzAnswer(f *testing.F) {
 	for _, pieces := range endlessHeads {
 		f.Add([]byte(pieces[0] + pieces[1] + pieces[1]))
@@ -43,6 +57,12 @@
 	for _, answer := range cutAnswers {
 		f.Add([]byte(answer.raw))
 	}
+	for _, status := range []string{"000", "099", "100", "599", "600", "999", "+20"} {
+		start := strings.Replace(headStart, "200", status, 1) + "Content-Length: 2\r\n\r\n"
+		f.Add([]byte(start + "ok"))
+		f.Add([]byte(start + reply("1", "ok")))
+		f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\n" + start + "ok"))
+	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		g := NewWithT(t)
 		c := answeringClient(raw)
@@ -54,9 +74,14 @@
 		began := time.Now()
 		response, failed := c.Do(&Attempt{Request: r, ID: "1"})
 		g.Expect(time.Since(began)).To(BeNumerically("<", endlessDeadline))
+		if firstStatus := statusLine.FindSubmatch(raw); firstStatus != nil && invalidStatus(firstStatus[1]) {
+			g.Expect(failed).NotTo(BeNil(), "a response behind one with an invalid status")
+			g.Expect(failed.Outcome).To(Equal(code.Unknown))
+		}
 		if failed != nil {
 			return
 		}
+		g.Expect(response.StatusCode).To(And(BeNumerically(">=", 200), BeNumerically("<", 600)))
 		body, err := io.ReadAll(response.Body)
 		_ = response.Body.Close()
 		if err != nil {
