route/call: refuse a response with an invalid status of another daemon

A daemon of a version that does not check its server's responses passes a status such as 700 or 099 on. Its router handed it to the caller; the attempt now fails with server-unreachable and an unknown outcome, so that an idempotent request is tried again.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -83,6 +83,9 @@
 	a.stream = stream
 	a.mu.Unlock()
 	answer, err := a.awaitAnswer(head.End)
+	if err == nil {
+		err = checkStatus(answer.Status)
+	}
 	if err != nil {
 		return nil, a.fail(code.Of(err))
 	}
@@ -99,6 +102,15 @@
 	return newResponse(a, answer), nil
 }
 
+// checkStatus returns an error for a status that no final response may have (RFC 9110, section 15). Daemons of versions that did not check
+// the responses of their servers pass such a status on.
+func checkStatus(status int) error {
+	if status < http.StatusOK || status > 599 {
+		return code.Unknownf(code.ServerUnreachable, "the response has the invalid status %03d", status)
+	}
+	return nil
+}
+
 // sendFailed handles an attempt whose head could not be sent. If the server's daemon could not be reached at all, the server is
 // avoided for a short time.
 func (a *attempt) sendFailed(failure *code.Error) *code.Error {
