--- a/internal/cli/daemon/path_bench_test.go
+++ b/internal/cli/daemon/path_bench_test.go
@@ -35,7 +35,7 @@
 // twoDaemons is the path of a call over TCP on loopback: from the front of one daemon through the admission of another to its
 // server.
 type twoDaemons struct {
-	b       *testing.B
+	b       testing.TB
 	client  *http.Client
 	direct  string
 	through string
@@ -43,32 +43,40 @@
 }
 
 func newTwoDaemons(b *testing.B) *twoDaemons {
+	body := make([]byte, pathBody)
+	p := &twoDaemons{b: b}
+	server := p.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		_, _ = w.Write(body)
+	}))
+	p.run(pathFolder, server)
+	p.direct = "http://" + server.String() + "/jars/1"
+	p.warmUp()
+	return p
+}
+
+// run starts a daemon for callers and one daemon of service stock beside each server.
+func (p *twoDaemons) run(folder string, servers ...netip.AddrPort) {
 	ctx, stop := context.WithCancel(context.Background())
 	transport := &http.Transport{MaxIdleConnsPerHost: 4 * pathCallers, DisableCompression: true}
-	p := &twoDaemons{b: b, client: &http.Client{Transport: transport}, ctx: ctx}
+	p.client, p.ctx = &http.Client{Transport: transport}, ctx
 	platform := fake.NewPlatform(1)
 	table := p.serve((&fake.Server{Platform: platform}).Handler())
 	writer := &change.Writer{Store: platform.Table, Objects: platform.Objects, Operator: "bench", Log: logr.Discard()}
-	if _, err := writer.Add(ctx, []files.File{{Name: "10.ini", Content: pathFolder}}, change.Options{}); err != nil {
-		b.Fatal(err)
+	if _, err := writer.Add(ctx, []files.File{{Name: "10.ini", Content: folder}}, change.Options{}); err != nil {
+		p.b.Fatal(err)
 	}
-	body := make([]byte, pathBody)
-	server := p.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain")
-		_, _ = w.Write(body)
-	}))
 	var running sync.WaitGroup
-	front := p.start(&running, "front", table, server, "")
-	p.start(&running, "stock", table, server, front.Daemons.String())
-	p.direct = "http://" + server.String() + "/jars/1"
+	front := p.start(&running, "front", table, servers[0], "")
+	for _, server := range servers {
+		p.start(&running, "stock", table, server, front.Daemons.String())
+	}
 	p.through = "http://" + front.Callers.String() + "/stock/jars/1"
-	b.Cleanup(func() {
+	p.b.Cleanup(func() {
 		transport.CloseIdleConnections()
 		stop()
 		running.Wait()
 	})
-	p.warmUp()
-	return p
 }
 
 // serve runs an HTTP server on a free port.
