--- a/internal/conf/files/files_test.go
+++ b/internal/conf/files/files_test.go
@@ -220,6 +220,15 @@
 		for name, class := range classes {
 			Expect(merged.Config.Routes[name].Class(merged.Config.Routes[name].Priority)).To(Equal(class), name)
 		}
+		// The priority of an organisation replaces that of the route, but neither changes what is short or must run once.
+		for name, expected := range map[string][2]ident.Class{
+			"orders": {ident.Write, ident.Write}, "checks": {ident.Check, ident.Check}, "lookups": {ident.Check, ident.Lookup},
+			"photos": {ident.Upload, ident.Upload}, "first": {ident.Check, ident.Lookup},
+		} {
+			for priority, class := range expected {
+				Expect(merged.Config.Routes[name].Class(priority)).To(Equal(class), "%s, priority %d", name, priority)
+			}
+		}
 	})
 
 	// Guards against accepting a route without a service to send requests to.
--- a/internal/route/call/caps_test.go
+++ b/internal/route/call/caps_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/base/stats"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
@@ -179,6 +180,24 @@
 	}
 }
 
+// Guards against a class by the priority of the route for a request of an organisation.
+func TestPriorityOfTheOrganisationSetsTheClass(t *testing.T) {
+	for priority, class := range []ident.Class{ident.Check, ident.Lookup} {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := &fake{script: func(*proto.Head) string { return "answer 200 ok" }}
+			c := newClient(f, 1)
+			request := keyed(put(c, "k1=ann"), "public", "k1")
+			request.Priority, request.Route.Priority = priority, 1-priority
+			x, err := c.Do(t.Context(), request)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, _ = readAll(x)
+			g.Expect(f.heads[0].Class).To(gomega.Equal(class))
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
 // Guards against metrics whose number grows with that of the organisations.
 func TestUsageIsBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -85,6 +85,7 @@
 	truncated atomic.Uint64
 
 	withoutKey, unknownKey atomic.Uint64 // requests refused with 401
+	unnamed                atomic.Uint64 // those of them that have no id of the caller
 }
 
 // Run serves until ctx ends and then shuts down gracefully: it waits for requests in flight, for at most DrainTimeout.
--- a/internal/route/front/organisation.go
+++ b/internal/route/front/organisation.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"cmp"
 	"fmt"
 	"net/http"
 
@@ -45,7 +44,10 @@
 	if f.Decisions == nil {
 		return
 	}
-	name := cmp.Or(request.Name, fmt.Sprintf("front-%d", f.requests.Load()))
+	name := request.Name
+	if name == "" {
+		name = fmt.Sprintf("front-%d", f.unnamed.Add(1)) // the router assigns ids only to requests that it takes
+	}
 	f.Decisions.Abnormal("request-refused", name, "route", request.Route.Name, "code", failure.Code.String(),
 		"outcome", failure.Outcome.String(), "detail", failure.Detail, "sent", key, "revision", conf.Revision)
 }
