--- a/internal/route/call/precedence.go
+++ b/internal/route/call/precedence.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
@@ -26,7 +27,7 @@
 	if !conf.Precedence || route == nil {
 		return
 	}
-	r.precedence = precedence{enabled: true, objective: r.began.Add(route.Objective), priority: max(0, route.Priority)}
+	r.precedence = precedence{enabled: true, objective: r.began.Add(route.Objective), priority: max(0, r.req.Priority)}
 }
 
 // statePrecedence adds the precedence of the request to the head of an attempt.
@@ -36,6 +37,9 @@
 		return
 	}
 	head.Priority = p.priority
+	if organisation := a.r.req.Organisation; organisation != nil {
+		head.Organisation = organisation.Name
+	}
 	head.Objective = p.objective.Sub(a.began)
 	if head.Objective == 0 {
 		head.Objective = -1
@@ -62,5 +66,8 @@
 	if !r.precedence.enabled {
 		return 0
 	}
-	return stated
+	return stated + time.Duration(rand.Float64()*retryAfterSpread*float64(stated))
 }
+
+// retryAfterSpread is the part of a stated Retry-After over which it is randomized, so that callers do not come back all at once.
+const retryAfterSpread = 0.25
