admit/limit: leave out the slots of runs that the daemon does not count

Cause: with reported slots, a daemon that restarted beside a busy server sent it all slots at once, and a cancelled request freed its slot while the server still ran it. The load comes with every response, so that both follow within one response.

--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -130,6 +130,7 @@
 	medians       [ident.Classes]median
 	overall       median
 	saturation    saturation
+	foreign       foreign
 	slotShare     float64 // share of the slots that the limit of a reporting server uses
 }
 
--- a/internal/admit/limit/saturation.go
+++ b/internal/admit/limit/saturation.go
@@ -104,5 +104,9 @@
 		l.slotShare = share
 		l.Log.Info("slots-used-changed", "share", share, "slots", slots, "ratio", l.saturation.high.value)
 	}
-	return max(1, int(share*float64(slots)))
+	limit := max(1, int(share*float64(slots)))
+	if c.Precedence {
+		return min(limit, l.foreign.reduce(slots, now))
+	}
+	return limit
 }
--- a/internal/admit/limit/ticket.go
+++ b/internal/admit/limit/ticket.go
@@ -26,6 +26,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.ensureStarted(now)
+	l.foreign.inFlight++
 	*t = Ticket{class: class, sent: sent, start: now, step: l.step, warmUps: l.warmUps, running: running, normalPace: l.atNormalPace()}
 }
 
@@ -57,6 +58,7 @@
 		return
 	}
 	t.ended = true
+	l.foreign.inFlight--
 	now := time.Now()
 	if t.waiting {
 		l.waiting[t.class]--
--- a/internal/admit/status/status.go
+++ b/internal/admit/status/status.go
@@ -62,8 +62,9 @@
 // Server is the state of the daemon's own server. Its exported fields are set before the first use.
 type Server struct {
 	Service    string
-	ColdRate   func() float64 // requests per second that the server can take when cold; 0 when unknown
-	PollHealth func()         // requests a health poll ahead of schedule; does not block
+	ColdRate   func() float64  // requests per second that the server can take when cold; 0 when unknown
+	OnLoad     func(hdrs.Load) // called with each load that the server reports; may be nil
+	PollHealth func()          // requests a health poll ahead of schedule; does not block
 	Log        logr.Logger
 
 	mu           sync.Mutex
@@ -219,9 +220,12 @@
 // SetLoad updates the state from the load that the server reports.
 func (s *Server) SetLoad(load hdrs.Load) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.load, s.loadAt = load, time.Now()
 	s.slots = load.Slots
+	s.mu.Unlock()
+	if s.OnLoad != nil {
+		s.OnLoad(load)
+	}
 }
 
 // Identity returns the identity that the server must have to run a request, or the empty string while unknown.
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -156,6 +156,7 @@
 	limiter := &limit.Limiter{Config: holder, Service: settings.Service, Log: log}
 	if state != nil {
 		limiter.Reporter = state
+		state.OnLoad = limiter.ObserveLoad
 	}
 	return limiter
 }
