route, cli/daemon: tests of precedence at routers, metrics by priority, log fields

The metrics are admission_refused_by_precedence_total{priority} and admission_floor; call-refused and call-failed show priority, nested, organisation, time until the objective and floor.

--- a/internal/admit/gate/log.go
+++ b/internal/admit/gate/log.go
@@ -33,6 +33,12 @@
 		"limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", time.Until(c.deadline),
 		"revision", g.Config.Revision(), "detail", failed.Error(),
 	}
+	if r := c.ordered; r != nil {
+		fields = append(fields, "priority", r.Priority, "nested", r.Nested, "organisation", r.Organisation, "floor", report.Floor)
+		if !r.Objective.IsZero() {
+			fields = append(fields, "objective-left", time.Until(r.Objective))
+		}
+	}
 	if end := time.Duration(c.streamEnd.Load()); end > 0 {
 		fields = append(fields, "after-stream-end", time.Since(c.arrived)-end, "cancelled-by-router", c.stream.Cancelled())
 	}
--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"strconv"
+
 	"go.uber.org/fx"
 
 	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
+	"marigoldwinch.example/marigoldwinch/internal/admit/order"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/stats"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
@@ -51,6 +54,11 @@
 		"admission_streams_cancelled_total": func(e gate.EndingCounts) uint64 { return e.Cancelled },
 		"admission_streams_lost_total":      func(e gate.EndingCounts) uint64 { return e.Lost },
 	})
+	for priority := range order.MaxPriorities {
+		set.Gauge("admission_refused_by_precedence_total", func() float64 { return float64(admission.RefusedByPriority()[priority]) },
+			"priority", strconv.Itoa(priority))
+	}
+	set.Gauge("admission_floor", func() float64 { return float64(admission.Report().Floor) })
 	for c := code.None + 1; c <= code.LowPrecedence; c++ {
 		set.Gauge("admission_failures_total", func() float64 { return float64(admission.Failures(c)) }, "code", c.String())
 	}
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -165,6 +165,8 @@
 			return &proto.Ack{Verdict: proto.Queued}, nil
 		case "refuse":
 			return &proto.Ack{Verdict: proto.Refused, Code: code.Overloaded, Detail: "full"}, nil
+		case "outranked":
+			return &proto.Ack{Verdict: proto.Refused, Code: code.LowPrecedence, RetryAfter: time.Second}, nil
 		case "answer":
 			return answer(rest, true), nil
 		case "start":
--- a/internal/route/call/precedence.go
+++ b/internal/route/call/precedence.go
@@ -57,7 +57,7 @@
 
 // isOutranked reports whether servers have refused the request often enough because others come first.
 func (r *request) isOutranked(failure *code.Error, attempts uint32) bool {
-	return failure.Code == code.LowPrecedence && attempts >= maxPrecedenceAttempts
+	return r.precedence.enabled && failure.Code == code.LowPrecedence && attempts >= maxPrecedenceAttempts
 }
 
 // retryAfter returns the Retry-After that a server's daemon states, if it orders requests by precedence. Without precedence the value
--- a/internal/route/choice/cheapest_test.go
+++ b/internal/route/choice/cheapest_test.go
@@ -44,8 +44,12 @@
 
 // pick returns the index of the selected server, or -1 when none is selected.
 func (r *cheapestFixture) pick(tried ...netip.AddrPort) int {
+	return r.pickFor(Need{Class: r.class}, tried...)
+}
+
+func (r *cheapestFixture) pickFor(need Need, tried ...netip.AddrPort) int {
 	l := &candidateList{servers: r.servers, ownZone: 1, index: map[netip.AddrPort]int{}}
-	p := &selection{chooser: r.chooser, state: r.chooser.service("s"), list: l, tried: tried, class: r.class}
+	p := &selection{chooser: r.chooser, state: r.chooser.service("s"), list: l, tried: tried, class: need.Class, need: need}
 	sent, ok := r.pool.Service("s").Pick(p, true)
 	if !ok {
 		return -1
@@ -143,3 +147,26 @@
 	g.Expect(expectedPace(v)).To(Equal(float64(meanPace)))
 	g.Expect(expectedPace(&pool.View{})).To(Equal(100.0), "the usual pace is assumed for a server that reports none")
 }
+
+// Guards against requests that a server's floor would refuse and that are sent to it nevertheless, against a floor that refuses nested
+// requests or leaves a priority without any request, and against full servers that get no request of a higher priority.
+func TestFloors(t *testing.T) {
+	r := newCheapestFixture(t)
+	for i := range r.servers {
+		r.report(i, func(report *proto.Report) { report.InFlight, report.Queued, report.Floor = 12, 9, 2 })
+	}
+	refused := 0
+	for range 1000 {
+		r.Expect(r.pickFor(Need{ByPrecedence: true, Priority: 1})).NotTo(Equal(-1))
+		r.Expect(r.pickFor(Need{ByPrecedence: true, Priority: 2, Nested: true})).NotTo(Equal(-1))
+		if r.pickFor(Need{ByPrecedence: true, Priority: 2}) == -1 {
+			refused++
+		}
+		for i := range r.servers { // a report counts for a limited number of selections
+			r.report(i, func(report *proto.Report) { report.InFlight, report.Queued, report.Floor = 12, 9, 2 })
+		}
+	}
+	r.Expect(refused).To(BeNumerically("~", 500, 100))
+	r.report(1, func(report *proto.Report) { report.InFlight, report.Queued, report.Floor = 12, 9, 3 })
+	r.Expect(r.pickFor(Need{ByPrecedence: true, Priority: 2})).NotTo(Equal(-1))
+}
