admit/gate: bound the queue of a cold server and judge progress by grants too

Cause: with free slots and the rate of a cold server used up, every arriving request joined the queue whatever its length; after an idle time, the first request that waited found the server stalled. Change: the request counts as one without a free slot, and a grant is progress. The floor is updated at most every 5 ms.

--- a/internal/admit/gate/precedence.go
+++ b/internal/admit/gate/precedence.go
@@ -14,6 +14,7 @@
 	order   order.Queue
 	waiters map[*order.Request]*waiter // of the requests in order
 	refused [order.MaxPriorities]uint64
+	floorAt time.Time // when the floor was last updated
 }
 
 // classPriorities are the priorities of requests whose router states none.
@@ -44,12 +45,15 @@
 	c.ordered = r
 	g.grantByPrecedence(service, now)
 	server := order.Server{Slots: g.Limit.Current(), Free: g.freeSlots(r, service), Capacity: service.Queue}
+	if !g.order.MayUse(r, server.Slots, server.Free, now) || !g.allowStart(now) {
+		server.Free = 0
+	}
 	d := g.order.Arrive(r, server, now)
 	defer g.updateFloor(now)
 	switch {
 	case d.Reason != order.None:
 		return nil, g.refusal(r, d)
-	case d.Run && g.allowStart(now):
+	case d.Run:
 		g.startByPrecedence(r, now)
 		g.enter(c)
 		c.granted = now
@@ -157,8 +161,16 @@
 	return refused
 }
 
+// floorRefresh is the minimum interval between updates of the floor, which cost as much as several decisions. Routers learn a floor from
+// reports, which are as old.
+const floorRefresh = 5 * time.Millisecond
+
 // updateFloor updates the priority from which on routers refuse requests. The caller holds g.mu.
 func (g *Gate) updateFloor(now time.Time) {
+	if now.Sub(g.floorAt) < floorRefresh && len(g.waiters) > 0 {
+		return
+	}
+	g.floorAt = now
 	floor := 0
 	if len(g.waiters) > 0 {
 		floor = g.order.Floor(g.Limit.Current(), now)
--- a/internal/admit/gate/precedence_test.go
+++ b/internal/admit/gate/precedence_test.go
@@ -163,3 +163,49 @@
 		r.calls.Wait()
 	})
 }
+
+// coldInstance is a server that may get no request at the moment, because it is cold.
+type coldInstance struct{}
+
+func (coldInstance) Identity() string      { return "" }
+func (coldInstance) Refusing() *code.Error { return nil }
+func (coldInstance) Take(time.Time) bool   { return false }
+func (coldInstance) Pace() int             { return 100 }
+
+// Guards against a queue that grows without bound while slots are free and the rate of a cold server is used up.
+func TestQueueOfAColdServerIsBounded(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.service.Queue = 5
+		r.enablePrecedence(true)
+		r.Instance = coldInstance{}
+		var c crowd
+		for range 20 {
+			c.send(r, 1, time.Second, 2*time.Second, unchanged)
+		}
+		r.Expect(r.queued.Load()).To(BeEquivalentTo(5))
+		r.calls.Wait()
+		r.Expect(r.backend.total()).To(BeZero())
+	})
+}
+
+// Guards against a request that is refused after 40 ms although the queue moves and it can be in time, and against one that waits behind a
+// server that frees no slot, whose router could use another server.
+func TestWaitsWhileTheQueueMoves(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.service.Slots, r.service.ReportsLoad = 1, true
+		r.enablePrecedence(true)
+		served := 100 * time.Millisecond
+		r.backend.set(func() { r.backend.serve = func(*http.Request) time.Duration { return served } })
+		var c crowd
+		for range 4 {
+			c.send(r, 1, time.Second, 2*time.Second, unchanged)
+		}
+		r.calls.Wait()
+		r.Expect(c.inTime[1]).To(Equal(4))
+		r.backend.set(func() { served = 2 * time.Second })
+		c.send(r, 1, time.Second, 3*time.Second, unchanged)
+		behind := c.send(r, 1, time.Second, 3*time.Second, unchanged)
+		time.Sleep(500 * time.Millisecond)
+		r.Expect(behind.refusal()).To(Equal([]any{code.Overloaded, code.NotRun}))
+	})
+}
--- a/internal/admit/order/order.go
+++ b/internal/admit/order/order.go
@@ -80,7 +80,7 @@
 	shares   [MaxPriorities]shares
 	work     work
 	recent   recent
-	released time.Time // when a slot was last freed
+	progress time.Time // when a slot was last granted or freed
 }
 
 // Waiting returns the waiting requests in order of arrival. The caller does not change it.
@@ -177,9 +177,9 @@
 	return free > min(reserve, slots-1)
 }
 
-// Stalled reports whether no slot has been freed for so long that waiting requests have a better chance at another server.
+// Stalled reports whether no slot has been granted or freed for so long that waiting requests have a better chance at another server.
 func (q *Queue) Stalled(now time.Time) bool {
-	return !q.released.IsZero() && now.Sub(q.released) > max(minStall, stallFactor*q.work.overall)
+	return !q.progress.IsZero() && now.Sub(q.progress) > max(minStall, stallFactor*q.work.overall)
 }
 
 // Expired returns the first waiting request that can no longer be answered by its deadline, or nil.
@@ -227,6 +227,7 @@
 
 // Granted records that a request got a slot.
 func (q *Queue) Granted(r *Request, now time.Time) {
+	q.progress = now
 	q.groups[groupOf(r)].served.add(1, now)
 	if !r.Nested {
 		q.shares[level(r)].of(r.Organisation).granted.add(q.work.expected(r).Seconds(), now)
@@ -235,7 +236,7 @@
 
 // Released records that a request has freed its slot after it ran for the given time; 0 if it did not run.
 func (q *Queue) Released(r *Request, held time.Duration, now time.Time) {
-	q.released = now
+	q.progress = now
 	if held > 0 {
 		q.work.add(r, held)
 	}
