--- a/internal/admit/gate/ending.go
+++ b/internal/admit/gate/ending.go
@@ -31,9 +31,9 @@
 	}
 }
 
-// releaseFailed returns the slot of a call that got no response. While the server is warming up and can run few requests, or with
-// precedence, which never sends more than the slots to a server, the slot of a request that may have run is returned after disconnectDelay, because the server works on the request until it detects the
-// closed connection.
+// releaseFailed returns the slot of a call that got no response. While the server is warming up and can run few requests, and with
+// precedence, which sends a server no more than its slots, the slot of a request that may have run is returned after disconnectDelay,
+// because the server works on the request until it detects the closed connection.
 func (c *call) releaseFailed(failed *code.Error) {
 	if failed.Outcome == code.NotRun || !c.gate.Limit.Warming() && !c.gate.ordersByPrecedence() {
 		c.release()
