route/call: Retry-After for requests that a router refuses by floors

Cause: such a refusal visits no server, so that its caller got a random time around 120 ms. Change: the time that a daemon last stated, within 1 s, to a request of the same service and priority.

--- a/internal/route/call/call.go
+++ b/internal/route/call/call.go
@@ -55,6 +55,7 @@
 	seq       atomic.Uint64
 	latencies sync.Map                  // service name to *latencies
 	durations sync.Map                  // service name to *durations
+	retries   sync.Map                  // retryKey to *statedRetry
 	stopTime  atomic.Pointer[time.Time] // when the daemon cuts running requests; nil unless it is stopping
 	closing   atomic.Bool               // only calls of the daemon's own server are taken with a deadline behind stopTime
 	counters  counters
--- a/internal/route/call/precedence_test.go
+++ b/internal/route/call/precedence_test.go
@@ -5,10 +5,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/route/choice"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -54,3 +56,20 @@
 		g.Expect(failure.RetryAfter).To(BeZero())
 	})
 }
+
+// Guards against a request that is refused by the floors of servers without the time that their daemons state to others.
+func TestRetryAfterOfFloors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := &request{c: &Client{}, req: &Request{Service: "stock"}, precedence: precedence{enabled: true, priority: 2}}
+		refused := func() *code.Error {
+			return code.Of(r.withRetryAfter(code.NotRunf(code.LowPrecedence, "floor").WithCause(choice.ErrFull)))
+		}
+		g.Expect(refused().RetryAfter).To(BeZero())
+		r.retryAfter(400 * time.Millisecond)
+		g.Expect(refused().RetryAfter).To(BeNumerically("~", 450*time.Millisecond, 50*time.Millisecond))
+		g.Expect(errors.Is(refused(), choice.ErrFull)).To(BeTrue())
+		time.Sleep(2 * maxStatedAge)
+		g.Expect(refused().RetryAfter).To(BeZero())
+	})
+}
--- a/internal/route/call/send.go
+++ b/internal/route/call/send.go
@@ -28,7 +28,7 @@
 	defer r.mu.Unlock()
 	sent, err := r.c.Choice.SelectFor(r.req.Service, r.tried, r.need())
 	if err != nil {
-		return err
+		return r.withRetryAfter(err)
 	}
 	a.sent = sent
 	r.tried = append(r.tried, sent.Server)
