--- a/internal/admit/gate/precedence_test.go
+++ b/internal/admit/gate/precedence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 
 // crowd counts the calls of a test load by priority.
 type crowd struct {
+	mu                  sync.Mutex // guards inTime and late until the calls have ended
 	total, inTime, late [4]int
 }
 
@@ -29,6 +31,8 @@
 	sent := time.Now()
 	r.calls.Go(func() {
 		_ = r.Call(&proto.Peer{}, head, s)
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		if _, last := s.frames(); last != nil {
 			if _, answered := last.(*proto.Answer); answered && time.Since(sent) <= objective {
 				c.inTime[priority]++
@@ -50,7 +54,8 @@
 
 // burst offers a gate with 10 slots of 100 ms twice its capacity for 5 s: 50 requests per second each of priorities 0 to 3, of which
 // priority 0 has a short objective and every tenth request is a nested one.
-func burst(t *testing.T, enabled bool) (result crowd, nestedFailed int) {
+func burst(t *testing.T, enabled bool) (result *crowd, nestedFailed int) {
+	result = &crowd{}
 	inBubble(t, func(r *rig) {
 		r.service.Slots, r.service.ReportsLoad, r.service.Checks = 10, true, nil
 		r.enablePrecedence(enabled)
