--- a/internal/admit/gate/precedence_test.go
+++ b/internal/admit/gate/precedence_test.go
@@ -179,10 +179,11 @@
 
 // Guards against a queue that grows without bound while slots are free and the rate of a cold server is used up.
 func TestQueueOfAColdServerIsBounded(t *testing.T) {
-	inBubble(t, func(r *rig) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.Instance = coldInstance{}
 		r.service.Queue = 5
 		r.enablePrecedence(true)
-		r.Instance = coldInstance{}
 		var c crowd
 		for range 20 {
 			c.send(r, 1, time.Second, 2*time.Second, unchanged)
