--- a/internal/admit/gate/ending.go
+++ b/internal/admit/gate/ending.go
@@ -31,11 +31,11 @@
 	}
 }
 
-// releaseFailed returns the slot of a call that got no response. While the server is warming up and can run few requests, the slot of
-// a request that may have run is returned after disconnectDelay, because the server works on the request until it detects the
-// closed connection.
+// releaseFailed returns the slot of a call that got no response. While the server is warming up and can run few requests, and with
+// precedence, which sends a server no more than its slots, the slot of a request that may have run is returned after disconnectDelay,
+// because the server works on the request until it detects the closed connection.
 func (c *call) releaseFailed(failed *code.Error) {
-	if failed.Outcome == code.NotRun || !c.gate.Limit.Warming() {
+	if failed.Outcome == code.NotRun || !c.gate.Limit.Warming() && !c.gate.ordersByPrecedence() {
 		c.release()
 		return
 	}
--- a/internal/route/call/send.go
+++ b/internal/route/call/send.go
@@ -26,9 +26,9 @@
 	head.Header = header
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sent, err := r.c.Choice.Select(r.req.Service, r.tried, r.class)
+	sent, err := r.c.Choice.SelectFor(r.req.Service, r.tried, r.need())
 	if err != nil {
-		return err
+		return r.withRetryAfter(err)
 	}
 	a.sent = sent
 	r.tried = append(r.tried, sent.Server)
