admit/gate, route/call: calls that servers make come first also where they pass no context on

Change: the router states that a running request made the call, by the route's objective or because it needs no key among routes that do.

--- a/internal/conf/config/route.go
+++ b/internal/conf/config/route.go
@@ -147,6 +147,12 @@
 	}
 }
 
+// Dependent reports whether servers make the requests of the route on behalf of requests that they run: the objective shows it, or that the
+// route needs no key while callers identify themselves by keys.
+func (c *Config) Dependent(route *Route) bool {
+	return route.isCheck || c.HasOrganisations() && route.Public
+}
+
 // Class returns the class of the route's requests of a priority, which is that of the route or of the caller's organisation. Idempotent
 // requests of priority 0 have the class check too, so that they take precedence, but no slots are reserved for them.
 func (r *Route) Class(priority int) ident.Class {
--- a/internal/route/call/precedence.go
+++ b/internal/route/call/precedence.go
@@ -20,6 +20,7 @@
 	enabled   bool
 	objective time.Time
 	priority  int
+	nested    bool // a running request made it
 }
 
 // setPrecedence sets the precedence of the request if the configuration enables it and the request has a route.
@@ -28,7 +29,10 @@
 	if !conf.Precedence || route == nil {
 		return
 	}
-	r.precedence = precedence{enabled: true, objective: r.began.Add(route.Objective), priority: max(0, r.req.Priority)}
+	r.precedence = precedence{
+		enabled: true, objective: r.began.Add(route.Objective), priority: max(0, r.req.Priority),
+		nested: r.depth > 0 || r.req.Organisation == nil && conf.Dependent(route),
+	}
 }
 
 // statePrecedence adds the precedence of the request to the head of an attempt.
@@ -37,7 +41,7 @@
 	if !p.enabled {
 		return
 	}
-	head.Priority = p.priority
+	head.Priority, head.Dependent = p.priority, p.nested
 	if organisation := a.r.req.Organisation; organisation != nil {
 		head.Organisation = organisation.Name
 	}
@@ -51,7 +55,7 @@
 func (r *request) need() choice.Need {
 	need := choice.Need{Class: r.class}
 	if r.precedence.enabled {
-		need.ByPrecedence, need.Priority, need.Nested = true, r.precedence.priority, r.depth > 0
+		need.ByPrecedence, need.Priority, need.Nested = true, r.precedence.priority, r.precedence.nested
 	}
 	return need
 }
--- a/internal/wire/proto/frame.go
+++ b/internal/wire/proto/frame.go
@@ -43,6 +43,7 @@
 	buf = putInt(buf, 17, int64(m.Objective))
 	buf = putUint(buf, 18, uint64(m.Priority))
 	buf = putText(buf, 19, m.Organisation)
+	buf = putBool(buf, 20, m.Dependent)
 	return putBytes(buf, 15, m.Body), nil
 }
 
@@ -103,6 +104,8 @@
 		m.Priority = r.count()
 	case 19:
 		m.Organisation = r.text(maxName)
+	case 20:
+		m.Dependent = r.boolean()
 	}
 }
 
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -66,6 +66,7 @@
 	Objective    time.Duration
 	Priority     int    // of the organisation or the route; 0 is the highest
 	Organisation string // name of the caller's organisation; empty if unknown
+	Dependent    bool   // a running request made it, on a platform whose servers pass no call context on
 }
 
 // Piece is a further part of a request or response body.
