roll/agent, roll/coord: coordinate roll-outs across the daemons of a service

An order in the configuration had no effect. Each daemon of the service now counts the requests and responses of its server, admits what the phase and its allowance permit, and answers the rounds of a coordinator, which any daemon can be. The phase is kept in the row rollout/SERVICE, on the hosted platform with the status row in the same transaction. Requests that the roll-out refuses have code out-of-service and are free to retry.

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -38,8 +38,9 @@
 	ticket       limit.Ticket
 	waiter       waiter
 	ack          proto.Ack
-	acked        bool         // the Ack was sent by acknowledge
-	counted      bool         // included in Gate.calls
+	acked        bool // the Ack was sent by acknowledge
+	counted      bool // included in Gate.calls
+	rollout      rolloutCall
 	identity     string       // instance that must run the request; set just before the run
 	streamEnd    atomic.Int64 // of a non-idempotent call whose stream ended during the run: when, as a duration since arrived; else 0
 	headerValues [4]string    // backing array for the values of the headers that the gate adds
@@ -64,6 +65,7 @@
 		return c.refuse(refused)
 	}
 	defer g.leave(c)
+	c.countReceived()
 	if c.buffersBody(service) {
 		if refused := c.bufferBody(); refused != nil {
 			return c.refuse(refused)
@@ -90,6 +92,11 @@
 		g.releaseUnused(head.Class)
 		return c.fail(refused)
 	}
+	if refused := c.beginRollout(); refused != nil {
+		g.releaseUnused(head.Class)
+		return c.fail(refused)
+	}
+	defer c.endRollout()
 	if g.Instance != nil {
 		c.identity = g.Instance.Identity()
 	}
@@ -178,6 +185,7 @@
 	c.gate.Limit.Begin(&c.ticket, c.head.Class, int(c.gate.running.Load()), c.body.end)
 	response, failed := c.gate.Server.Do(&c.attempt)
 	if failed != nil {
+		c.rollout.noResponse(failed)
 		c.recordUnfinished(failed)
 		c.gate.Limit.End(&c.ticket, failureResult(failed))
 		c.releaseFailed(failed)
@@ -186,6 +194,7 @@
 		}
 		return c.fail(failed)
 	}
+	c.rollout.response(response.StatusCode)
 	c.logSlow()
 	defer func() { _ = response.Body.Close() }() // the body was forwarded or discarded by then, so an error has no effect
 	c.gate.Limit.End(&c.ticket, responseResult(response))
--- a/internal/admit/gate/check.go
+++ b/internal/admit/gate/check.go
@@ -16,6 +16,23 @@
 
 // serviceOrRefusal returns the configuration of the service, or the reason why the gate refuses all new calls.
 func (g *Gate) serviceOrRefusal() (*config.Service, *code.Error) {
+	service, refused := g.inService()
+	if refused == nil && g.Rollout != nil {
+		refused = g.Rollout.Refusing()
+	}
+	if refused != nil {
+		return nil, refused
+	}
+	return service, nil
+}
+
+// InService reports whether the gate admits calls, apart from a roll-out and from the capacity.
+func (g *Gate) InService() bool {
+	_, refused := g.inService()
+	return refused == nil
+}
+
+func (g *Gate) inService() (*config.Service, *code.Error) {
 	c := g.Config.Get()
 	if c == nil {
 		return nil, code.NotRunf(code.NoConfiguration, "no configuration is in force yet")
@@ -140,7 +157,8 @@
 		g.refuseQueued(refused)
 	}
 	g.mu.Unlock()
-	if previous == current {
+	// The allowance of a server in trial runs out several times per second, so that these changes are not logged.
+	if previous == current || current == code.OutOfService && previous == code.None || previous == code.OutOfService && current == code.None {
 		return
 	}
 	g.Log.Info("admission-changed", "refusing", current.String(), "before", previous.String())
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -62,6 +62,7 @@
 	Target      netip.AddrPort // of the backend server
 	Server      Backend
 	Instance    Instance     // nil when the servers of the service do not check in
+	Rollout     Rollout      // may be nil
 	Dialect     hdrs.Dialect // names and formats of the headers to and from the server
 	Limit       *limit.Limiter
 	Ledger      *ledger.Ledger
--- a/internal/admit/gate/reply.go
+++ b/internal/admit/gate/reply.go
@@ -118,5 +118,6 @@
 	default:
 		failed = code.Unknownf(code.Cancelled, "the call was cancelled during the response").WithCause(err)
 	}
+	c.rollout.truncated(failed)
 	return c.fail(failed)
 }
--- a/internal/cli/daemon/administration.go
+++ b/internal/cli/daemon/administration.go
@@ -17,6 +17,8 @@
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
 	"marigoldwinch.example/marigoldwinch/internal/plat/object"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
+	"marigoldwinch.example/marigoldwinch/internal/roll/coord"
 	"marigoldwinch.example/marigoldwinch/internal/route/budget"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
 	"marigoldwinch.example/marigoldwinch/internal/route/choice"
@@ -29,8 +31,8 @@
 
 var administration = fx.Provide(newStateAnnouncer, newAPI, newFront, newEndpoint)
 
-func newStateAnnouncer(node *gossip.Node, holder *config.Holder, server *backend, log logr.Logger) *stateAnnouncer {
-	return &stateAnnouncer{Node: node, Holder: holder, Backend: server, Log: log}
+func newStateAnnouncer(node *gossip.Node, holder *config.Holder, server *backend, rollout *agent.Agent, log logr.Logger) *stateAnnouncer {
+	return &stateAnnouncer{Node: node, Holder: holder, Backend: server, Rollout: rollout, Log: log}
 }
 
 type frontParts struct {
@@ -109,6 +111,8 @@
 	Calls     *call.Client
 	Claims    *claim.Claims
 	Front     *front.Front
+	Rollout   *agent.Agent
+	Rounds    *coord.Coordinator
 	Log       logr.Logger
 }
 
@@ -157,6 +161,8 @@
 		{Name: "calls", Dump: parts.Calls.Dump},
 		{Name: "front", Dump: parts.Front.Dump},
 		{Name: "claims", Dump: parts.Claims.Dump},
+		{Name: "rollout", Dump: parts.Rollout.Dump},
+		{Name: "rollout-coordinator", Dump: parts.Rounds.Dump},
 		{Name: "connections-out", Dump: parts.Pool.Dump},
 		{Name: "connections-in", Dump: parts.Link.Dump},
 	}
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -21,6 +21,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
 	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 	"marigoldwinch.example/marigoldwinch/internal/wire/link"
 	"marigoldwinch.example/marigoldwinch/platform"
@@ -33,6 +34,7 @@
 	newLimiter,
 	newLedger,
 	newProbes,
+	newRolloutAgent,
 	newGate,
 	newLinkServer,
 )
@@ -179,6 +181,7 @@
 	Ledger      *ledger.Ledger
 	Probes      *probe.Budget
 	Node        *gossip.Node
+	Rollout     *agent.Agent
 	Decisions   *logs.Sampler
 	Log         logr.Logger
 }
@@ -200,7 +203,9 @@
 		Decisions:   parts.Decisions,
 		Log:         parts.Log,
 	}
+	parts.Rollout.Ready = g.InService
 	if parts.Status != nil {
+		g.Rollout = parts.Rollout
 		g.Instance = parts.Status
 		g.Isolated = nil // such a server reports its departure to this daemon directly, so work goes on when isolated
 	}
@@ -215,6 +220,7 @@
 	Incarnation ident.Incarnation
 	Gate        *gate.Gate
 	Node        *gossip.Node
+	Rollout     *agent.Agent
 	Log         logr.Logger
 }
 
@@ -224,6 +230,7 @@
 		Listener:    countedListener{Listener: parts.Listeners.Daemons, traffic: parts.Traffic},
 		Calls:       parts.Gate,
 		Fleet:       parts.Node,
+		Rollouts:    parts.Rollout,
 		Incarnation: parts.Incarnation,
 		MaxConns:    parts.Settings.AcceptedConns,
 		StopTimeout: min(timeout, flushTimeout),
--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -55,7 +55,7 @@
 		fx.Supply(d.Settings, live, d.Network.orTCP(), failures),
 		fx.Provide(func() logr.Logger { return d.Log }),
 		fx.Provide(newIncarnation, openListeners),
-		shared, fleet, admission, router, administration,
+		shared, fleet, admission, router, administration, rollouts,
 		fx.Invoke(registerMetrics, start),
 	)
 	if err := app.Err(); err != nil {
--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -10,6 +10,8 @@
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
+	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
+	"marigoldwinch.example/marigoldwinch/internal/roll/coord"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
 	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 )
@@ -24,6 +26,8 @@
 	Members *member.Table
 	Holder  *config.Holder
 	Watch   *watch.Watch
+	Rollout *agent.Agent
+	Rounds  *coord.Coordinator
 }
 
 // registerMetrics registers gauges that read their values on each scrape, so that they cost nothing on the call path.
@@ -32,6 +36,7 @@
 	registerCalls(parts.Set, parts.Calls)
 	registerQueries(parts.Set, parts.Queries)
 	registerFleet(parts)
+	registerRollouts(parts.Set, parts.Rollout, parts.Rounds)
 }
 
 func registerAdmission(set *stats.Set, admission *gate.Gate) {
--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -16,6 +16,8 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
+	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
+	"marigoldwinch.example/marigoldwinch/internal/roll/coord"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
 	"marigoldwinch.example/marigoldwinch/internal/route/claim"
 	"marigoldwinch.example/marigoldwinch/internal/route/front"
@@ -39,6 +41,8 @@
 	Node      *gossip.Node
 	Watch     *watch.Watch
 	State     *stateAnnouncer
+	Rollout   *agent.Agent
+	Rounds    *coord.Coordinator
 	Backend   *backend
 	Limiter   *limit.Limiter
 	Ledger    *ledger.Ledger
@@ -55,6 +59,7 @@
 // start registers the tasks of the daemon. They stop in reverse order: the planned stop comes first, so that everything that a
 // request in flight needs still runs until it ends; the administration API is among the last to stop.
 func start(parts startParts) {
+	parts.Rollout.Start()
 	tasks := []task{
 		{"settings", parts.Live.Run},
 		{"administration-api", parts.API.Run},
@@ -72,6 +77,7 @@
 		{"claims", parts.Claims.Run},
 		{"front", parts.Front.Run},
 		{"member-state", parts.State.Run},
+		{"rollouts", parts.Rounds.Run},
 	}
 	for _, t := range tasks {
 		appendTask(parts.Lifecycle, parts.Failures, t)
--- a/internal/cli/daemon/state.go
+++ b/internal/cli/daemon/state.go
@@ -12,6 +12,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
 )
 
 const stateInterval = 200 * time.Millisecond // far below the 3 s within which a departure must take effect
@@ -22,6 +23,7 @@
 	Node    *gossip.Node
 	Holder  *config.Holder
 	Backend *backend
+	Rollout *agent.Agent
 	Log     logr.Logger
 
 	current  member.State
@@ -53,7 +55,7 @@
 
 func (a *stateAnnouncer) desiredState() member.State {
 	switch {
-	case a.Backend.departing():
+	case a.Backend.departing(), a.Rollout.OutOfService():
 		return member.Leaving
 	case a.Holder.Get() == nil:
 		return member.Joining
@@ -62,6 +64,11 @@
 	}
 }
 
+// mayCoordinate reports whether the daemon may coordinate a roll-out. One whose server is out of service because of it may.
+func (a *stateAnnouncer) mayCoordinate() bool {
+	return !a.stopping.Load() && !a.Backend.departing() && a.Holder.Get() != nil
+}
+
 // ready returns the reason why the daemon admits no work, or nil when it does.
 func (a *stateAnnouncer) ready() error {
 	if _, err := a.Holder.InForce(); err != nil {
--- /dev/null
+++ b/internal/roll/agent/run.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"time"
+
+	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/roll/judge"
+	"marigoldwinch.example/marigoldwinch/internal/roll/phase"
+)
+
+// judgeInterval is the minimum time between two verdicts on the own responses, which bounds their cost on the call path.
+const judgeInterval = 100 * time.Millisecond
+
+var _ gate.Rollout = (*Agent)(nil)
+
+// Received implements gate.Rollout.
+func (a *Agent) Received() {
+	if o := a.current.Load(); o != nil {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.received++
+	}
+}
+
+// Begin implements gate.Rollout.
+func (a *Agent) Begin() (gate.RolloutRun, *code.Error) {
+	o := a.current.Load()
+	if o == nil {
+		return nil, nil
+	}
+	release := a.Server.Release()
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if refused := o.refusing(release, now); refused != nil {
+		return nil, refused
+	}
+	o.running++
+	if release == o.ordered.Target {
+		o.admitted++
+	}
+	o.tokens--
+	return &run{order: o, target: release == o.ordered.Target}, nil
+}
+
+// run implements gate.RolloutRun.
+type run struct {
+	order  *order
+	target bool // the server had the target release
+}
+
+// End implements gate.RolloutRun.
+func (r *run) End(route string, failed bool, took time.Duration) {
+	o := r.order
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.running--
+	if !r.target {
+		o.old.Add(route, failed, took)
+		return
+	}
+	o.target.Add(route, failed, took)
+	o.judge(time.Now())
+}
+
+// Ignore implements gate.RolloutRun.
+func (r *run) Ignore() {
+	r.order.mu.Lock()
+	defer r.order.mu.Unlock()
+	r.order.running--
+}
+
+// judge stops the server at once when its own responses show that the release is bad, without agreement of other daemons. The old release
+// is represented by the tally of the last round.
+func (o *order) judge(now time.Time) {
+	if !o.known || o.phase.Final() || now.Sub(o.judged) < judgeInterval {
+		return
+	}
+	o.judged = now
+	finding := judge.Compare(o.baseline, &o.target)
+	if finding.Verdict != judge.Bad {
+		return
+	}
+	o.agent.Log.Info("rollout-verdict", append([]any{"service", o.ordered.Service, "order", o.ordered.Order, "target", o.ordered.Target,
+		"evidence", "own"}, FindingFields(finding)...)...)
+	o.setPhase(phase.RolledBack, false, "own-evidence")
+}
+
+// FindingFields returns the figures that determined a verdict, for a log event.
+func FindingFields(f judge.Finding) []any {
+	return []any{
+		"verdict", f.Verdict.String(), "measure", f.Measure.String(), "route", f.Route, "responses", f.Responses,
+		"of", f.Of, "count", f.Count, "expected", f.Expected, "chance", f.Chance,
+	}
+}
--- a/internal/wire/link/accept.go
+++ b/internal/wire/link/accept.go
@@ -99,11 +99,20 @@
 		return serveUnary(c, raw, peer, c.server.Fleet.Exchange)
 	case rpcStatus:
 		return serveUnary(c, raw, peer, c.server.Fleet.Status)
+	case rpcRollout:
+		return serveUnary(c, raw, peer, c.rollout)
 	default:
 		return code.NotRunf(code.BadRequest, "unknown rpc %q", rpc)
 	}
 }
 
+func (c *serverConn) rollout(ctx context.Context, peer *proto.Peer, round *proto.RolloutRound) (*proto.RolloutEvidence, error) {
+	if c.server.Rollouts == nil {
+		return nil, code.NotRunf(code.BadRequest, "this daemon takes part in no roll-outs")
+	}
+	return c.server.Rollouts.Rollout(ctx, peer, round)
+}
+
 func echo(_ context.Context, _ *proto.Peer, req *proto.Ping) (*proto.Ping, error) {
 	return req, nil
 }
--- a/internal/wire/link/call.go
+++ b/internal/wire/link/call.go
@@ -174,3 +174,12 @@
 	}
 	return reply, nil
 }
+
+// Rollout implements proto.RolloutClient.
+func (p *Pool) Rollout(ctx context.Context, to netip.AddrPort, round *proto.RolloutRound) (*proto.RolloutEvidence, error) {
+	reply := new(proto.RolloutEvidence)
+	if err := p.invoke(ctx, to, rpcRollout, round, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -37,7 +37,8 @@
 	ListenAddress netip.AddrPort // ignored if Listener is set
 	Calls         proto.CallHandler
 	Fleet         proto.FleetHandler
-	Incarnation   ident.Incarnation // of this daemon
+	Rollouts      proto.RolloutHandler // may be nil
+	Incarnation   ident.Incarnation    // of this daemon
 	Log           logr.Logger
 
 	MaxConns     int           // limit on open connections; further ones are closed at once
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -1,6 +1,7 @@
 package proto
 
 import (
+	"math"
 	"net/http"
 	"net/netip"
 	"reflect"
@@ -16,6 +17,8 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/roll/phase"
+	"marigoldwinch.example/marigoldwinch/internal/roll/tally"
 )
 
 var (
@@ -86,6 +89,7 @@
 		rapid.Map(answers, func(m *Answer) any { return m }),
 		rapid.Map(failures, func(m *Failure) any { return m }),
 		rapid.Custom(drawHead), rapid.Custom(drawSimple), rapid.Custom(drawResolution), rapid.Custom(drawExchange),
+		rapid.Custom(drawRolloutRound), rapid.Custom(drawRolloutEvidence),
 	)
 )
 
@@ -162,6 +166,41 @@
 	return m
 }
 
+var tallies = rapid.Custom(func(t *rapid.T) *tally.Tally {
+	drawn := new(tally.Tally)
+	for range rapid.IntRange(0, 5).Draw(t, "responses") {
+		drawn.Add(texts.Draw(t, "route"), rapid.Bool().Draw(t, "failed"), durations.Draw(t, "took"))
+	}
+	return drawn
+})
+
+func drawRolloutState(t *rapid.T) RolloutState {
+	return RolloutState{
+		Order: rapid.Uint64().Draw(t, "order"), Target: texts.Draw(t, "target"), Known: rapid.Bool().Draw(t, "known"),
+		Phase: phase.Phase(rapid.IntRange(0, int(phase.RolledBack)).Draw(t, "phase")), Stored: rapid.Bool().Draw(t, "stored"),
+		Elapsed: durations.Draw(t, "elapsed"), Granted: rapid.Uint64().Draw(t, "granted"),
+	}
+}
+
+func drawRolloutRound(t *rapid.T) any {
+	return &RolloutRound{
+		Service: texts.Draw(t, "service"), State: drawRolloutState(t), Coordinator: addresses.Draw(t, "coordinator"),
+		Yielding: rapid.Bool().Draw(t, "yielding"), Receiver: ident.Incarnation(rapid.Uint64().Draw(t, "receiver")),
+		Limit: rapid.Uint64().Draw(t, "limit"), Rate: rapid.Float64Range(0, 1e6).Draw(t, "rate"),
+		Announce: rapid.Bool().Draw(t, "announce"), Baseline: tallies.Draw(t, "baseline"),
+	}
+}
+
+func drawRolloutEvidence(t *rapid.T) any {
+	return &RolloutEvidence{
+		State: drawRolloutState(t), Incarnation: ident.Incarnation(rapid.Uint64().Draw(t, "incarnation")),
+		Release: texts.Draw(t, "release"), Ready: rapid.Bool().Draw(t, "ready"), Slots: counts.Draw(t, "slots"),
+		Received: rapid.Uint64().Draw(t, "received"), Admitted: rapid.Uint64().Draw(t, "admitted"),
+		Limit: rapid.Uint64().Draw(t, "limit"), Running: rapid.Uint64().Draw(t, "running"),
+		Old: tallies.Draw(t, "old"), New: tallies.Draw(t, "new"),
+	}
+}
+
 // decodeLike decodes into a new message of the same type, through an Envelope when it is a frame.
 func decodeLike(buf []byte, message any) (any, error) {
 	if _, isFrame := message.(Frame); isFrame {
@@ -254,6 +293,10 @@
 		"class":              {putUint([]byte{byte(kindHead)}, 10, 4), &Envelope{}, code.BadRequest},
 		"frame kind":         {[]byte{9}, &Envelope{}, code.BadRequest},
 		"wire type":          {putUint([]byte{byte(kindHead)}, 2, 1), &Envelope{}, code.BadRequest},
+		"phase":              {putNested(nil, 2, uint64(4), putPhase), &RolloutRound{}, code.BadRequest},
+		"rate":               {putUint(nil, 7, math.Float64bits(math.NaN())), &RolloutRound{}, code.BadRequest},
+		"routes":             {putTally(nil, 9, &tally.Tally{Routes: make([]tally.Route, 2)}), &RolloutRound{}, code.BadRequest},
+		"buckets":            {putNested(nil, 9, make([]byte, tally.Buckets+1), putBuckets), &RolloutRound{}, code.BadRequest},
 		"truncated":          {putElement(nil, 1, "service")[:4], &Probe{}, code.BadRequest},
 	}
 	for name, tc := range received {
@@ -263,6 +306,15 @@
 	}
 }
 
+func putPhase(buf []byte, value uint64) []byte {
+	return putUint(buf, 4, value)
+}
+
+// putBuckets encodes a tally with one route whose histogram has the given content.
+func putBuckets(buf, content []byte) []byte {
+	return putNested(buf, 1, content, func(buf, content []byte) []byte { return putBytes(buf, 4, content) })
+}
+
 // Guards against a panic on malformed input, an error without one of the expected codes, and a decoded message that cannot be
 // encoded again without changes.
 func FuzzUnmarshal(f *testing.F) {
@@ -270,6 +322,7 @@
 		func() any { return new(Envelope) }, func() any { return new(Hello) }, func() any { return new(Welcome) },
 		func() any { return new(Resolve) }, func() any { return new(Resolution) }, func() any { return new(Probe) },
 		func() any { return new(ProbeReply) }, func() any { return new(Exchange) }, func() any { return new(Status) },
+		func() any { return new(RolloutRound) }, func() any { return new(RolloutEvidence) },
 	}
 	f.Fuzz(func(t *testing.T, kind byte, buf []byte) {
 		message := targets[int(kind)%len(targets)]()
