--- a/internal/roll/agent/order.go
+++ b/internal/roll/agent/order.go
@@ -95,8 +95,8 @@
 		before = o.phase.String()
 	}
 	o.known, o.phase, o.stored = true, next, stored
-	o.agent.Log.Info("rollout-phase", "service", o.ordered.Service, "order", o.ordered.Order, "target", o.ordered.Target, "phase", next.String(),
-		"before", before, "stored", stored, "elapsed", time.Since(o.first), "admitted", o.admitted, "reason", reason)
+	o.agent.Log.Info("rollout-phase", "service", o.ordered.Service, "order", o.ordered.Order, "target", o.ordered.Target,
+		"phase", next.String(), "before", before, "stored", stored, "elapsed", time.Since(o.first), "admitted", o.admitted, "reason", reason)
 }
 
 // learn applies a phase that a round, the table or another daemon told. A phase only moves forward, with one exception: a completed phase
--- a/internal/roll/agent/run.go
+++ b/internal/roll/agent/run.go
@@ -5,6 +5,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/roll/judge"
 	"marigoldwinch.example/marigoldwinch/internal/roll/phase"
 )
@@ -82,14 +83,14 @@
 	if finding.Verdict != judge.Bad {
 		return
 	}
-	o.agent.Log.Info("rollout-verdict", append([]any{"service", o.ordered.Service, "order", o.ordered.Order, "target", o.ordered.Target,
-		"evidence", "own"}, FindingFields(finding)...)...)
+	o.agent.Log.Info("rollout-verdict", FindingFields(o.ordered, "own", finding)...)
 	o.setPhase(phase.RolledBack, false, "own-evidence")
 }
 
-// FindingFields returns the figures that determined a verdict, for a log event.
-func FindingFields(f judge.Finding) []any {
+// FindingFields returns the figures that determined a verdict, for a log event. evidence tells whose responses were compared.
+func FindingFields(ordered config.Rollout, evidence string, f judge.Finding) []any {
 	return []any{
+		"service", ordered.Service, "order", ordered.Order, "target", ordered.Target, "evidence", evidence,
 		"verdict", f.Verdict.String(), "measure", f.Measure.String(), "route", f.Route, "responses", f.Responses,
 		"of", f.Of, "count", f.Count, "expected", f.Expected, "chance", f.Chance,
 	}
--- a/internal/roll/coord/input.go
+++ b/internal/roll/coord/input.go
@@ -96,12 +96,14 @@
 		return
 	}
 	s.verdict = f.Verdict
-	s.c.Log.Info("rollout-verdict", append([]any{"service", s.c.Service, "order", s.ordered.Order, "target", s.ordered.Target,
-		"evidence", "all"}, agent.FindingFields(f)...)...)
+	s.c.Log.Info("rollout-verdict", agent.FindingFields(s.ordered, "all", f)...)
 }
 
 func (s *session) publish(in stage.Input, plan stage.Plan) {
-	sums := Dump{Reason: plan.Reason.String(), Verdict: in.Finding.Verdict.String(), Daemons: len(in.Daemons), Received: in.Received, Admitted: in.Admitted}
+	sums := Dump{
+		Reason: plan.Reason.String(), Verdict: in.Finding.Verdict.String(), Daemons: len(in.Daemons),
+		Received: in.Received, Admitted: in.Admitted,
+	}
 	for i := range in.Daemons {
 		d := &in.Daemons[i]
 		sums.Received += d.Received
--- a/internal/roll/coord/role.go
+++ b/internal/roll/coord/role.go
@@ -71,7 +71,8 @@
 	}
 	s.coordinating, s.yielding = true, !storeReached
 	s.c.counters.takeovers.Add(1)
-	s.c.Log.Info("rollout-coordinating", "service", s.c.Service, "order", s.ordered.Order, "rank", rank, "silence", sinceOrNone(now, view.FullAt))
+	s.c.Log.Info("rollout-coordinating", "service", s.c.Service, "order", s.ordered.Order, "rank", rank,
+		"silence", sinceOrNone(now, view.FullAt))
 }
 
 // mayTakeOver reports whether the predecessors have been silent for long enough.
