--- a/internal/roll/agent/agent.go
+++ b/internal/roll/agent/agent.go
@@ -2,6 +2,7 @@
 package agent
 
 import (
+	"cmp"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -15,8 +16,14 @@
 	"marigoldwinch.example/marigoldwinch/internal/roll/phase"
 )
 
-// DefaultRollbackTime is the time within which a bad release gets no more requests.
-const DefaultRollbackTime = 5 * time.Second
+// Defaults of the durations of an Agent.
+const (
+	// DefaultRollbackTime is the time within which a bad release gets no more requests.
+	DefaultRollbackTime = 5 * time.Second
+	// DefaultOldLease is shorter than the 10 s after which the membership holds a silent daemon as gone. From then on a roll-out may be
+	// completed without it, and its server must not run requests any more.
+	DefaultOldLease = 9 * time.Second
+)
 
 // Server is the server beside the daemon. The daemon uses status.Server.
 type Server interface {
@@ -35,6 +42,7 @@
 	Server       Server        // nil when the servers of the service do not check in; orders are then ignored
 	Ready        func() bool   // whether the server takes requests, apart from the roll-out
 	RollbackTime time.Duration // DefaultRollbackTime when 0
+	OldLease     time.Duration // how long an old server admits without a round; DefaultOldLease when 0
 	Log          logr.Logger
 
 	current atomic.Pointer[order] // nil while no order restricts the service
@@ -135,8 +143,9 @@
 }
 
 func (a *Agent) rollbackTime() time.Duration {
-	if a.RollbackTime == 0 {
-		return DefaultRollbackTime
-	}
-	return a.RollbackTime
+	return cmp.Or(a.RollbackTime, DefaultRollbackTime)
+}
+
+func (a *Agent) oldLease() time.Duration {
+	return cmp.Or(a.OldLease, DefaultOldLease)
 }
--- a/internal/roll/agent/order.go
+++ b/internal/roll/agent/order.go
@@ -121,16 +121,30 @@
 	case release == o.banned:
 		return o.refusal("release %s was rolled back", release)
 	case release != o.ordered.Target:
-		if o.known && (o.phase == phase.Switching || o.phase == phase.Completed) {
-			return o.refusal("release %s is replaced by %s", release, o.ordered.Target)
-		}
-		return nil
+		return o.refusingOld(release, now)
 	case !o.known:
 		return o.refusal("the phase of the roll-out of %s is not known yet", release)
 	}
 	return o.refusingTarget(now)
 }
 
+func (o *order) refusingOld(release string, now time.Time) *code.Error {
+	if !o.known {
+		return nil
+	}
+	silence := now.Sub(o.heard.any.at)
+	switch o.phase {
+	case phase.Switching, phase.Completed:
+		return o.refusal("release %s is replaced by %s", release, o.ordered.Target)
+	case phase.Trial:
+		if !o.heard.any.at.IsZero() && silence > o.agent.oldLease() {
+			return o.refusal("no round of the roll-out of %s was received for %s", o.ordered.Target, silence)
+		}
+	case phase.RolledBack:
+	}
+	return nil
+}
+
 func (o *order) refusingTarget(now time.Time) *code.Error {
 	target := o.ordered.Target
 	switch o.phase {
--- a/internal/roll/coord/fleet_test.go
+++ b/internal/roll/coord/fleet_test.go
@@ -33,6 +33,8 @@
 	newRelease  = "r2"
 	serviceTime = 10 * time.Millisecond
 	slots       = 8
+
+	badResponses = 50 // after which a bad release must be out of traffic within 5 s
 )
 
 // fleet is the daemons of one service in virtual time, with the coordination of roll-outs and a load, but without a network.
@@ -48,7 +50,10 @@
 	respond  func(n *node) (failed bool, took time.Duration) // of the target release; nil for a good one
 
 	requests, refused, toTarget atomic.Uint64
-	lastTarget                  atomic.Int64 // when a target server last began a request, as Unix nanoseconds
+	bad                         atomic.Int64 // failures and slow responses of the target release
+	fiftieth                    atomic.Int64 // when the 50th of these was sent, as Unix nanoseconds
+	afterBad                    atomic.Int64 // requests that target servers began later than 5 s after it
+	oldAtCompletion             atomic.Int64 // requests that old servers ran when completed was written
 }
 
 // node is a daemon and its server.
@@ -126,7 +131,11 @@
 	if err := s.reach(ctx); err != nil {
 		return err
 	}
-	return s.Store.Commit(ctx, txn)
+	err := s.Store.Commit(ctx, txn)
+	if s.node.fleet.row() == "completed" {
+		s.node.fleet.countOldRuns()
+	}
+	return err
 }
 
 // inFleet runs body with a fleet of servers of both releases in a bubble.
@@ -167,8 +176,9 @@
 			n.members.Apply(other.record)
 		}
 	}
+	kept = append(kept, n)
 	f.mu.Lock()
-	f.nodes = append(kept, n)
+	f.nodes = kept
 	f.mu.Unlock()
 	log := logr.Discard()
 	if testing.Verbose() {
@@ -288,12 +298,17 @@
 	failed, took := false, serviceTime/2+rand.N(serviceTime)
 	if n.release == newRelease {
 		f.toTarget.Add(1)
-		f.lastTarget.Store(time.Now().UnixNano())
+		if at := f.fiftieth.Load(); at != 0 && time.Now().UnixNano() > at+int64(5*time.Second) {
+			f.afterBad.Add(1)
+		}
 		if f.respond != nil {
 			failed, took = f.respond(n)
 		}
 	}
 	time.Sleep(took)
+	if (failed || took > 2*serviceTime) && f.bad.Add(1) == badResponses {
+		f.fiftieth.Store(time.Now().UnixNano())
+	}
 	if run != nil {
 		run.End("lookup", failed, took)
 	}
@@ -311,6 +326,14 @@
 	return value.Phase
 }
 
+func (f *fleet) countOldRuns() {
+	for _, n := range f.all() {
+		if n.release == oldRelease {
+			f.oldAtCompletion.Add(int64(n.agent.Counts().Running))
+		}
+	}
+}
+
 func (f *fleet) active() (active []*node) {
 	for _, n := range f.nodes {
 		if n.coordinator.active.Load() && !n.killed.Load() && n.paused.Load() == nil {
--- a/internal/roll/coord/row.go
+++ b/internal/roll/coord/row.go
@@ -32,6 +32,7 @@
 	found      bool // the row is that of the order, in phase
 	phase      phase.Phase
 	superseded bool // the row is that of a later order
+	created    bool // this access has written the first phase
 }
 
 // row accesses the row of a roll-out, one access at a time and in the background, because the table may be slow for seconds.
@@ -153,7 +154,7 @@
 	err = r.store.Commit(ctx, txn)
 	if err == nil {
 		r.counters.writes.Add(1)
-		return result{reached: true, found: true, phase: next}, nil
+		return result{reached: true, found: true, phase: next, created: !got.found}, nil
 	}
 	failed := code.Of(err)
 	if failed.Code != code.ChangeConflict && failed.Outcome == code.NotRun {
--- a/internal/roll/coord/session.go
+++ b/internal/roll/coord/session.go
@@ -86,6 +86,10 @@
 		s.coordinating = false
 		s.steppedDownUntil = now.Add(stepDownFor) // this daemon's configuration is behind
 	case got.found:
+		if got.created {
+			s.c.Log.Info("rollout-started", "service", s.c.Service, "order", s.ordered.Order, "target", s.ordered.Target,
+				"duration", s.ordered.Duration, "phase", got.phase.String())
+		}
 		s.c.Agent.Learn(s.ordered, got.phase, true, "table")
 	}
 }
