roll/agent, roll/coord: leases, so that a part of the fleet that is cut off does not go on alone

An old daemon that was paused or cut off at the switch went on admitting requests, and a coordinator that reached only itself kept its own server in service. A round now extends leases only if most daemons replied to the last one: 5 s for old servers, the rollback time less 1 s for target servers after the switch. A daemon that has been silent for 8 s is left out, since its lease has ended.

--- a/internal/cli/daemon/rollout.go
+++ b/internal/cli/daemon/rollout.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"cmp"
-
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 
@@ -39,7 +37,6 @@
 		Incarnation:  parts.Incarnation,
 		Config:       parts.Holder,
 		RollbackTime: parts.Settings.RollbackTime,
-		OldLease:     cmp.Or(parts.Settings.GoneAfter, member.DefaultSuspectFor) * 9 / 10,
 		Log:          parts.Log,
 	}
 	if parts.Status != nil {
--- a/internal/roll/agent/agent.go
+++ b/internal/roll/agent/agent.go
@@ -16,13 +16,12 @@
 	"marigoldwinch.example/marigoldwinch/internal/roll/phase"
 )
 
-// Defaults of the durations of an Agent.
 const (
 	// DefaultRollbackTime is the time within which a bad release gets no more requests.
 	DefaultRollbackTime = 5 * time.Second
-	// DefaultOldLease is shorter than the 10 s after which the membership holds a silent daemon as gone. From then on a roll-out may be
-	// completed without it, and its server must not run requests any more.
-	DefaultOldLease = 9 * time.Second
+	// OldLease is how long an old server admits requests without a round. After it, and the time that the requests take, a roll-out may
+	// be completed without a daemon that does not reply. It exceeds the time in which three successors take over.
+	OldLease = 5 * time.Second
 )
 
 // Server is the server beside the daemon. The daemon uses status.Server.
@@ -42,7 +41,6 @@
 	Server       Server        // nil when the servers of the service do not check in; orders are then ignored
 	Ready        func() bool   // whether the server takes requests, apart from the roll-out
 	RollbackTime time.Duration // DefaultRollbackTime when 0
-	OldLease     time.Duration // how long an old server admits without a round; DefaultOldLease when 0
 	Log          logr.Logger
 
 	current atomic.Pointer[order] // nil while no order restricts the service
@@ -145,7 +143,3 @@
 func (a *Agent) rollbackTime() time.Duration {
 	return cmp.Or(a.RollbackTime, DefaultRollbackTime)
 }
-
-func (a *Agent) oldLease() time.Duration {
-	return cmp.Or(a.OldLease, DefaultOldLease)
-}
--- a/internal/roll/agent/order.go
+++ b/internal/roll/agent/order.go
@@ -132,12 +132,12 @@
 	if !o.known {
 		return nil
 	}
-	silence := now.Sub(o.heard.any.at)
+	silence := now.Sub(o.heard.leased)
 	switch o.phase {
 	case phase.Switching, phase.Completed:
 		return o.refusal("release %s is replaced by %s", release, o.ordered.Target)
 	case phase.Trial:
-		if !o.heard.any.at.IsZero() && silence > o.agent.oldLease() {
+		if !o.heard.leased.IsZero() && silence > OldLease {
 			return o.refusal("no round of the roll-out of %s was received for %s", o.ordered.Target, silence)
 		}
 	case phase.RolledBack:
@@ -151,8 +151,8 @@
 	case phase.RolledBack:
 		return o.refusal("release %s was rolled back", target)
 	case phase.Switching:
-		if now.Sub(o.heard.any.at) > o.agent.rollbackTime()-leaseMargin {
-			return o.refusal("no round of the roll-out of %s was received for %s", target, now.Sub(o.heard.any.at))
+		if silence := now.Sub(o.heard.leased); silence > o.agent.rollbackTime()-leaseMargin {
+			return o.refusal("no round of the roll-out of %s was received for %s", target, silence)
 		}
 	case phase.Trial:
 		o.refill(now)
--- a/internal/roll/agent/round.go
+++ b/internal/roll/agent/round.go
@@ -14,9 +14,12 @@
 
 // heard is when rounds of other coordinators were received.
 type heard struct {
-	any  received // of any coordinator, including this daemon
-	peer received // of another daemon
-	full received // of another daemon that reaches the table
+	any received // of any coordinator, including this daemon
+	// leased is the last round of a coordinator that reached most daemons. A part of the fleet that is cut off from the others must not
+	// go on by its own rounds, because the others may complete or roll back without it.
+	leased time.Time
+	peer   received // of another daemon
+	full   received // of another daemon that reaches the table
 }
 
 type received struct {
@@ -75,6 +78,9 @@
 	}
 	from := received{round.Coordinator, now}
 	o.heard.any = from
+	if !round.Minority {
+		o.heard.leased = now
+	}
 	if round.Coordinator == o.agent.Address {
 		return
 	}
--- a/internal/roll/coord/fleet_test.go
+++ b/internal/roll/coord/fleet_test.go
@@ -152,12 +152,14 @@
 			f.start(netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i+1)), release)
 		}
 		time.Sleep(time.Second)
+		defer func() {
+			for _, n := range f.all() {
+				n.resume()
+			}
+			cancel()
+			f.running.Wait()
+		}()
 		body(f)
-		for _, n := range f.nodes {
-			n.resume()
-		}
-		cancel()
-		f.running.Wait()
 	})
 }
 
@@ -169,17 +171,13 @@
 	}
 	n.members.SetSelf(n.record)
 	kept := f.nodes[:0:0]
-	for _, other := range f.nodes {
+	for _, other := range f.all() {
 		if other.record.Address != address {
 			kept = append(kept, other)
 			other.members.Apply(n.record)
 			n.members.Apply(other.record)
 		}
 	}
-	kept = append(kept, n)
-	f.mu.Lock()
-	f.nodes = kept
-	f.mu.Unlock()
 	log := logr.Discard()
 	if testing.Verbose() {
 		log = funcr.New(func(_, line string) { f.t.Log(time.Now().Format("05.000"), address, line) }, funcr.Options{})
@@ -192,6 +190,10 @@
 		Service: "stock", Address: address, Agent: n.agent, Members: n.members, Client: n, Store: &store{f.platform.Table, n},
 		Eligible: n.eligible, Share: 0.1, Slack: 50, Log: log,
 	}
+	kept = append(kept, n)
+	f.mu.Lock()
+	f.nodes = kept
+	f.mu.Unlock()
 	n.agent.Start()
 	ctx, cancel := context.WithCancel(f.ctx)
 	n.stop = cancel
@@ -335,7 +337,7 @@
 }
 
 func (f *fleet) active() (active []*node) {
-	for _, n := range f.nodes {
+	for _, n := range f.all() {
 		if n.coordinator.active.Load() && !n.killed.Load() && n.paused.Load() == nil {
 			active = append(active, n)
 		}
--- a/internal/roll/coord/input.go
+++ b/internal/roll/coord/input.go
@@ -14,6 +14,10 @@
 // reachableFor is how long a daemon counts as reachable after its last reply: three rounds may be lost.
 const reachableFor = time.Second
 
+// silentFor is how long a daemon must not have replied until the roll-out goes on without it: its server has admitted nothing since
+// agent.OldLease, and requests end within the rest.
+const silentFor = agent.OldLease + 3*time.Second
+
 // input collects what the plan needs from the evidence.
 func (s *session) input(view agent.View, members []member.Record, now time.Time) stage.Input {
 	in := stage.Input{
@@ -23,6 +27,9 @@
 	present := make(map[lifetime]bool, len(members))
 	for _, r := range members {
 		key := s.current[r.Address]
+		if s.isSilent(key, now) {
+			continue
+		}
 		present[key] = true
 		in.Daemons = append(in.Daemons, s.daemonInput(r.Address, s.daemons[key], now))
 	}
@@ -52,6 +59,15 @@
 	return in
 }
 
+// isSilent reports whether a daemon has not replied for silentFor.
+func (s *session) isSilent(key lifetime, now time.Time) bool {
+	last := s.began
+	if e := s.daemons[key]; e != nil && e.replied.After(last) {
+		last = e.replied
+	}
+	return !s.minority && now.Sub(last) > silentFor
+}
+
 // daemonInput describes one daemon. One without evidence counts as an old server that may be running requests.
 func (s *session) daemonInput(address netip.AddrPort, e *evidence, now time.Time) stage.Daemon {
 	if e == nil {
--- a/internal/roll/coord/role.go
+++ b/internal/roll/coord/role.go
@@ -69,7 +69,7 @@
 		}
 		return
 	}
-	s.coordinating, s.yielding = true, !storeReached
+	s.coordinating, s.yielding, s.minority, s.began = true, !storeReached, true, now
 	s.c.counters.takeovers.Add(1)
 	s.c.Log.Info("rollout-coordinating", "service", s.c.Service, "order", s.ordered.Order, "rank", rank,
 		"silence", sinceOrNone(now, view.FullAt))
--- a/internal/roll/coord/rollout_test.go
+++ b/internal/roll/coord/rollout_test.go
@@ -129,7 +129,14 @@
 // of the daemons.
 func TestGoodReleaseIsCompletedDespiteFaults(t *testing.T) {
 	for name, disturb := range map[string]func(f *fleet){
-		"coordinator killed": func(f *fleet) { f.active()[0].kill() },
+		"coordinator restarted": func(f *fleet) {
+			killed := f.active()[0]
+			killed.kill()
+			f.running.Go(func() {
+				time.Sleep(1500 * time.Millisecond)
+				f.restart(killed)
+			})
+		},
 		"coordinator paused": func(f *fleet) { f.pauseFor(f.active()[0], 2*time.Second) },
 		"store unreachable for a third": func(f *fleet) {
 			first := f.active()[0]
@@ -140,7 +147,9 @@
 				}
 			}
 		},
-		"response lost":    func(f *fleet) { f.platform.Faults.Inject(fake.LoseResponse{Scope: fake.Scope{Kind: fake.Write, Count: 1}}) },
+		"response lost": func(f *fleet) {
+			f.platform.Faults.Inject(fake.LoseResponse{Scope: fake.Scope{Kind: fake.Write, Count: 1}})
+		},
 		"old daemon ended": func(f *fleet) { f.restart(f.nodes[0]) },
 		"target restarted": func(f *fleet) { f.restart(f.nodes[len(f.nodes)-1]) },
 	} {
@@ -178,6 +187,18 @@
 	})
 }
 
+// Guards against waiting until the end of the duration for an old daemon that is lost early: its lease has ended long before.
+func TestLostOldDaemonIsLeftOut(t *testing.T) {
+	inFleet(t, 5, 5, func(f *fleet) {
+		f.begin(order(1))
+		time.Sleep(2 * time.Second)
+		f.nodes[0].cut.Store(true)
+		time.Sleep(duration - 2*time.Second)
+		f.Expect(f.row()).To(Equal("completed"))
+		f.Expect(f.oldAtCompletion.Load()).To(BeZero(), "requests at old servers when completed was written, also at the lost one")
+	})
+}
+
 func (f *fleet) pauseFor(n *node, length time.Duration) {
 	n.pause()
 	f.running.Go(func() {
--- a/internal/roll/coord/session.go
+++ b/internal/roll/coord/session.go
@@ -30,6 +30,9 @@
 	steppedDownUntil time.Time
 	askedAt          time.Time
 
+	began       time.Time // when this daemon began to coordinate
+	known       int       // most members that the service had during the order
+	minority    bool      // at most half of them replied to the last round
 	lastRound   time.Time // zero unless coordinating
 	plan        *stage.Plan
 	announcedAt time.Time // when a plan first wanted the switch; zero before
@@ -138,10 +141,9 @@
 		})
 	}
 	sending.Wait()
+	s.known = max(s.known, len(members))
+	s.minority = 2*(len(replies)+1) <= s.known && s.known > 1
 	own := s.message(view, s.c.Address)
-	if s.yielding && len(replies) == 0 && len(members) > 1 {
-		own.Coordinator = netip.AddrPort{} // without the table and any daemon, its rounds must not keep its own server in service
-	}
 	if reply, err := s.c.Agent.Rollout(ctx, nil, own); err == nil {
 		replies[s.c.Address] = reply
 	}
@@ -153,7 +155,8 @@
 	state := view.State
 	state.Granted = max(state.Granted, s.granted)
 	message := &proto.RolloutRound{
-		Service: s.c.Service, State: state, Coordinator: s.c.Address, Yielding: s.yielding, Announce: !s.announcedAt.IsZero(),
+		Service: s.c.Service, State: state, Coordinator: s.c.Address, Yielding: s.yielding, Minority: s.minority,
+		Announce: !s.announcedAt.IsZero(),
 	}
 	held, known := s.current[to]
 	if s.plan == nil || !known || !state.Known || state.Phase != phase.Trial {
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -185,8 +185,9 @@
 func drawRolloutRound(t *rapid.T) any {
 	return &RolloutRound{
 		Service: texts.Draw(t, "service"), State: drawRolloutState(t), Coordinator: addresses.Draw(t, "coordinator"),
-		Yielding: rapid.Bool().Draw(t, "yielding"), Receiver: ident.Incarnation(rapid.Uint64().Draw(t, "receiver")),
-		Limit: rapid.Uint64().Draw(t, "limit"), Rate: rapid.Float64Range(0, 1e6).Draw(t, "rate"),
+		Yielding: rapid.Bool().Draw(t, "yielding"), Minority: rapid.Bool().Draw(t, "minority"),
+		Receiver: ident.Incarnation(rapid.Uint64().Draw(t, "receiver")),
+		Limit:    rapid.Uint64().Draw(t, "limit"), Rate: rapid.Float64Range(0, 1e6).Draw(t, "rate"),
 		Announce: rapid.Bool().Draw(t, "announce"), Baseline: tallies.Draw(t, "baseline"),
 	}
 }
--- a/internal/wire/proto/rollout.go
+++ b/internal/wire/proto/rollout.go
@@ -35,6 +35,7 @@
 	State       RolloutState
 	Coordinator netip.AddrPort // invalid when the sender only asks
 	Yielding    bool           // the coordinator cannot reach the table; another daemon may take over
+	Minority    bool           // at most half of the daemons replied to its last round; this round extends no lease
 	Receiver    ident.Incarnation
 	Limit       uint64  // cumulative number of requests that the receiver may admit; void unless Receiver is its incarnation
 	Rate        float64 // admissions per second during the trial; 0: none now
@@ -105,7 +106,8 @@
 	buf = putUint(buf, 6, m.Limit)
 	buf = putUint(buf, 7, math.Float64bits(m.Rate))
 	buf = putBool(buf, 8, m.Announce)
-	return putTally(buf, 9, m.Baseline)
+	buf = putTally(buf, 9, m.Baseline)
+	return putBool(buf, 10, m.Minority)
 }
 
 func readRolloutRound(r *reader, m *RolloutRound) {
@@ -129,6 +131,8 @@
 	case 9:
 		m.Baseline = new(tally.Tally)
 		readNested(r, m.Baseline, readTally)
+	case 10:
+		m.Minority = r.boolean()
 	}
 }
 
