roll/judge: verdict on the target release of a roll-out

A roll-out needs to tell a bad release from a good one under noise. Compares failures and durations per route by the Beta-binomial distribution, over the same times (Pairing), without single old servers that are worse than the others.

--- a/internal/roll/judge/judge.go
+++ b/internal/roll/judge/judge.go
@@ -26,7 +26,56 @@
 	Durations                // durations
 )
 
-// Finding is a verdict with the figures that determined it: those of the comparison that deviates most.
+// Parameters of the verdict; docs/design/roll-out-verdict.md gives the reasons.
+const (
+	// badChance is the probability below which a deviation condemns the release. It is compared again each round and for each route.
+	badChance = 1e-3
+	// minCount is the least number of failed or slow responses that condemns: normal failures come in pairs by chance.
+	minCount = 3
+	// minOld is the least number of responses of the old release with which a route is compared by itself.
+	minOld = 40
+	// maxOld bounds the weight of the old release's responses, whose rates vary over time by more than their number suggests.
+	maxOld = 500
+	// minSlowCount is the least number of slow responses on all routes together that condemns: the first ones may all belong to one run.
+	minSlowCount = 6
+	// priorWeight is the number of responses for which the rate of all routes counts in the estimate for one route.
+	priorWeight = 10
+	// absoluteTolerance and relativeTolerance are how much more often the target release may fail or be slow.
+	absoluteTolerance = 0.005
+	relativeTolerance = 1.5
+	// minFailureExcess and minSlowExcess are the least deviations of a share that condemn: a release with fewer bad responses is not
+	// worth a roll-back. While servers are often slow because of their neighbours, only slow responses during such a time differ from
+	// those of the old release, which are a quarter of the bad ones.
+	minFailureExcess = 0.05
+	minSlowExcess    = 0.025
+	// slowBuckets is how much longer responses of the target release may take: 2.5 times. Servers in their first seconds take twice as long.
+	slowBuckets = 4
+	// maxTail is the largest share of slow responses of the old release with which a threshold is compared. Above it slow responses
+	// are so common that they come in runs, such as those during the activity of a neighbour on the host.
+	maxTail = 0.06
+	// assumedFailures is the share of failures that is held against a release when there is no old one to compare with.
+	assumedFailures = 0.1
+
+	// goodResponses is the number of responses from which a release can be good: of 30 responses of a release with 0.4 of bad ones, fewer
+	// than 4 are bad with a probability of 0.0003.
+	goodResponses = 30
+	// goodExcess is the largest deviation of a share with which a release is good.
+	goodExcess = 0.1
+	// suspectChance is the probability below which a deviation makes the release suspect.
+	suspectChance = 0.05
+	// finalChance is the probability below which a suspicion condemns the release at the end of its trial, when it is looked at once.
+	finalChance = 1e-3
+	// suspectCount, suspectBuckets and maxSuspectTail are minCount, slowBuckets and maxTail for suspicion: that costs a good release only time.
+	suspectCount   = 2
+	suspectBuckets = 2
+	maxSuspectTail = 0.4
+	// goodRoute is the number of responses from which a route by itself can prevent the verdict good, and that each route needs which has
+	// more than coveredShare of the requests: of 10 responses with 0.4 of bad ones, fewer than 2 are bad with a probability of 0.05.
+	goodRoute    = 10
+	coveredShare = 0.04
+)
+
+// Finding is a verdict with the figures that determined it: those of the comparison with the lowest probability.
 type Finding struct {
 	Verdict   Verdict
 	Responses uint64 // of the target release, all routes
@@ -36,13 +85,75 @@
 	Count     uint64  // those among them that failed or exceeded the threshold
 	Expected  float64 // upper estimate of Count if the target release is like the old one
 	Chance    float64 // probability of at least Count under that estimate
+	// Suspicion is the lowest probability of a wider set of comparisons, which also respond to shorter delays and to fewer responses.
+	Suspicion float64
+}
+
+// Suspect reports whether more responses are needed: a comparison deviates by more than is likely to happen by chance.
+func (f *Finding) Suspect() bool {
+	return f.Suspicion < suspectChance
+}
+
+// Condemned reports whether the release is bad if there can be no more responses.
+func (f *Finding) Condemned() bool {
+	return f.Verdict == Bad || f.Suspicion < finalChance
+}
+
+// excess returns the deviation as a share of the responses.
+func (f *Finding) excess() float64 {
+	return (float64(f.Count) - f.Expected) / float64(max(1, f.Of))
 }
 
 // Compare compares the two releases over the same period. Either tally may be nil.
 func Compare(old, target *tally.Tally) Finding {
-	_, finding := old, Finding{Chance: 1}
-	if target != nil {
-		finding.Responses, _ = target.Total()
+	return compare(referenceOf(old), target)
+}
+
+func compare(ref reference, target *tally.Tally) Finding {
+	worst, weakest := Finding{Chance: 1, Suspicion: 1}, 1.0
+	if target == nil {
+		return worst
+	}
+	responses, _ := target.Total()
+	old, all := ref.total(), &counts{}
+	good := responses >= goodResponses
+	consider := func(r result, route string, least uint64) {
+		r.Route = route
+		if r.Of >= least && r.excess() > goodExcess {
+			good = false
+		}
+		weakest = min(weakest, r.Chance)
+		if !r.weak && r.Chance < worst.Chance {
+			worst = r.Finding
+		}
+	}
+	covered := map[string]bool{}
+	for i := range target.Routes {
+		r := &target.Routes[i]
+		all.add(r, 1)
+		covered[r.Name] = r.Responses >= goodRoute
+		if c := ref[r.Name]; c != nil && c.responses >= minOld {
+			own := &counts{}
+			own.add(r, 1)
+			for result := range tests(c, old, own) {
+				consider(result, r.Name, goodRoute)
+			}
+		}
+	}
+	for result := range tests(old, old, all) {
+		consider(result, "", 1)
+	}
+	for route, c := range ref {
+		if c.responses > coveredShare*old.responses && !covered[route] {
+			good = false
+		}
+	}
+	worst.Responses, worst.Suspicion = responses, weakest
+	switch {
+	case worst.Chance < badChance:
+		worst.Verdict = Bad
+	case good && !worst.Suspect():
+		worst.Verdict = Good
 	}
-	return finding
+	return worst
 }
--- a/internal/roll/phase/phase.go
+++ b/internal/roll/phase/phase.go
@@ -3,8 +3,7 @@
 
 //go:generate go tool -modfile=../../../tools/go.mod stringer -type=Phase -linecomment -output=names.go
 
-// Phase says how far a roll-out has advanced. A phase is only ever replaced by a later one; Completed and RolledBack are final, and
-// RolledBack replaces Completed nowhere.
+// Phase says how far a roll-out has advanced. It is only ever replaced by a later one. Completed and RolledBack are final.
 type Phase int
 
 // The phases in the order in which they may follow each other.
--- a/internal/roll/tally/tally.go
+++ b/internal/roll/tally/tally.go
@@ -11,9 +11,9 @@
 // Parameters of the histograms of durations.
 const (
 	// Buckets is the number of buckets of a histogram. Bucket i holds durations of at most Bound(i), the last one all longer ones.
-	Buckets = 40
+	Buckets = 54
 	// BucketsPerDouble is the number of buckets in which the bound doubles.
-	BucketsPerDouble = 2
+	BucketsPerDouble = 3
 
 	firstBound = 250 * time.Microsecond
 )
@@ -60,11 +60,34 @@
 	}
 }
 
-// Clone returns an independent copy.
+// Clone returns an independent copy; that of nil is empty.
 func (t *Tally) Clone() *Tally {
+	if t == nil {
+		return &Tally{}
+	}
 	return &Tally{Routes: slices.Clone(t.Routes)}
 }
 
+// Since returns the counts that were added since an earlier state of the tally. Counts that have fallen, because a daemon is no longer
+// included, are left out.
+func (t *Tally) Since(earlier *Tally) *Tally {
+	since := t.Clone()
+	for i := range earlier.Routes {
+		before := &earlier.Routes[i]
+		at, found := since.find(before.Name)
+		if !found {
+			continue
+		}
+		r := &since.Routes[at]
+		r.Responses -= min(r.Responses, before.Responses)
+		r.Failures -= min(r.Failures, before.Failures)
+		for b, n := range before.Durations {
+			r.Durations[b] -= min(r.Durations[b], n)
+		}
+	}
+	return since
+}
+
 // Total returns the responses and the failures of all routes.
 func (t *Tally) Total() (responses, failures uint64) {
 	for i := range t.Routes {
