--- a/internal/roll/agent/round.go
+++ b/internal/roll/agent/round.go
@@ -42,7 +42,7 @@
 	if round.State.Order == o.ordered.Order && round.State.Target == o.ordered.Target {
 		o.apply(round, now)
 	}
-	return o.evidence(now), nil
+	return o.evidence(round.WantTally, now), nil
 }
 
 func (o *order) apply(round *proto.RolloutRound, now time.Time) {
@@ -99,14 +99,14 @@
 	return evidence
 }
 
-func (o *order) evidence(now time.Time) *proto.RolloutEvidence {
+func (o *order) evidence(withTally bool, now time.Time) *proto.RolloutEvidence {
 	evidence := o.agent.baseEvidence()
 	evidence.State = o.state(now)
 	evidence.Received, evidence.Admitted, evidence.Limit, evidence.Running = o.received, o.admitted, o.limit, o.running
-	if len(o.old.Routes) > 0 {
+	if withTally && len(o.old.Routes) > 0 {
 		evidence.Old = o.old.Clone()
 	}
-	if len(o.target.Routes) > 0 {
+	if withTally && len(o.target.Routes) > 0 {
 		evidence.New = o.target.Clone()
 	}
 	return evidence
--- a/internal/roll/coord/coord.go
+++ b/internal/roll/coord/coord.go
@@ -22,6 +22,9 @@
 const (
 	roundInterval = 250 * time.Millisecond
 	roundTimeout  = 200 * time.Millisecond // of one round to one daemon, so that a silent daemon does not delay the next round
+	// tallyRounds is the number of rounds in which each daemon sends its tallies once; those in trial send them in every round. The tallies
+	// of 8 routes take about 400 bytes, which would be most of the traffic of the coordinator.
+	tallyRounds = 4
 	// takeOverAfter is the time without a round, for each predecessor in the succession, after which a daemon takes over.
 	takeOverAfter = time.Second
 	// storeTimeout is how long the table may be out of reach before the coordinator steps down.
--- a/internal/roll/coord/session.go
+++ b/internal/roll/coord/session.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -31,6 +32,7 @@
 	askedAt          time.Time
 
 	began       time.Time // when this daemon began to coordinate
+	rounds      int
 	known       int       // most members that the service had during the order
 	minority    bool      // at most half of them replied to the last round
 	lastRound   time.Time // zero unless coordinating
@@ -56,8 +58,8 @@
 
 // evidence is the last reply of a process.
 type evidence struct {
-	last    *proto.RolloutEvidence
-	aware   bool // it knew the order
+	last    *proto.RolloutEvidence // with the last tallies that were received
+	aware   bool                   // it knew the order
 	replied time.Time
 	limit   uint64 // highest that this coordinator may have sent to it
 }
@@ -124,11 +126,13 @@
 	var mu sync.Mutex
 	var sending sync.WaitGroup
 	replies := make(map[netip.AddrPort]*proto.RolloutEvidence, len(members))
-	for _, r := range members {
+	s.rounds++
+	for i, r := range members {
 		if r.Address == s.c.Address {
 			continue
 		}
 		message := s.message(view, r.Address)
+		message.WantTally = message.Rate > 0 || view.State.Phase == phase.Switching || (s.rounds+i)%tallyRounds == 0
 		sending.Go(func() {
 			reply, err := s.c.Client.Rollout(roundCtx, r.Address, message)
 			if err != nil {
@@ -144,6 +148,7 @@
 	s.known = max(s.known, len(members))
 	s.minority = 2*(len(replies)+1) <= s.known && s.known > 1
 	own := s.message(view, s.c.Address)
+	own.WantTally = true
 	if reply, err := s.c.Agent.Rollout(ctx, nil, own); err == nil {
 		replies[s.c.Address] = reply
 	}
@@ -190,6 +195,9 @@
 		e.last.Ready = reply.Ready // it has a later configuration; its counts stay
 		return
 	}
+	if before := e.last; before != nil {
+		reply.Old, reply.New = cmp.Or(reply.Old, before.Old), cmp.Or(reply.New, before.New)
+	}
 	e.last, e.aware = reply, aware
 	if aware {
 		s.granted = max(s.granted, reply.State.Granted)
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -189,6 +189,7 @@
 		Receiver: ident.Incarnation(rapid.Uint64().Draw(t, "receiver")),
 		Limit:    rapid.Uint64().Draw(t, "limit"), Rate: rapid.Float64Range(0, 1e6).Draw(t, "rate"),
 		Announce: rapid.Bool().Draw(t, "announce"), Baseline: tallies.Draw(t, "baseline"),
+		WantTally: rapid.Bool().Draw(t, "want-tally"),
 	}
 }
 
--- a/internal/wire/proto/rollout.go
+++ b/internal/wire/proto/rollout.go
@@ -37,10 +37,11 @@
 	Yielding    bool           // the coordinator cannot reach the table; another daemon may take over
 	Minority    bool           // at most half of the daemons replied to its last round; this round extends no lease
 	Receiver    ident.Incarnation
-	Limit       uint64  // cumulative number of requests that the receiver may admit; void unless Receiver is its incarnation
-	Rate        float64 // admissions per second during the trial; 0: none now
-	Announce    bool    // target servers are to be announced as serving, because the switch is near
-	Baseline    *tally.Tally
+	Limit       uint64       // cumulative number of requests that the receiver may admit; void unless Receiver is its incarnation
+	Rate        float64      // admissions per second during the trial; 0: none now
+	Announce    bool         // target servers are to be announced as serving, because the switch is near
+	Baseline    *tally.Tally // responses of the old release; nil unless the receiver is in trial
+	WantTally   bool         // the evidence is to include the tallies
 }
 
 // RolloutEvidence is the reply to RolloutRound. The counts are those of the present incarnation for the order.
@@ -54,8 +55,8 @@
 	Admitted    uint64 // while the server had the target release
 	Limit       uint64 // highest that was granted
 	Running     uint64
-	Old         *tally.Tally // responses while the server had another release than the target; nil without any
-	New         *tally.Tally // responses while it had the target release; nil without any
+	Old         *tally.Tally // responses while the server had another release than the target; nil without any, and unless asked for
+	New         *tally.Tally // responses while it had the target release; nil without any, and unless asked for
 }
 
 // RolloutHandler serves rounds. It is implemented by roll/agent.
@@ -107,7 +108,8 @@
 	buf = putUint(buf, 7, math.Float64bits(m.Rate))
 	buf = putBool(buf, 8, m.Announce)
 	buf = putTally(buf, 9, m.Baseline)
-	return putBool(buf, 10, m.Minority)
+	buf = putBool(buf, 10, m.Minority)
+	return putBool(buf, 11, m.WantTally)
 }
 
 func readRolloutRound(r *reader, m *RolloutRound) {
@@ -133,6 +135,8 @@
 		readNested(r, m.Baseline, readTally)
 	case 10:
 		m.Minority = r.boolean()
+	case 11:
+		m.WantTally = r.boolean()
 	}
 }
 
