--- a/internal/roll/coord/rollout_test.go
+++ b/internal/roll/coord/rollout_test.go
@@ -128,6 +128,26 @@
 	}
 }
 
+// Guards against allowances that are forgotten when their daemons or the coordinator end: the exposure to a release that is not found to be
+// bad, because its faults appear late, must stay below the bound as well.
+func TestEndedDaemonsCount(t *testing.T) {
+	inFleet(t, 5, 5, func(f *fleet) {
+		ordered := order(1)
+		ordered.Duration = 40 * time.Second
+		f.begin(ordered)
+		for second := range 24 {
+			time.Sleep(time.Second)
+			if active := f.active(); len(active) > 0 && second%3 == 2 {
+				f.restart(active[0])
+			}
+			f.restart(f.all()[rand.IntN(len(f.all()))])
+		}
+		f.Expect(f.row()).To(Equal("trial"))
+		f.expectBelowBound()
+		f.Expect(f.toTarget.Load()).To(BeNumerically(">", 100), "the trial goes on")
+	})
+}
+
 // Guards against a good release that is not completed because one of its coordinators is lost, or the store is out of reach for a third
 // of the daemons.
 func TestGoodReleaseIsCompletedDespiteFaults(t *testing.T) {
