roll/agent, roll/coord: the row extends leases where rounds do not; a minority does not advance the phase

A service of which half of the daemons are lost had no majority for rounds, and its old servers went out of service after 5 s although the store was in reach. A read of the row that shows the same phase now extends the leases by 1 s, and a lost daemon is left out only 3 s after the switch. A part of the fleet that is cut off could have completed without the gone rest: it does not advance the phase now.

--- a/internal/roll/agent/agent.go
+++ b/internal/roll/agent/agent.go
@@ -22,6 +22,9 @@
 	// OldLease is how long an old server admits requests without a round. After it, and the time that the requests take, a roll-out may
 	// be completed without a daemon that does not reply. It exceeds the time in which three successors take over.
 	OldLease = 5 * time.Second
+	// RowLease is how long the phase that was read from the table extends the leases of a server, from the start of the read. It is short,
+	// because a phase in the table may be replaced at once.
+	RowLease = time.Second
 )
 
 // Server is the server beside the daemon. The daemon uses status.Server.
--- a/internal/roll/agent/order.go
+++ b/internal/roll/agent/order.go
@@ -46,7 +46,8 @@
 	refilled  time.Time
 	announced time.Time // when a round last told that the switch is near
 
-	heard heard
+	heard    heard
+	rowLease time.Time // until when the last read of the row, which had this phase, extends the leases
 
 	received, admitted, running uint64
 	old, target                 tally.Tally // responses of the server while it had another release, and the target release
@@ -94,7 +95,7 @@
 	if o.known {
 		before = o.phase.String()
 	}
-	o.known, o.phase, o.stored = true, next, stored
+	o.known, o.phase, o.stored, o.rowLease = true, next, stored, time.Time{}
 	o.agent.Log.Info("rollout-phase", "service", o.ordered.Service, "order", o.ordered.Order, "target", o.ordered.Target,
 		"phase", next.String(), "before", before, "stored", stored, "elapsed", time.Since(o.first), "admitted", o.admitted, "reason", reason)
 }
@@ -132,27 +133,31 @@
 	if !o.known {
 		return nil
 	}
-	silence := now.Sub(o.heard.leased)
 	switch o.phase {
 	case phase.Switching, phase.Completed:
 		return o.refusal("release %s is replaced by %s", release, o.ordered.Target)
 	case phase.Trial:
-		if !o.heard.leased.IsZero() && silence > OldLease {
-			return o.refusal("no round of the roll-out of %s was received for %s", o.ordered.Target, silence)
+		if !o.heard.leased.IsZero() && !o.leased(OldLease, now) {
+			return o.refusal("no round of the roll-out of %s was received for %s", o.ordered.Target, now.Sub(o.heard.leased))
 		}
 	case phase.RolledBack:
 	}
 	return nil
 }
 
+// leased reports whether a round was received within the time, or the phase was read from the table recently.
+func (o *order) leased(within time.Duration, now time.Time) bool {
+	return now.Sub(o.heard.leased) <= within || now.Before(o.rowLease)
+}
+
 func (o *order) refusingTarget(now time.Time) *code.Error {
 	target := o.ordered.Target
 	switch o.phase {
 	case phase.RolledBack:
 		return o.refusal("release %s was rolled back", target)
 	case phase.Switching:
-		if silence := now.Sub(o.heard.leased); silence > o.agent.rollbackTime()-leaseMargin {
-			return o.refusal("no round of the roll-out of %s was received for %s", target, silence)
+		if !o.leased(o.agent.rollbackTime()-leaseMargin, now) {
+			return o.refusal("no round of the roll-out of %s was received for %s", target, now.Sub(o.heard.leased))
 		}
 	case phase.Trial:
 		o.refill(now)
--- a/internal/roll/agent/view.go
+++ b/internal/roll/agent/view.go
@@ -14,6 +14,7 @@
 	Ordered   config.Rollout
 	State     proto.RolloutState
 	Withdrawn bool
+	LeasedAt  time.Time      // last round that extended the leases
 	Seen      time.Time      // when this process learned of the order
 	PeerAt    time.Time      // last round of another daemon
 	Peer      netip.AddrPort // which sent it
@@ -30,11 +31,25 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return View{
-		Ordered: o.ordered, State: o.state(time.Now()), Withdrawn: o.withdrawn, Seen: o.seen,
+		Ordered: o.ordered, State: o.state(time.Now()), Withdrawn: o.withdrawn, LeasedAt: o.heard.leased, Seen: o.seen,
 		PeerAt: o.heard.peer.at, Peer: o.heard.peer.from, FullAt: o.heard.full.at, Full: o.heard.full.from,
 	}, true
 }
 
+// ReadRow applies a phase that was read from the table, or written to it. asked is when the access began.
+func (a *Agent) ReadRow(ordered config.Rollout, next phase.Phase, asked time.Time) {
+	a.Learn(ordered, next, true, "table")
+	o := a.current.Load()
+	if o == nil || !o.is(ordered.Order, ordered.Target) {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.known && o.phase == next {
+		o.rowLease = asked.Add(RowLease)
+	}
+}
+
 // Learn applies a phase of the order that the table or another daemon told, or that this daemon's coordinator has decided.
 func (a *Agent) Learn(ordered config.Rollout, next phase.Phase, stored bool, reason string) {
 	o := a.current.Load()
--- a/internal/roll/coord/input.go
+++ b/internal/roll/coord/input.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
 	"marigoldwinch.example/marigoldwinch/internal/roll/judge"
+	"marigoldwinch.example/marigoldwinch/internal/roll/phase"
 	"marigoldwinch.example/marigoldwinch/internal/roll/stage"
 	"marigoldwinch.example/marigoldwinch/internal/roll/tally"
 )
@@ -14,9 +16,12 @@
 // reachableFor is how long a daemon counts as reachable after its last reply: three rounds may be lost.
 const reachableFor = time.Second
 
-// silentFor is how long a daemon must not have replied until the roll-out goes on without it: its server has admitted nothing since
-// agent.OldLease, and requests end within the rest.
-const silentFor = agent.OldLease + 3*time.Second
+// A roll-out goes on without a daemon that has not replied for silentFor, when the phase has been switching for silentSwitched: its leases
+// by rounds and by reads of the row have ended then, and requests end within the rest.
+const (
+	silentFor      = agent.OldLease + 3*time.Second
+	silentSwitched = agent.RowLease + 2*time.Second
+)
 
 // input collects what the plan needs from the evidence.
 func (s *session) input(view agent.View, members []member.Record, now time.Time) stage.Input {
@@ -24,14 +29,17 @@
 		Order: s.ordered.Order, Elapsed: view.State.Elapsed, Duration: view.Ordered.Duration, Phase: view.State.Phase,
 		Share: s.c.Share, Slack: s.c.Slack,
 	}
+	if s.switchedAt.IsZero() && view.State.Known && view.State.Phase != phase.Trial {
+		s.switchedAt = now
+	}
 	present := make(map[lifetime]bool, len(members))
-	for _, r := range members {
-		key := s.current[r.Address]
+	for _, address := range s.participants(members) {
+		key := s.current[address]
 		if s.isSilent(key, now) {
 			continue
 		}
 		present[key] = true
-		in.Daemons = append(in.Daemons, s.daemonInput(r.Address, s.daemons[key], now))
+		in.Daemons = append(in.Daemons, s.daemonInput(address, s.daemons[key], now))
 	}
 	var old, target tally.Tally
 	received, limits := uint64(0), uint64(0)
@@ -59,13 +67,29 @@
 	return in
 }
 
+// participants returns the members, and the gone ones whose server had an old release: it may still admit requests, as the last part of
+// the fleet that knows it does.
+func (s *session) participants(members []member.Record) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(members))
+	for _, r := range members {
+		addresses = append(addresses, r.Address)
+	}
+	for address, key := range s.current {
+		e := s.daemons[key]
+		if !slices.Contains(addresses, address) && e.last.Release != s.ordered.Target && e.last.Release != "" {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // isSilent reports whether a daemon has not replied for silentFor.
 func (s *session) isSilent(key lifetime, now time.Time) bool {
 	last := s.began
 	if e := s.daemons[key]; e != nil && e.replied.After(last) {
 		last = e.replied
 	}
-	return !s.minority && now.Sub(last) > silentFor
+	return !s.minority && now.Sub(last) > silentFor && !s.switchedAt.IsZero() && now.Sub(s.switchedAt) > silentSwitched
 }
 
 // daemonInput describes one daemon. One without evidence counts as an old server that may be running requests.
--- a/internal/roll/coord/role.go
+++ b/internal/roll/coord/role.go
@@ -109,7 +109,11 @@
 	}
 	if view.State.Known {
 		s.done = view.State.Phase.Final() && view.State.Stored
-		if !view.State.Phase.Final() || s.done {
+		if s.done {
+			return
+		}
+		if !view.State.Phase.Final() {
+			s.extendLease(ctx, view, now)
 			return
 		}
 	}
@@ -124,6 +128,14 @@
 	}
 }
 
+// extendLease reads the row when rounds do not extend the leases of the own server.
+func (s *session) extendLease(ctx context.Context, view agent.View, now time.Time) {
+	if !view.LeasedAt.IsZero() && now.Sub(view.LeasedAt) > takeOverAfter {
+		s.askedAt = now
+		s.row.read(ctx, s.ordered)
+	}
+}
+
 // ask learns the phase from one other daemon.
 func (s *session) ask(ctx context.Context, peer netip.AddrPort) {
 	askCtx, cancel := context.WithTimeout(ctx, roundTimeout)
--- a/internal/roll/coord/row.go
+++ b/internal/roll/coord/row.go
@@ -33,6 +33,7 @@
 	phase      phase.Phase
 	superseded bool // the row is that of a later order
 	created    bool // this access has written the first phase
+	asked      time.Time
 }
 
 // row accesses the row of a roll-out, one access at a time and in the background, because the table may be slow for seconds.
@@ -113,6 +114,7 @@
 		r.counters.storeFailures.Add(1)
 		return
 	}
+	got.asked = r.started
 	r.last, r.fresh = got, true
 }
 
--- a/internal/roll/coord/session.go
+++ b/internal/roll/coord/session.go
@@ -33,9 +33,11 @@
 
 	began       time.Time // when this daemon began to coordinate
 	rounds      int
-	known       int       // most members that the service had during the order
-	minority    bool      // at most half of them replied to the last round
-	lastRound   time.Time // zero unless coordinating
+	members     map[netip.AddrPort]bool // all that the service had during the order
+	known       int                     // number of members
+	switchedAt  time.Time               // when this daemon first knew that the phase is not trial any more
+	minority    bool                    // at most half of them replied to the last round
+	lastRound   time.Time               // zero unless coordinating
 	plan        *stage.Plan
 	announcedAt time.Time // when a plan first wanted the switch; zero before
 	finalAt     time.Time // when the final phase was first told; zero before
@@ -68,7 +70,7 @@
 	return &session{
 		c: c, ordered: view.Ordered, withdrawn: view.Withdrawn,
 		row:     &row{store: c.Store, service: c.Service, statusRow: c.StatusRow, counters: &c.counters, background: &c.background},
-		daemons: make(map[lifetime]*evidence), current: make(map[netip.AddrPort]lifetime),
+		daemons: make(map[lifetime]*evidence), members: make(map[netip.AddrPort]bool), current: make(map[netip.AddrPort]lifetime),
 	}
 }
 
@@ -95,7 +97,7 @@
 			s.c.Log.Info("rollout-started", "service", s.c.Service, "order", s.ordered.Order, "target", s.ordered.Target,
 				"duration", s.ordered.Duration, "phase", got.phase.String())
 		}
-		s.c.Agent.Learn(s.ordered, got.phase, true, "table")
+		s.c.Agent.ReadRow(s.ordered, got.phase, got.asked)
 	}
 }
 
@@ -145,8 +147,11 @@
 		})
 	}
 	sending.Wait()
-	s.known = max(s.known, len(members))
-	s.minority = 2*(len(replies)+1) <= s.known && s.known > 1
+	for _, r := range members {
+		s.members[r.Address] = true
+	}
+	s.known = len(s.members)
+	s.minority = s.isMinority(replies)
 	own := s.message(view, s.c.Address)
 	own.WantTally = true
 	if reply, err := s.c.Agent.Rollout(ctx, nil, own); err == nil {
@@ -155,6 +160,27 @@
 	return replies
 }
 
+// isMinority reports whether the daemons that have replied are not most of those that the service had during the order. Of two halves, the
+// one with the first in the succession counts as most. Gone members count too: they may be another part of the fleet that goes on.
+func (s *session) isMinority(replies map[netip.AddrPort]*proto.RolloutEvidence) bool {
+	reached := len(replies) + 1
+	if 2*reached != s.known {
+		return 2*reached < s.known
+	}
+	for address := range s.members {
+		if _, replied := replies[address]; !replied && s.precedes(address) {
+			first := true
+			for other := range replies {
+				first = first && score(s.ordered.Order, address) > score(s.ordered.Order, other)
+			}
+			if first {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // message returns the round for one daemon. It has a grant only if the daemon's incarnation is known.
 func (s *session) message(view agent.View, to netip.AddrPort) *proto.RolloutRound {
 	state := view.State
@@ -240,7 +266,7 @@
 		s.row.advance(ctx, s.ordered, phase.Trial) // learns the phase if there is one
 	case plan.Phase == state.Phase:
 		s.announcedAt = time.Time{}
-		if s.row.idleFor(now, storePoll) {
+		if s.row.idleFor(now, s.pollInterval()) {
 			s.row.read(ctx, s.ordered)
 		}
 	case plan.Phase == phase.RolledBack:
@@ -248,12 +274,24 @@
 			s.c.Agent.Learn(s.ordered, phase.RolledBack, false, plan.Reason.String())
 		}
 		s.row.advance(ctx, s.ordered, phase.RolledBack)
+	case s.minority: // another part of the fleet may go on with the present phase
+		if s.row.idleFor(now, learnInterval) {
+			s.row.read(ctx, s.ordered)
+		}
 	case state.Phase == phase.Trial && !s.announced(now):
 	default:
 		s.row.advance(ctx, s.ordered, plan.Phase)
 	}
 }
 
+// pollInterval is the interval of reads of the row without another reason. They extend the leases of a part of the fleet that is cut off.
+func (s *session) pollInterval() time.Duration {
+	if s.minority {
+		return learnInterval
+	}
+	return storePoll
+}
+
 func (s *session) advanceUnlessStored(ctx context.Context, view agent.View, next phase.Phase) {
 	if !view.State.Stored {
 		s.row.advance(ctx, s.ordered, next)
