--- a/internal/roll/judge/counts.go
+++ b/internal/roll/judge/counts.go
@@ -19,18 +19,20 @@
 	}
 }
 
-func (c *counts) merge(other *counts, factor float64) {
-	c.responses += factor * other.responses
-	c.failures += factor * other.failures
+func (c *counts) merge(other *counts) {
+	c.responses += other.responses
+	c.failures += other.failures
 	for b, n := range other.durations {
-		c.durations[b] += factor * n
+		c.durations[b] += n
 	}
 }
 
-func (c *counts) times(factor float64) *counts {
-	scaled := &counts{}
-	scaled.merge(c, factor)
-	return scaled
+// above returns the number of responses in the buckets above b.
+func (c *counts) above(b int) (sum float64) {
+	for _, n := range c.durations[b+1:] {
+		sum += n
+	}
+	return sum
 }
 
 func referenceOf(t *tally.Tally) reference {
@@ -56,9 +58,9 @@
 	ref.of(r.Name).add(r, weight)
 }
 
-func (ref reference) merge(other reference, factor float64) {
+func (ref reference) merge(other reference) {
 	for route, c := range other {
-		ref.of(route).merge(c, factor)
+		ref.of(route).merge(c)
 	}
 }
 
@@ -66,7 +68,7 @@
 func (ref reference) total() *counts {
 	total := &counts{}
 	for _, c := range ref {
-		total.merge(c, 1)
+		total.merge(c)
 	}
 	return total
 }
--- a/internal/roll/judge/judge.go
+++ b/internal/roll/judge/judge.go
@@ -34,15 +34,18 @@
 	minCount = 3
 	// minOld is the least number of responses of the old release with which a route is compared by itself.
 	minOld = 40
+	// minOldTotal is the same for all routes together.
+	minOldTotal = 10
 	// maxOld bounds the weight of the old release's responses, whose rates vary over time by more than their number suggests.
 	maxOld = 500
 	// minSlowCount is the least number of slow responses on all routes together that condemns: the first ones may all belong to one run.
 	minSlowCount = 6
 	// priorWeight is the number of responses for which the rate of all routes counts in the estimate for one route.
 	priorWeight = 10
-	// absoluteTolerance and relativeTolerance are how much more often the target release may fail or be slow.
+	// absoluteTolerance, failureTolerance and slowTolerance are how much more often the target release may fail or be slow. Slow responses come in runs.
 	absoluteTolerance = 0.005
-	relativeTolerance = 1.5
+	failureTolerance  = 1.4
+	slowTolerance     = 1.5
 	// minFailureExcess and minSlowExcess are the least deviations of a share that condemn: a release with fewer bad responses is not
 	// worth a roll-back. While servers are often slow because of their neighbours, only slow responses during such a time differ from
 	// those of the old release, which are a quarter of the bad ones.
@@ -55,6 +58,8 @@
 	maxTail = 0.06
 	// assumedFailures is the share of failures that is held against a release when there is no old one to compare with.
 	assumedFailures = 0.1
+	// usualFailures is the share of failures that counts for priorWeight responses in the estimate for all routes together.
+	usualFailures = 0.02
 
 	// goodResponses is the number of responses from which a release can be good: of 30 responses of a release with 0.4 of bad ones, fewer
 	// than 4 are bad with a probability of 0.0003.
@@ -106,16 +111,17 @@
 
 // Compare compares the two releases over the same period. Either tally may be nil.
 func Compare(old, target *tally.Tally) Finding {
-	return compare(referenceOf(old), target)
+	whole := referenceOf(old)
+	return compare(whole, whole, target)
 }
 
-func compare(ref reference, target *tally.Tally) Finding {
+func compare(whole, paired reference, target *tally.Tally) Finding {
 	worst, weakest := Finding{Chance: 1, Suspicion: 1}, 1.0
 	if target == nil {
 		return worst
 	}
 	responses, _ := target.Total()
-	old, all := ref.total(), &counts{}
+	old, all := base{whole: whole.total(), paired: paired.total()}, &counts{}
 	good := responses >= goodResponses
 	consider := func(r result, route string, least uint64) {
 		r.Route = route
@@ -132,10 +138,10 @@
 		r := &target.Routes[i]
 		all.add(r, 1)
 		covered[r.Name] = r.Responses >= goodRoute
-		if c := ref[r.Name]; c != nil && c.responses >= minOld {
+		if c := whole[r.Name]; c != nil && c.responses >= minOld {
 			own := &counts{}
 			own.add(r, 1)
-			for result := range tests(c, old, own) {
+			for result := range tests(base{whole: c, paired: paired.of(r.Name)}, old, own) {
 				consider(result, r.Name, goodRoute)
 			}
 		}
@@ -143,8 +149,8 @@
 	for result := range tests(old, old, all) {
 		consider(result, "", 1)
 	}
-	for route, c := range ref {
-		if c.responses > coveredShare*old.responses && !covered[route] {
+	for route, c := range whole {
+		if c.responses > coveredShare*old.whole.responses && !covered[route] {
 			good = false
 		}
 	}
--- a/internal/roll/judge/judge_test.go
+++ b/internal/roll/judge/judge_test.go
@@ -68,9 +68,9 @@
 	busy := make([]time.Duration, 2*olds) // until when a neighbour is active or absent
 	active := make([]bool, 2*olds)
 	for now := time.Duration(0); now < extended; now += time.Millisecond {
-		for s := range busy {
+		for s := 0; t.noise && s < len(busy); s++ {
 			for now >= busy[s] {
-				active[s] = !active[s] && t.noise
+				active[s] = !active[s]
 				mean := 450.0
 				if active[s] {
 					mean = 150
--- a/internal/roll/judge/outlier.go
+++ b/internal/roll/judge/outlier.go
@@ -29,13 +29,13 @@
 	}
 	var all counts
 	for i := range daemons {
-		all.merge(&daemons[i], 1)
+		all.merge(&daemons[i])
 	}
-	threshold := all.median() + slowOutlier
+	threshold := min(tally.Buckets-1, all.median()+slowOutlier)
 	failures, slow := make([]float64, len(daemons)), make([]float64, len(daemons))
 	for i := range daemons {
-		failures[i] = daemons[i].failures / daemons[i].responses
-		slow[i] = daemons[i].above(threshold) / daemons[i].responses
+		failures[i] = daemons[i].failures / max(1, daemons[i].responses)
+		slow[i] = daemons[i].above(threshold) / max(1, daemons[i].responses)
 	}
 	found := 0
 	for i := range daemons {
@@ -65,11 +65,3 @@
 	}
 	return tally.Buckets - 1
 }
-
-// above returns the number of responses in the buckets above b.
-func (c *counts) above(b int) (sum float64) {
-	for i := b + 1; i < tally.Buckets; i++ {
-		sum += c.durations[i]
-	}
-	return sum
-}
--- a/internal/roll/judge/pairing.go
+++ b/internal/roll/judge/pairing.go
@@ -21,12 +21,10 @@
 type Pairing struct {
 	target tally.Tally // at the end of the last period
 	olds   map[netip.AddrPort]*paired
-	// The sums over all periods of the weights of the old release's responses, and of their squares. The weight of a response is the number
-	// of responses of the target release in its period, divided by that of the old release.
-	weights, squares float64
 }
 
-// paired holds the weighted counts of one daemon.
+// paired holds the counts of one daemon. The weight of a response is the number of responses of the target release in its period, divided by
+// that of the old release.
 type paired struct {
 	last   *tally.Tally // at the end of the last period
 	counts reference
@@ -47,13 +45,11 @@
 		responses += n
 	}
 	if responses >= minPeriod {
-		p.close(olds, periods, float64(targets)/float64(responses), float64(responses))
+		p.close(olds, periods, float64(targets)/float64(responses))
 		p.target = *target.Clone()
 	}
-	if p.squares == 0 {
-		return compare(reference{}, target)
-	}
-	return compare(p.reference(), target)
+	whole, weighted := p.references(olds)
+	return compare(whole, weighted, target)
 }
 
 // period returns the counts of a daemon since the last period.
@@ -71,9 +67,7 @@
 	return now.Since(known.last)
 }
 
-func (p *Pairing) close(olds []Source, periods []*tally.Tally, weight, responses float64) {
-	p.weights += weight * responses
-	p.squares += weight * weight * responses
+func (p *Pairing) close(olds []Source, periods []*tally.Tally, weight float64) {
 	for i, old := range olds {
 		known := p.olds[old.Address]
 		known.last = old.Tally.Clone()
@@ -86,23 +80,20 @@
 	}
 }
 
-// reference returns the counts of the daemons that are not worse than the others, scaled to the number of unweighted responses that would
-// be as informative.
-func (p *Pairing) reference() reference {
-	factor := p.weights / p.squares
-	var daemons []counts
-	var references []reference
-	for _, known := range p.olds {
-		total := known.counts.total()
-		if total.responses > 0 {
-			daemons, references = append(daemons, *total.times(factor)), append(references, known.counts)
-		}
+// references returns the counts of the daemons that are not worse than the others, without and with weights.
+func (p *Pairing) references(olds []Source) (whole, weighted reference) {
+	totals := make([]counts, len(olds))
+	references := make([]reference, len(olds))
+	for i, old := range olds {
+		references[i] = referenceOf(old.Tally)
+		totals[i] = *references[i].total()
 	}
-	merged := reference{}
-	for i, worse := range outliers(daemons) {
+	whole, weighted = reference{}, reference{}
+	for i, worse := range outliers(totals) {
 		if !worse {
-			merged.merge(references[i], factor)
+			whole.merge(references[i])
+			weighted.merge(p.olds[olds[i].Address].counts)
 		}
 	}
-	return merged
+	return whole, weighted
 }
--- a/internal/roll/judge/tail.go
+++ b/internal/roll/judge/tail.go
@@ -14,6 +14,7 @@
 	share     float64 // of the old release on the same routes
 	prior     float64 // of the old release on all routes
 	weight    float64 // responses from which share is known
+	tolerance float64
 	minExcess float64
 	minCount  uint64 // that condemns
 }
@@ -24,25 +25,53 @@
 	weak bool
 }
 
+// base is the old release on some routes.
+type base struct {
+	whole  *counts // over the whole period
+	paired *counts // with the weight of the target release's responses at the same time
+}
+
+// The larger share of both counts: the whole period has more responses, and the paired counts show what has changed meanwhile.
+
+// failures returns the share of failures.
+func (b base) failures() float64 {
+	return max(b.whole.failures/max(1, b.whole.responses), b.paired.failures/max(1, b.paired.responses))
+}
+
+// tails returns the shares of responses in the buckets above each bucket.
+func (b base) tails() (shares [tally.Buckets]float64) {
+	var whole, paired float64
+	for i := tally.Buckets - 2; i >= 0; i-- {
+		whole += b.whole.durations[i+1]
+		paired += b.paired.durations[i+1]
+		shares[i] = max(whole/max(1, b.whole.responses), paired/max(1, b.paired.responses))
+	}
+	return shares
+}
+
 // tests yields the comparison of failures and those of durations at each threshold. The responses of the old release on all routes
 // complement those of the compared route.
-func tests(old, all, target *counts) iter.Seq[result] {
+func tests(old, all base, target *counts) iter.Seq[result] {
 	return func(yield func(result) bool) {
-		n := uint64(target.responses)
+		n, weight := uint64(target.responses), old.whole.responses
 		if n == 0 {
 			return
 		}
+		known := weight >= minOld || old == all && weight >= minOldTotal
 		failures := test{
 			measure: Failures, of: n, count: uint64(target.failures), weight: minOld, share: assumedFailures, prior: assumedFailures,
-			minExcess: minFailureExcess, minCount: minCount,
+			tolerance: failureTolerance, minExcess: minFailureExcess, minCount: minCount,
 		}
-		if old.responses >= minOld {
-			failures.weight, failures.share, failures.prior = old.responses, old.failures/old.responses, all.failures/all.responses
+		if known {
+			failures.weight, failures.share = weight, old.failures()
+			failures.prior = (all.whole.failures + usualFailures*priorWeight) / (all.whole.responses + priorWeight)
 		}
-		if !yield(failures.result()) || old.responses < minOld {
+		if !yield(failures.result()) || !known {
 			return
 		}
-		durations := test{measure: Durations, of: n, weight: old.responses, minExcess: minSlowExcess, minCount: minCount}
+		durations := test{
+			measure: Durations, of: n, weight: weight, tolerance: slowTolerance, minExcess: minSlowExcess, minCount: minCount,
+		}
 		if old == all {
 			durations.minCount = minSlowCount
 		}
@@ -61,20 +90,18 @@
 }
 
 // thresholds yields the comparisons of the responses of the target release above a threshold with those of the old release above a
-// threshold that is lower by some buckets, as long as these are a small share.
-func (t test) thresholds(old, all, target *counts, lower int, maxShare float64) iter.Seq[result] {
+// threshold that is lower by some buckets, as long as these are a small share. The last bucket has no bound, so that nothing is known to be
+// longer than it by some factor.
+func (t test) thresholds(old, all base, target *counts, lower int, maxShare float64) iter.Seq[result] {
 	return func(yield func(result) bool) {
-		// The last bucket has no bound, so that nothing is known to be longer than it by some factor.
 		var slow float64
-		oldSlow, allSlow := old.above(tally.Buckets-1-lower), all.above(tally.Buckets-1-lower)
+		oldSlow, allSlow := old.tails(), all.tails()
 		for b := tally.Buckets - 2; b >= lower; b-- {
 			slow += target.durations[b+1]
-			oldSlow += old.durations[b+1-lower]
-			allSlow += all.durations[b+1-lower]
-			if oldSlow > maxShare*old.responses {
+			if t.share = oldSlow[b-lower]; t.share > maxShare {
 				return
 			}
-			t.count, t.share, t.prior = uint64(slow), oldSlow/old.responses, allSlow/all.responses
+			t.count, t.prior = uint64(slow), allSlow[b-lower]
 			if !yield(t.result()) {
 				return
 			}
@@ -85,7 +112,7 @@
 func (t test) result() result {
 	// A Beta distribution of the unknown share: its width accounts for the number of responses that it was estimated from.
 	weight := min(maxOld, t.weight)
-	a := relativeTolerance*(t.share*weight+t.prior*priorWeight) + absoluteTolerance*(weight+priorWeight)
+	a := t.tolerance*(t.share*weight+t.prior*priorWeight) + absoluteTolerance*(weight+priorWeight)
 	b := max(1, weight+priorWeight-a)
 	f := Finding{Measure: t.measure, Of: t.of, Count: t.count, Expected: float64(t.of) * a / (a + b), Chance: 1}
 	if t.count >= suspectCount && f.excess() >= t.minExcess {
