roll/judge: Compare condemns at a lower probability than Pairing

A daemon compares its own responses without pairing them in time; a called service that fails for a second can hit most responses of one target server.

--- a/internal/roll/judge/pairing.go
+++ b/internal/roll/judge/pairing.go
@@ -23,8 +23,8 @@
 	olds   map[netip.AddrPort]*paired
 }
 
-// paired holds the counts of one daemon. The weight of a response is the number of responses of the target release in its period, divided by
-// that of the old release.
+// paired holds the counts of one daemon. The weight of a response is the number of responses of the target release in its period, divided
+// by that of the old release.
 type paired struct {
 	last   *tally.Tally // at the end of the last period
 	counts reference
@@ -49,7 +49,7 @@
 		p.target = *target.Clone()
 	}
 	whole, weighted := p.references(olds)
-	return compare(whole, weighted, target)
+	return compare(whole, weighted, target, badChance)
 }
 
 // period returns the counts of a daemon since the last period.
--- a/internal/roll/stage/stage_test.go
+++ b/internal/roll/stage/stage_test.go
@@ -21,8 +21,8 @@
 }
 
 // TestRollouts guards against a bad release that gets more requests than allowed or is completed, and against a good one that is not
-// completed in time or while old servers run requests. Each case of testdata/rollouts is played with some seeds; the output counts the final
-// phases and lists every violation.
+// completed in time or while old servers run requests. Each case of testdata/rollouts is played with some seeds; the output counts the
+// final phases and lists every violation.
 func TestRollouts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/rollouts", func(t *testing.T, d *datadriven.TestData) string {
 		seeds, servers, rate, surge, lost, noise := 20, 0, 0, 1, 0, false
