--- a/internal/roll/coord/coord.go
+++ b/internal/roll/coord/coord.go
@@ -22,9 +22,10 @@
 const (
 	roundInterval = 250 * time.Millisecond
 	roundTimeout  = 200 * time.Millisecond // of one round to one daemon, so that a silent daemon does not delay the next round
-	// tallyRounds is the number of rounds in which each daemon sends its tallies once; those in trial send them in every round. The tally
-	// of 8 routes takes 341 bytes in TestRolloutEvidenceIsSmall, the rest of the evidence 29.
-	tallyRounds = 4
+	// tallyRounds is the number of rounds in which all daemons send their tallies once; those in trial send them in every round. All do
+	// in the same round, because the verdict compares the releases over the same times. The tally of 8 routes takes 341 bytes in
+	// TestRolloutEvidenceIsSmall, the rest of the evidence 29.
+	tallyRounds = 2
 	// takeOverAfter is the time without a round, for each predecessor in the succession, after which a daemon takes over.
 	takeOverAfter = time.Second
 	// storeTimeout is how long the table may be out of reach before the coordinator steps down.
--- a/internal/roll/coord/input.go
+++ b/internal/roll/coord/input.go
@@ -29,9 +29,10 @@
 		Order: s.ordered.Order, Elapsed: view.State.Elapsed, Duration: view.Ordered.Duration, Phase: view.State.Phase,
 		Share: s.c.Share, Slack: s.c.Slack,
 	}
-	if s.switchedAt.IsZero() && view.State.Known && view.State.Phase != phase.Trial {
-		s.switchedAt = now
+	if s.phaseAt.IsZero() || s.phase != view.State.Phase {
+		s.phase, s.phaseAt = view.State.Phase, now
 	}
+	in.Since = now.Sub(s.phaseAt)
 	present := make(map[lifetime]bool, len(members))
 	for _, address := range s.participants(members) {
 		key := s.current[address]
@@ -41,13 +42,20 @@
 		present[key] = true
 		in.Daemons = append(in.Daemons, s.daemonInput(address, s.daemons[key], now))
 	}
+	olds := make(map[netip.AddrPort]*tally.Tally)
 	var old, target tally.Tally
 	received, limits := uint64(0), uint64(0)
 	for key, e := range s.daemons {
 		if !e.aware {
 			continue
 		}
-		old.Merge(e.last.Old)
+		if e.last.Old != nil {
+			old.Merge(e.last.Old)
+			if olds[key.address] == nil {
+				olds[key.address] = &tally.Tally{}
+			}
+			olds[key.address].Merge(e.last.Old)
+		}
 		target.Merge(e.last.New)
 		in.Elapsed = max(in.Elapsed, e.last.State.Elapsed)
 		received += e.last.Received
@@ -62,11 +70,19 @@
 		in.Admitted += s.granted - limits
 	}
 	s.baseline = &old
-	in.Finding = judge.Compare(&old, &target)
+	in.Finding = s.pairing.Compare(sources(olds), &target)
 	in.Rate = s.rates.add(now, received)
 	return in
 }
 
+func sources(olds map[netip.AddrPort]*tally.Tally) []judge.Source {
+	list := make([]judge.Source, 0, len(olds))
+	for address, t := range olds {
+		list = append(list, judge.Source{Address: address, Tally: t})
+	}
+	return list
+}
+
 // participants returns the members, and the gone ones whose server had an old release: it may still admit requests, as the last part of
 // the fleet that knows it does.
 func (s *session) participants(members []member.Record) []netip.AddrPort {
@@ -89,7 +105,7 @@
 	if e := s.daemons[key]; e != nil && e.replied.After(last) {
 		last = e.replied
 	}
-	return !s.minority && now.Sub(last) > silentFor && !s.switchedAt.IsZero() && now.Sub(s.switchedAt) > silentSwitched
+	return !s.minority && now.Sub(last) > silentFor && s.phase != phase.Trial && now.Sub(s.phaseAt) > silentSwitched
 }
 
 // daemonInput describes one daemon. One without evidence counts as an old server that may be running requests.
--- a/internal/roll/coord/session.go
+++ b/internal/roll/coord/session.go
@@ -35,9 +35,11 @@
 	rounds      int
 	members     map[netip.AddrPort]bool // all that the service had during the order
 	known       int                     // number of members
-	switchedAt  time.Time               // when this daemon first knew that the phase is not trial any more
-	minority    bool                    // at most half of them replied to the last round
-	lastRound   time.Time               // zero unless coordinating
+	phase       phase.Phase             // in force at the last round
+	phaseAt     time.Time               // when a round first found this phase in force
+	pairing     judge.Pairing
+	minority    bool      // at most half of them replied to the last round
+	lastRound   time.Time // zero unless coordinating
 	plan        *stage.Plan
 	announcedAt time.Time // when a plan first wanted the switch; zero before
 	finalAt     time.Time // when the final phase was first told; zero before
@@ -129,12 +131,12 @@
 	var sending sync.WaitGroup
 	replies := make(map[netip.AddrPort]*proto.RolloutEvidence, len(members))
 	s.rounds++
-	for i, r := range members {
+	for _, r := range members {
 		if r.Address == s.c.Address {
 			continue
 		}
 		message := s.message(view, r.Address)
-		message.WantTally = message.Rate > 0 || view.State.Phase == phase.Switching || (s.rounds+i)%tallyRounds == 0
+		message.WantTally = message.Rate > 0 || view.State.Phase == phase.Switching || s.rounds%tallyRounds == 0
 		sending.Go(func() {
 			reply, err := s.c.Client.Rollout(roundCtx, r.Address, message)
 			if err != nil {
@@ -153,7 +155,7 @@
 	s.known = len(s.members)
 	s.minority = s.isMinority(replies)
 	own := s.message(view, s.c.Address)
-	own.WantTally = true
+	own.WantTally = s.rounds%tallyRounds == 0 || view.State.Phase == phase.Switching
 	if reply, err := s.c.Agent.Rollout(ctx, nil, own); err == nil {
 		replies[s.c.Address] = reply
 	}
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -175,6 +175,10 @@
 			return &proto.Piece{Data: []byte(rest), End: true, Trailer: http.Header{"X-Sum": {"1"}}}, nil
 		case "unconfigured":
 			return &proto.Ack{Verdict: proto.Refused, Code: code.NoConfiguration, Detail: "started"}, nil
+		case "out-of-service":
+			return &proto.Ack{Verdict: proto.Refused, Code: code.OutOfService, Detail: "replaced"}, nil
+		case "switched":
+			return &proto.Failure{Code: code.OutOfService, Outcome: code.NotRun}, nil
 		case "not-run":
 			return &proto.Failure{Code: code.QueueDeadline, Outcome: code.NotRun}, nil
 		case "fail":
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -84,8 +84,8 @@
 }
 
 // isFreeRetry reports whether a retry needs neither budget nor backoff because the attempt was refused by a daemon that has no
-// configuration yet, whose server is out of service because of a roll-out, or whose server reports its load. Such a refusal costs the server nothing, and the report
-// that comes with it leads the next selection to a better server.
+// configuration yet, whose server is out of service because of a roll-out, or whose server reports its load. Such a refusal costs the
+// server nothing, and the report that comes with it leads the next selection to a better server.
 func (r *request) isFreeRetry(failure *code.Error) bool {
 	if (failure.Code == code.NoConfiguration || failure.Code == code.OutOfService) && failure.Outcome == code.NotRun {
 		return true
