roll/coord: a coordinator that was paused leaves the role

After a pause it had not reached the row for the length of the pause and stepped down for 5 s, as if the table were out of reach (seen in a trial with real processes, coordinator stopped for 3 s). It now leaves the role and takes it again if no other daemon has it.

--- a/internal/roll/coord/role.go
+++ b/internal/roll/coord/role.go
@@ -54,6 +54,12 @@
 		s.coordinating = false
 		return
 	}
+	if s.coordinating && !s.lastRound.IsZero() && now.Sub(s.lastRound) > maxPause {
+		// Another daemon may have taken over during the pause of this process. Its rounds are received before the next step.
+		s.coordinating = false
+		s.c.Log.Info("rollout-coordinator-paused", "service", s.c.Service, "order", s.ordered.Order, "for", now.Sub(s.lastRound))
+		return
+	}
 	storeReached := s.row.reachedWithin(now, storeTimeout) && !now.Before(s.steppedDownUntil)
 	if s.coordinating {
 		s.reconsider(view, now, storeReached)
--- a/internal/roll/coord/session.go
+++ b/internal/roll/coord/session.go
@@ -106,7 +106,7 @@
 // round sends one round to all daemons of the service and decides on the evidence.
 func (s *session) round(ctx context.Context) {
 	now := time.Now()
-	if s.lastRound.IsZero() || now.Sub(s.lastRound) > maxPause {
+	if s.lastRound.IsZero() {
 		s.plan = nil // the evidence of the plan is missing or out of date
 	}
 	s.lastRound = now
