admit/status, roll/coord: leave servers out that have ceased to check in, and daemons without a server

A target server that has crashed got a turn of the trial, and a daemon that had just started and knew no server was waited for as an old one. A server is silent 5 s after its last check-in. New test: a lone old server stays in service while the row shows the phase, and not without the row.

--- a/internal/admit/status/status.go
+++ b/internal/admit/status/status.go
@@ -23,6 +23,8 @@
 	// the limit delays requests.
 	pollShare  = 0.5
 	rateWindow = time.Second
+	// silentAfter is the time of three check-ins.
+	silentAfter = 5 * time.Second
 )
 
 // CheckIn is the periodic report of a server about itself. A lifetime is the time from one start of the server to its next.
@@ -72,7 +74,8 @@
 	sequence     uint64
 	release      string // of the present lifetime, by its last check-in
 	slots        int
-	checkedIn    bool // the server has checked in during this lifetime
+	checkedIn    bool      // the server has checked in during this lifetime
+	heardAt      time.Time // last check-in that was accepted
 	draining     bool
 	left         bool
 	unhealthy    bool      // the last health response reported an unhealthy server
@@ -103,7 +106,7 @@
 	case s.checkedIn && c.Sequence <= s.sequence:
 		return nil
 	}
-	s.checkedIn = true
+	s.checkedIn, s.heardAt = true, time.Now()
 	s.born = c.Born
 	s.sequence = c.Sequence
 	s.release = c.Release
@@ -238,6 +241,13 @@
 	return s.release
 }
 
+// Silent reports whether the server has ceased to check in.
+func (s *Server) Silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checkedIn && time.Since(s.heardAt) > silentAfter
+}
+
 // Slots returns how many requests the server runs at once, or 0 while unknown.
 func (s *Server) Slots() int {
 	s.mu.Lock()
@@ -321,28 +331,3 @@
 	}
 	return bound, age > warmProofTTL
 }
-
-// Dump is the state of the server in the state dump.
-type Dump struct {
-	ID       string
-	Release  string
-	Slots    int
-	Checked  bool
-	Draining bool
-	Left     bool
-	Healthy  bool
-	ColdFor  time.Duration
-	WarmAge  time.Duration // time since the last proof that the server is warm
-	Pace     int
-	LastSent int // requests sent in the last second
-}
-
-// Dump returns the state for the state dump.
-func (s *Server) Dump() any {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return Dump{
-		ID: s.id, Release: s.release, Slots: s.slots, Checked: s.checkedIn, Draining: s.draining, Left: s.left, Healthy: !s.unhealthy,
-		ColdFor: max(0, time.Until(s.coldUntil)), WarmAge: time.Since(s.warmProvenAt), Pace: s.load.Pace, LastSent: len(s.sent),
-	}
-}
--- a/internal/admit/status/status_test.go
+++ b/internal/admit/status/status_test.go
@@ -43,6 +43,8 @@
 						t.Fatal(err)
 					}
 					time.Sleep(wait)
+				case "silent":
+					return fmt.Sprintf("%v\n", s.Silent())
 				case "take":
 					return take(t, s, d)
 				default:
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -203,8 +203,8 @@
 		Decisions:   parts.Decisions,
 		Log:         parts.Log,
 	}
-	parts.Rollout.Ready = g.InService
 	if parts.Status != nil {
+		parts.Rollout.Ready = func() bool { return g.InService() && !parts.Status.Silent() }
 		g.Rollout = parts.Rollout
 		g.Instance = parts.Status
 		g.Isolated = nil // such a server reports its departure to this daemon directly, so work goes on when isolated
--- a/internal/roll/coord/input.go
+++ b/internal/roll/coord/input.go
@@ -36,7 +36,7 @@
 	present := make(map[lifetime]bool, len(members))
 	for _, address := range s.participants(members) {
 		key := s.current[address]
-		if s.isSilent(key, now) {
+		if s.isSilent(key, now) || s.hasNoServer(key) {
 			continue
 		}
 		present[key] = true
@@ -108,6 +108,12 @@
 	return !s.minority && now.Sub(last) > silentFor && s.phase != phase.Trial && now.Sub(s.phaseAt) > silentSwitched
 }
 
+// hasNoServer reports whether a daemon has just started and knows of no server yet, so that it admits nothing.
+func (s *session) hasNoServer(key lifetime) bool {
+	e := s.daemons[key]
+	return e != nil && e.last.Release == "" && !e.last.Ready && e.last.Running == 0
+}
+
 // daemonInput describes one daemon. One without evidence counts as an old server that may be running requests.
 func (s *session) daemonInput(address netip.AddrPort, e *evidence, now time.Time) stage.Daemon {
 	if e == nil {
--- a/internal/roll/coord/rollout_test.go
+++ b/internal/roll/coord/rollout_test.go
@@ -215,6 +215,29 @@
 	})
 }
 
+// Guards against a service that goes out of service because most of its daemons are lost, and against a part of the fleet that goes on
+// without the others and without the table, which the others could complete the roll-out without.
+func TestMinorityNeedsTheTable(t *testing.T) {
+	inFleet(t, 3, 3, func(f *fleet) {
+		f.begin(order(1))
+		time.Sleep(3 * time.Second)
+		lone := f.nodes[0]
+		for _, n := range f.nodes[1:] {
+			n.cut.Store(true)
+		}
+		for range 7 {
+			time.Sleep(time.Second)
+			f.Expect(lone.agent.Refusing()).To(BeNil(), "while the row shows the phase")
+		}
+		f.Expect(f.row()).To(Equal("trial"))
+		lone.storeDown.Store(true)
+		time.Sleep(2 * time.Second)
+		f.Expect(lone.agent.Refusing()).NotTo(BeNil(), "without the row")
+		time.Sleep(4 * time.Second)
+		f.Expect(f.row()).NotTo(Equal("completed"))
+	})
+}
+
 // Guards against waiting until the end of the duration for an old daemon that is lost early: its lease has ended long before.
 func TestLostOldDaemonIsLeftOut(t *testing.T) {
 	inFleet(t, 5, 5, func(f *fleet) {
