cli/cmds, conf/change: commands rollout start, status, withdraw

Operators need to order roll-outs and to see their state. The commands write and remove rollout-SERVICE.ini; a push of the folder keeps that file, as it keeps the state files of zones.

--- a/internal/cli/cmds/root.go
+++ b/internal/cli/cmds/root.go
@@ -28,7 +28,7 @@
 		SilenceErrors:    true,
 		PersistentPreRun: func(*cobra.Command, []string) { started = true },
 	}
-	root.AddCommand(newConfig(), newZone(), newServer(), newSettings(), newDaemon(), newDump(), newExplain())
+	root.AddCommand(newConfig(), newZone(), newServer(), newRollout(), newSettings(), newDaemon(), newDump(), newExplain())
 	root.AddCommand(newStandIn(), newLoad(), newLocal(), newBounds())
 	root.SetArgs(args)
 	root.SetOut(out)
--- a/internal/conf/change/edits.go
+++ b/internal/conf/change/edits.go
@@ -38,7 +38,7 @@
 	})
 }
 
-// Push replaces the folder by the given one, but keeps the state files of zones and servers that the given one lacks.
+// Push replaces the folder by the given one, but keeps the state files of zones, servers and roll-outs that the given one lacks.
 func (w *Writer) Push(ctx context.Context, folder []files.File, options Options) (Result, error) {
 	return w.change(ctx, options, func(base files.Set) ([]files.File, []string, error) {
 		remove := slices.DeleteFunc(missingNames(base, folder), func(name string) bool { return isStateFile(base, name) })
@@ -140,9 +140,12 @@
 	return []files.File{{Name: name, Content: content}}, nil, nil
 }
 
-// isStateFile reports whether a file of the set is one that Zone or Server writes. Push replaces such a file if the pushed
+// isStateFile reports whether a file of the set is one that Zone, Server or Rollout writes. Push replaces such a file if the pushed
 // folder has it, but never removes it, because that would undo the state that another operator has set.
 func isStateFile(set files.Set, name string) bool {
+	if strings.HasPrefix(name, "rollout-") {
+		return isRolloutFile(set, name)
+	}
 	file, found := set.Find(name)
 	if !found || !stateFilePattern.MatchString(name) {
 		return false
