--- a/internal/roll/agent/agent.go
+++ b/internal/roll/agent/agent.go
@@ -50,6 +50,7 @@
 
 	mu       sync.Mutex // serializes changes of current; taken before the lock of an order
 	watchers []func()
+	started  bool // a configuration was in force
 }
 
 // Start follows the orders in the configuration.
@@ -70,6 +71,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	held, ordered := a.current.Load(), conf.Rollouts[a.Service]
+	first := !a.started
+	a.started = true
 	switch {
 	case ordered == nil && held == nil:
 		return
@@ -81,6 +84,7 @@
 		held.renew(ordered.Duration)
 	default:
 		next := newOrder(a, *ordered)
+		next.inherited = first
 		if held != nil {
 			next.banned = held.rejected(ordered.Target)
 		}
--- a/internal/roll/agent/order.go
+++ b/internal/roll/agent/order.go
@@ -19,14 +19,18 @@
 	leaseMargin = time.Second
 	// burstTime is the time for whose rate an unused allowance accumulates: one round.
 	burstTime = 250 * time.Millisecond
+	// learnTime is how long an old server waits for the phase if its daemon has started with the order: the roll-out may be completed. A
+	// round, the row or another daemon tells the phase within this time, unless the daemon is cut off from all of them.
+	learnTime = 2 * time.Second
 	// announceFor is how long an announcement before the switch lasts without another round.
 	announceFor = 2 * time.Second
 )
 
-// order is the state of one order. mu guards all fields but the first two.
+// order is the state of one order. mu guards all fields but the first three.
 type order struct {
-	agent *Agent
-	seen  time.Time // when this process learned of the order
+	agent     *Agent
+	seen      time.Time // when this process learned of the order
+	inherited bool      // the first configuration of this process had the order
 
 	mu        sync.Mutex
 	ordered   config.Rollout
@@ -131,6 +135,9 @@
 
 func (o *order) refusingOld(release string, now time.Time) *code.Error {
 	if !o.known {
+		if o.inherited && now.Sub(o.seen) < learnTime {
+			return o.refusal("the phase of the roll-out of %s is not known yet", o.ordered.Target)
+		}
 		return nil
 	}
 	switch o.phase {
