--- a/internal/roll/coord/random_test.go
+++ b/internal/roll/coord/random_test.go
@@ -14,7 +14,7 @@
 
 const randomSeeds = 40
 
-// Guards against combinations of faults that no other scenario has: more exposure than allowed, requests at old servers after the completion,
+// Guards against combinations of faults that no other scenario has: more exposure than allowed, requests at old servers after completion,
 // and daemons that do not agree with the row in the end.
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(randomSeeds) {
