--- a/internal/roll/judge/pairing.go
+++ b/internal/roll/judge/pairing.go
@@ -48,8 +48,8 @@
 		p.close(olds, periods, float64(targets)/float64(responses))
 		p.target = *target.Clone()
 	}
-	whole, weighted := p.references(olds)
-	return compare(whole, weighted, target, badChance)
+	whole, weighted, merged := p.references(olds)
+	return compare(whole, weighted, merged, target, badChance)
 }
 
 // period returns the counts of a daemon since the last period.
@@ -80,20 +80,21 @@
 	}
 }
 
-// references returns the counts of the daemons that are not worse than the others, without and with weights.
-func (p *Pairing) references(olds []Source) (whole, weighted reference) {
+// references returns the counts of the daemons that are not worse than the others: without weights, with weights, and merged.
+func (p *Pairing) references(olds []Source) (whole, weighted reference, merged *tally.Tally) {
 	totals := make([]counts, len(olds))
 	references := make([]reference, len(olds))
 	for i, old := range olds {
 		references[i] = referenceOf(old.Tally)
 		totals[i] = *references[i].total()
 	}
-	whole, weighted = reference{}, reference{}
+	whole, weighted, merged = reference{}, reference{}, &tally.Tally{}
 	for i, worse := range outliers(totals) {
 		if !worse {
 			whole.merge(references[i])
+			merged.Merge(olds[i].Tally)
 			weighted.merge(p.olds[olds[i].Address].counts)
 		}
 	}
-	return whole, weighted
+	return whole, weighted, merged
 }
--- a/internal/roll/tally/tally.go
+++ b/internal/roll/tally/tally.go
@@ -24,6 +24,8 @@
 // Tally holds the counts of one release for one order. It is not safe for concurrent use.
 type Tally struct {
 	Routes []Route // sorted by name, at most MaxRoutes
+	// Steps counts the ratios of the durations of successive responses of one server; see Recorder.
+	Steps [Buckets]uint64
 }
 
 // Route holds the counts of one route.
@@ -58,6 +60,9 @@
 			r.Durations[b] += n
 		}
 	}
+	for b, n := range other.Steps {
+		t.Steps[b] += n
+	}
 }
 
 // Clone returns an independent copy; that of nil is empty.
@@ -65,7 +70,7 @@
 	if t == nil {
 		return &Tally{}
 	}
-	return &Tally{Routes: slices.Clone(t.Routes)}
+	return &Tally{Routes: slices.Clone(t.Routes), Steps: t.Steps}
 }
 
 // Since returns the counts that were added since an earlier state of the tally. Counts that have fallen, because a daemon is no longer
@@ -85,6 +90,9 @@
 			r.Durations[b] -= min(r.Durations[b], n)
 		}
 	}
+	for b, n := range earlier.Steps {
+		since.Steps[b] -= min(since.Steps[b], n)
+	}
 	return since
 }
 
