--- a/internal/admit/gate/rig_test.go
+++ b/internal/admit/gate/rig_test.go
@@ -233,8 +233,14 @@
 
 // inBubble runs body with a started gate in a synctest bubble.
 func inBubble(t *testing.T, body func(r *rig)) {
+	inBubbleWith(t, func(*rig) {}, body)
+}
+
+// inBubbleWith does the same with a gate that prepare has changed before its start.
+func inBubbleWith(t *testing.T, prepare, body func(r *rig)) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
+		prepare(r)
 		ctx, cancel := context.WithCancel(t.Context())
 		for _, run := range []func(context.Context) error{r.Run, r.Limit.Run, r.Ledger.Run} {
 			go func() { _ = run(ctx) }()
--- a/internal/admit/gate/rollout_test.go
+++ b/internal/admit/gate/rollout_test.go
@@ -76,9 +76,8 @@
 
 // Guards against a response that the verdict does not see, or sees under another result.
 func TestRolloutCountsResponses(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		f := &rollout{}
-		r.Rollout = f
+	f := &rollout{}
+	inBubbleWith(t, func(r *rig) { r.Rollout = f }, func(r *rig) {
 		r.lookup(time.Second)
 		r.calls.Wait()
 		r.backend.set(func() { r.backend.serve = func(*http.Request) time.Duration { return time.Minute } })
@@ -103,9 +102,8 @@
 
 // Guards against requests that reach an old server after the switch: new ones, queued ones, and those that hold a slot already.
 func TestRolloutRefusesQueuedRequests(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		f := &rollout{}
-		r.Rollout = f
+	f := &rollout{}
+	inBubbleWith(t, func(r *rig) { r.Rollout = f }, func(r *rig) {
 		r.warm()
 		r.backend.set(func() { r.backend.serve = func(*http.Request) time.Duration { return 300 * time.Millisecond } })
 		var streams []*stream
