roll/coord: two races of the test fleet

The race detector found two restarts that replaced the list of daemons at the same time, which could lose one of them, and a variable of the random scenario. Both were in test code.

--- a/internal/roll/coord/fleet_test.go
+++ b/internal/roll/coord/fleet_test.go
@@ -45,6 +45,7 @@
 	nodes    []*node // replaced as a whole under mu
 	running  sync.WaitGroup
 	mu       sync.Mutex
+	starting sync.Mutex // serializes start
 	revision uint64
 	respond  func(n *node) (failed bool, took time.Duration) // of the target release; nil for a good one
 
@@ -167,6 +168,8 @@
 
 // start starts a daemon, or another process of a killed one.
 func (f *fleet) start(address netip.AddrPort, release string) *node {
+	f.starting.Lock()
+	defer f.starting.Unlock()
 	n := &node{fleet: f, release: release, holder: &config.Holder{}, members: &member.Table{}}
 	n.record = member.Record{
 		Address: address, Service: "stock", Zone: "a", State: member.Serving, Incarnation: ident.NewIncarnation(time.Now()),
--- a/internal/roll/coord/random_test.go
+++ b/internal/roll/coord/random_test.go
@@ -31,17 +31,16 @@
 	if random.IntN(2) == 0 {
 		late = time.Duration(random.Int64N(int64(8 * time.Second)))
 	}
-	start := time.Now()
+	ordered := time.Now().Add(beforeOrder)
 	f.respond = func(*node) (bool, time.Duration) {
-		return bad && time.Since(start) > late && rand.IntN(5) < 2, serviceTime/2 + rand.N(serviceTime)
+		return bad && time.Since(ordered) > late && rand.IntN(5) < 2, serviceTime/2 + rand.N(serviceTime)
 	}
 	f.begin(order(1))
-	start = time.Now()
-	for time.Since(start) < duration-time.Second {
+	for time.Since(ordered) < duration-time.Second {
 		time.Sleep(time.Duration(random.Int64N(int64(3 * time.Second))))
 		f.disturb(random)
 	}
-	time.Sleep(duration - time.Since(start))
+	time.Sleep(duration - time.Since(ordered))
 	exposed, requests := f.toTarget.Load(), f.requests.Load()
 	time.Sleep(20 * time.Second) // all faults have ended
 	at := f.row()
--- a/internal/roll/coord/rollout_test.go
+++ b/internal/roll/coord/rollout_test.go
@@ -15,6 +15,8 @@
 const (
 	rate     = 400 // requests/s
 	duration = 15 * time.Second
+
+	beforeOrder = 2 * time.Second // of the load
 )
 
 // badRelease fails a share of the requests.
@@ -33,7 +35,7 @@
 func (f *fleet) begin(ordered *config.Rollout) {
 	f.configure(nil)
 	f.load(rate, 3*duration)
-	time.Sleep(2 * time.Second)
+	time.Sleep(beforeOrder)
 	f.configure(ordered)
 	f.requests.Store(0)
 	f.toTarget.Store(0)
