--- a/internal/roll/agent/order.go
+++ b/internal/roll/agent/order.go
@@ -54,7 +54,7 @@
 	rowLease time.Time // until when the last read of the row, which had this phase, extends the leases
 
 	received, admitted, running uint64
-	old, target                 tally.Tally // responses of the server while it had another release, and the target release
+	old, target                 tally.Recorder // responses of the server while it had another release, and the target release
 	baseline                    *tally.Tally
 	judged                      time.Time
 }
--- a/internal/roll/agent/round.go
+++ b/internal/roll/agent/round.go
@@ -103,11 +103,11 @@
 	evidence := o.agent.baseEvidence()
 	evidence.State = o.state(now)
 	evidence.Received, evidence.Admitted, evidence.Limit, evidence.Running = o.received, o.admitted, o.limit, o.running
-	if withTally && len(o.old.Routes) > 0 {
-		evidence.Old = o.old.Clone()
+	if withTally && len(o.old.Tally.Routes) > 0 {
+		evidence.Old = o.old.Tally.Clone()
 	}
-	if withTally && len(o.target.Routes) > 0 {
-		evidence.New = o.target.Clone()
+	if withTally && len(o.target.Tally.Routes) > 0 {
+		evidence.New = o.target.Tally.Clone()
 	}
 	return evidence
 }
--- a/internal/roll/agent/run.go
+++ b/internal/roll/agent/run.go
@@ -57,12 +57,13 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.running--
+	now := time.Now()
 	if !r.target {
-		o.old.Add(route, failed, took)
+		o.old.Add(now, route, failed, took)
 		return
 	}
-	o.target.Add(route, failed, took)
-	o.judge(time.Now())
+	o.target.Add(now, route, failed, took)
+	o.judge(now)
 }
 
 // Ignore implements gate.RolloutRun.
@@ -79,7 +80,7 @@
 		return
 	}
 	o.judged = now
-	finding := judge.Compare(o.baseline, &o.target)
+	finding := judge.Compare(o.baseline, &o.target.Tally)
 	if finding.Verdict != judge.Bad {
 		return
 	}
--- a/internal/roll/agent/view.go
+++ b/internal/roll/agent/view.go
@@ -110,6 +110,6 @@
 	if refused := o.refusing(release, now); refused != nil {
 		dump.Refusing = refused.Detail
 	}
-	dump.Responses, dump.Failures = o.target.Total()
+	dump.Responses, dump.Failures = o.target.Tally.Total()
 	return dump
 }
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -171,6 +171,9 @@
 	for range rapid.IntRange(0, 5).Draw(t, "responses") {
 		drawn.Add(texts.Draw(t, "route"), rapid.Bool().Draw(t, "failed"), durations.Draw(t, "took"))
 	}
+	for range rapid.IntRange(0, 5).Draw(t, "steps") {
+		drawn.Steps[rapid.IntRange(0, tally.Buckets-1).Draw(t, "step")] = rapid.Uint64().Draw(t, "count")
+	}
 	return drawn
 })
 
--- a/internal/wire/proto/rollout.go
+++ b/internal/wire/proto/rollout.go
@@ -204,12 +204,17 @@
 	for i := range m.Routes {
 		buf = putNested(buf, 1, &m.Routes[i], appendTallyRoute)
 	}
-	return buf
+	return putNested(buf, 2, &m.Steps, appendDurations)
 }
 
 // readTally requires the order of the names, on which the search for a route relies.
 func readTally(r *reader, m *tally.Tally) {
-	if r.number != 1 {
+	switch r.number {
+	case 1:
+	case 2:
+		r.durations(&m.Steps)
+		return
+	default:
 		return
 	}
 	m.Routes = readElement(r, m.Routes, tally.MaxRoutes, readTallyRoute)
--- a/internal/wire/proto/rollout_test.go
+++ b/internal/wire/proto/rollout_test.go
@@ -20,9 +20,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.Old = &tally.Tally{}
+	recorder := tally.Recorder{}
+	m.Old = &recorder.Tally
 	for i := range 2000 {
-		m.Old.Add(fmt.Sprintf("route-%d", i%8), i%100 == 0, time.Duration(5e6*random.ExpFloat64()+2e6))
+		recorder.Add(time.UnixMilli(int64(10*i)), fmt.Sprintf("route-%d", i%8), i%100 == 0, time.Duration(5e6*random.ExpFloat64()+2e6))
 	}
 	with, err := Codec{}.Marshal(m)
 	if err != nil {
