--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -111,7 +111,7 @@
 		Depth: counts.Draw(t, "depth"), Revision: rapid.Uint64().Draw(t, "revision"), PeerLatency: durations.Draw(t, "peer-latency"),
 		Body: bodies.Draw(t, "body"),
 		End:  rapid.Bool().Draw(t, "end"), Objective: durations.Draw(t, "objective"), Priority: counts.Draw(t, "priority"),
-		Organisation: texts.Draw(t, "organisation"),
+		Organisation: texts.Draw(t, "organisation"), Dependent: rapid.Bool().Draw(t, "dependent"),
 	}
 }
 
