--- a/internal/cli/daemon/administration.go
+++ b/internal/cli/daemon/administration.go
@@ -18,6 +18,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
 	"marigoldwinch.example/marigoldwinch/internal/plat/object"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+	"marigoldwinch.example/marigoldwinch/internal/quota/agent"
 	"marigoldwinch.example/marigoldwinch/internal/route/budget"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
 	"marigoldwinch.example/marigoldwinch/internal/route/choice"
@@ -111,6 +112,7 @@
 	Budgets   *budget.Budgets
 	Calls     *call.Client
 	Claims    *claim.Claims
+	Caps      *agent.Agent
 	Front     *front.Front
 	Log       logr.Logger
 }
@@ -160,6 +162,7 @@
 		{Name: "calls", Dump: parts.Calls.Dump},
 		{Name: "front", Dump: parts.Front.Dump},
 		{Name: "claims", Dump: parts.Claims.Dump},
+		{Name: "caps", Dump: parts.Caps.Dump},
 		{Name: "connections-out", Dump: parts.Pool.Dump},
 		{Name: "connections-in", Dump: parts.Link.Dump},
 	}
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -21,6 +21,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/quota/agent"
 	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 	"marigoldwinch.example/marigoldwinch/internal/wire/link"
 	"marigoldwinch.example/marigoldwinch/platform"
@@ -215,6 +216,7 @@
 	Incarnation ident.Incarnation
 	Gate        *gate.Gate
 	Node        *gossip.Node
+	Caps        *agent.Agent
 	Log         logr.Logger
 }
 
@@ -224,6 +226,7 @@
 		Listener:    countedListener{Listener: parts.Listeners.Daemons, traffic: parts.Traffic},
 		Calls:       parts.Gate,
 		Fleet:       parts.Node,
+		Permits:     parts.Caps,
 		Incarnation: parts.Incarnation,
 		MaxConns:    parts.Settings.AcceptedConns,
 		StopTimeout: min(timeout, flushTimeout),
--- a/internal/cli/daemon/router.go
+++ b/internal/cli/daemon/router.go
@@ -16,6 +16,8 @@
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+	"marigoldwinch.example/marigoldwinch/internal/quota/agent"
+	"marigoldwinch.example/marigoldwinch/internal/quota/owner"
 	"marigoldwinch.example/marigoldwinch/internal/route/budget"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
 	"marigoldwinch.example/marigoldwinch/internal/route/choice"
@@ -30,6 +32,7 @@
 	newChooser,
 	newBudgets,
 	newClaims,
+	newCaps,
 	newCallClient,
 )
 
@@ -90,6 +93,33 @@
 	}
 }
 
+type capParts struct {
+	fx.In
+	Settings *opts.Settings
+	Members  *member.Table
+	Holder   *config.Holder
+	Client   *link.Pool
+	Log      logr.Logger
+}
+
+func newCaps(parts capParts) *agent.Agent {
+	settings := parts.Settings
+	return &agent.Agent{
+		Self:    settings.Daemons,
+		Members: parts.Members,
+		Config:  parts.Holder,
+		Client:  parts.Client,
+		Owner:   &owner.Owner{Slack: settings.CapSlack, Caution: min(owner.DefaultCaution, settings.CapOverage*cautionPerOverage)},
+		Window:  settings.CapWindow,
+		Slack:   settings.CapSlack,
+		Log:     parts.Log,
+	}
+}
+
+// cautionPerOverage relates what two owners may grant together for a short time to the overage: with the default of 0.1 a new owner grants
+// a quarter of the rate.
+const cautionPerOverage = 2.5
+
 type callParts struct {
 	fx.In
 	Settings    *opts.Settings
@@ -100,6 +130,7 @@
 	Reports     *pool.Pool
 	Budgets     *budget.Budgets
 	Claims      *claim.Claims
+	Caps        *agent.Agent
 	Ledger      *ledger.Ledger
 	Decisions   *logs.Sampler
 	Metrics     *stats.Set
@@ -114,6 +145,7 @@
 		Pool:        parts.Reports,
 		Budgets:     parts.Budgets,
 		Claims:      parts.Claims,
+		Caps:        parts.Caps,
 		Incarnation: parts.Incarnation,
 		Start:       time.Now(),
 		FindParent: func(id ident.RequestID) (call.Parent, bool) {
--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -16,6 +16,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
+	"marigoldwinch.example/marigoldwinch/internal/quota/agent"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
 	"marigoldwinch.example/marigoldwinch/internal/route/claim"
 	"marigoldwinch.example/marigoldwinch/internal/route/front"
@@ -45,6 +46,7 @@
 	Gate      *gate.Gate
 	Reports   *pool.Pool
 	Claims    *claim.Claims
+	Caps      *agent.Agent
 	Calls     *call.Client
 	Front     *front.Front
 	Endpoint  *endpoint
@@ -70,6 +72,7 @@
 		{"reports", parts.Reports.Run},
 		{"report-datagrams", runReporter(parts.Reporter)},
 		{"claims", parts.Claims.Run},
+		{"caps", parts.Caps.Run},
 		{"front", parts.Front.Run},
 		{"member-state", parts.State.Run},
 	}
--- /dev/null
+++ b/internal/quota/reach/reach.go
@@ -0,0 +1,134 @@
+// Package reach estimates which members a daemon reaches and which part of the fleet. The time is passed in.
+package reach
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod stringer -type=State -linecomment -output=names.go
+
+// State is what is known of a daemon.
+type State int
+
+// The states of a daemon. Refused means that its port refuses connections: the process does not run.
+const (
+	Unknown State = iota // unknown
+	Up                   // up
+	Down                 // down
+	Refused              // refused
+)
+
+const (
+	// sampleCount is the number of latest samples from which the share is estimated.
+	sampleCount = 15
+	// minSamples is the number of samples below which the share is not known.
+	minSamples = 4
+	// sampleAge is the maximum age of a sample.
+	sampleAge = time.Second
+	// hold is how long the lowest estimate is used. An owner that regains the fleet grants more only after the daemons that granted in
+	// its place have found it again.
+	hold = 1500 * time.Millisecond
+	// maxResults limits the daemons whose results are kept.
+	maxResults = 4096
+)
+
+// Reach holds the results of recent messages to other daemons. Its zero value knows nothing.
+type Reach struct {
+	mu        sync.Mutex
+	results   map[netip.AddrPort]result
+	samples   []sample   // at most sampleCount, oldest first
+	estimates []estimate // of the time hold, oldest first
+}
+
+type result struct {
+	state State
+	at    time.Time
+}
+
+type sample struct {
+	up bool
+	at time.Time
+}
+
+type estimate struct {
+	share float64
+	at    time.Time
+}
+
+// Record records the result of a message to a daemon.
+func (r *Reach) Record(now time.Time, daemon netip.AddrPort, state State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.results) >= maxResults {
+		clear(r.results)
+	}
+	if r.results == nil {
+		r.results = make(map[netip.AddrPort]result)
+	}
+	r.results[daemon] = result{state: state, at: now}
+}
+
+// State returns the latest state of a daemon, or Unknown when it is older than maxAge.
+func (r *Reach) State(now time.Time, daemon netip.AddrPort, maxAge time.Duration) State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	latest, found := r.results[daemon]
+	if !found || now.Sub(latest.at) > maxAge {
+		return Unknown
+	}
+	return latest.state
+}
+
+// Sample adds the result of a ping to a member that was chosen at random. Members that do not run say nothing about the network.
+func (r *Reach) Sample(now time.Time, state State) {
+	if state == Refused || state == Unknown {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	if len(r.samples) == sampleCount {
+		r.samples = slices.Delete(r.samples, 0, 1)
+	}
+	r.samples = append(r.samples, sample{up: state == Up, at: now})
+	if len(r.samples) < minSamples {
+		return
+	}
+	up := 0
+	for _, s := range r.samples {
+		if s.up {
+			up++
+		}
+	}
+	r.estimates = append(r.estimates, estimate{share: float64(up) / float64(len(r.samples)), at: now})
+}
+
+func (r *Reach) expire(now time.Time) {
+	r.samples = slices.DeleteFunc(r.samples, func(s sample) bool { return now.Sub(s.at) > sampleAge })
+	r.estimates = slices.DeleteFunc(r.estimates, func(e estimate) bool { return now.Sub(e.at) > hold })
+}
+
+// Share returns the share of the members, this daemon included, that it reaches. It reports false when there are too few samples.
+func (r *Reach) Share(now time.Time, members int) (float64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	if len(r.estimates) == 0 || members <= 1 {
+		return 1, members <= 1
+	}
+	lowest := 1.0
+	for _, e := range r.estimates {
+		lowest = min(lowest, e.share)
+	}
+	return (1 + lowest*float64(members-1)) / float64(members), true
+}
+
+// Reset forgets everything, after a pause of the process.
+func (r *Reach) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results, r.samples, r.estimates = nil, nil, nil
+}
--- a/internal/wire/link/accept.go
+++ b/internal/wire/link/accept.go
@@ -99,6 +99,8 @@
 		return serveUnary(c, raw, peer, c.server.Fleet.Exchange)
 	case rpcStatus:
 		return serveUnary(c, raw, peer, c.server.Fleet.Status)
+	case rpcPermit:
+		return serveUnary(c, raw, peer, c.server.Permits.Permit)
 	default:
 		return code.NotRunf(code.BadRequest, "unknown rpc %q", rpc)
 	}
--- a/internal/wire/link/call.go
+++ b/internal/wire/link/call.go
@@ -174,3 +174,12 @@
 	}
 	return reply, nil
 }
+
+// Permit implements proto.PermitClient.
+func (p *Pool) Permit(ctx context.Context, to netip.AddrPort, req *proto.PermitRequest) (*proto.PermitReply, error) {
+	reply := new(proto.PermitReply)
+	if err := p.invoke(ctx, to, rpcPermit, req, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
--- a/internal/wire/link/pair_test.go
+++ b/internal/wire/link/pair_test.go
@@ -160,6 +160,10 @@
 	return req, nil
 }
 
+func (a *fakeAdmission) Permit(_ context.Context, _ *proto.Peer, req *proto.PermitRequest) (*proto.PermitReply, error) {
+	return &proto.PermitReply{Granted: req.Wanted}, nil
+}
+
 func (a *fakeAdmission) counts() (heads, resolves int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -187,7 +191,7 @@
 func newPair(t *testing.T, configure func(*pair)) *pair {
 	listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
 	p := &pair{WithT: NewWithT(t), handler: &fakeAdmission{serve: answerTarget}, stopped: make(chan error, 1)}
-	p.server = &Server{Listener: listener, Calls: p.handler, Fleet: p.handler, Incarnation: admissionIncarnation, Log: logr.Discard()}
+	p.server = &Server{Listener: listener, Calls: p.handler, Fleet: p.handler, Permits: p.handler, Incarnation: admissionIncarnation, Log: logr.Discard()}
 	p.pool = &Pool{Self: proto.Hello{Incarnation: routerIncarnation}, Log: logr.Discard()}
 	p.pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
 		conn, err := listener.dial()
--- a/internal/wire/link/pool.go
+++ b/internal/wire/link/pool.go
@@ -55,6 +55,7 @@
 var (
 	_ proto.CallClient  = (*Pool)(nil)
 	_ proto.FleetClient = (*Pool)(nil)
+	_ proto.PermitClient = (*Pool)(nil)
 )
 
 // shard holds the peers whose address hashes to it.
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -37,6 +37,7 @@
 	ListenAddress netip.AddrPort // ignored if Listener is set
 	Calls         proto.CallHandler
 	Fleet         proto.FleetHandler
+	Permits       proto.PermitHandler
 	Incarnation   ident.Incarnation // of this daemon
 	Log           logr.Logger
 
--- a/internal/wire/link/transport.go
+++ b/internal/wire/link/transport.go
@@ -23,6 +23,7 @@
 	rpcProbe    = "probe"
 	rpcExchange = "exchange"
 	rpcStatus   = "status"
+	rpcPermit   = "permit"
 )
 
 // transport is the network connection below drpc. It counts the bytes written: if a call has written none, it certainly
--- a/internal/wire/proto/codec.go
+++ b/internal/wire/proto/codec.go
@@ -90,6 +90,10 @@
 		return appendExchange(buf, m)
 	case *Status:
 		return appendStatus(buf, m), nil
+	case *PermitRequest:
+		return appendPermitRequest(buf, m), nil
+	case *PermitReply:
+		return appendPermitReply(buf, m), nil
 	default:
 		return nil, code.Unknownf(code.Internal, "cannot encode a message of type %T", message)
 	}
@@ -145,6 +149,10 @@
 		return decode(buf, m, readExchange)
 	case *Status:
 		return decode(buf, m, readStatus)
+	case *PermitRequest:
+		return decode(buf, m, readPermitRequest)
+	case *PermitReply:
+		return decode(buf, m, readPermitReply)
 	default:
 		return code.Unknownf(code.Internal, "cannot decode a message of type %T", message)
 	}
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -22,6 +22,7 @@
 	texts     = rapid.StringN(0, 20, 40)
 	codes     = rapid.Map(rapid.IntRange(0, 60), func(n int) code.Code { return code.Code(n) })
 	counts    = rapid.IntRange(0, 1<<20)
+	positive  = rapid.IntRange(1, 1<<20)
 	durations = rapid.Map(rapid.Int64(), func(n int64) time.Duration { return time.Duration(n) })
 	bodies    = rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 100), nilIfEmpty[byte])
 	addresses = rapid.OneOf(
@@ -126,6 +127,11 @@
 		&Probe{Service: texts.Draw(t, "service")},
 		&ProbeReply{Code: codes.Draw(t, "code"), RetryAfter: durations.Draw(t, "next"), Report: reports.Draw(t, "report")},
 		&Status{From: records.Draw(t, "from"), InForce: number},
+		&PermitRequest{
+			Organisation: texts.Draw(t, "organisation"), Wanted: positive.Draw(t, "wanted"), Returned: positive.Draw(t, "returned"),
+			Revision: number, Rate: float64(positive.Draw(t, "rate")) / rateUnits, Burst: positive.Draw(t, "burst"),
+		},
+		&PermitReply{Granted: positive.Draw(t, "granted"), Next: durations.Draw(t, "until"), Owner: addresses.Draw(t, "owner")},
 	}).Draw(t, "message")
 }
 
@@ -270,6 +276,7 @@
 		func() any { return new(Envelope) }, func() any { return new(Hello) }, func() any { return new(Welcome) },
 		func() any { return new(Resolve) }, func() any { return new(Resolution) }, func() any { return new(Probe) },
 		func() any { return new(ProbeReply) }, func() any { return new(Exchange) }, func() any { return new(Status) },
+		func() any { return new(PermitRequest) }, func() any { return new(PermitReply) },
 	}
 	f.Fuzz(func(t *testing.T, kind byte, buf []byte) {
 		message := targets[int(kind)%len(targets)]()
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -212,6 +212,23 @@
 	InForce uint64
 }
 
+// PermitRequest asks the owner of an organisation for permits. Without an organisation it only checks that the daemon replies.
+type PermitRequest struct {
+	Organisation string
+	Wanted       int
+	Returned     int     // permits of the same owner that expired unused
+	Revision     uint64  // of the configuration at the router, which has the following cap
+	Rate         float64 // requests per second, in thousandths
+	Burst        int
+}
+
+// PermitReply is the reply to PermitRequest.
+type PermitReply struct {
+	Granted int
+	Next    time.Duration  // until the next permit is probably available; 0 when all are granted
+	Owner   netip.AddrPort // daemon that grants permits for the organisation instead; the zero value for the one that replies
+}
+
 // Peer is the daemon at the other end of an accepted connection.
 type Peer struct {
 	Hello   Hello
@@ -258,6 +275,11 @@
 	Status(ctx context.Context, peer *Peer, req *Status) (*Status, error)
 }
 
+// PermitHandler serves requests for permits.
+type PermitHandler interface {
+	Permit(ctx context.Context, peer *Peer, req *PermitRequest) (*PermitReply, error)
+}
+
 // ClientStream is the router's side of a call.
 type ClientStream interface {
 	Stream
@@ -284,3 +306,8 @@
 	Exchange(ctx context.Context, to netip.AddrPort, req *Exchange) (*Exchange, error)
 	Status(ctx context.Context, to netip.AddrPort, req *Status) (*Status, error)
 }
+
+// PermitClient is the part of the connection pool that routers use to request permits.
+type PermitClient interface {
+	Permit(ctx context.Context, to netip.AddrPort, req *PermitRequest) (*PermitReply, error)
+}
