--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -77,23 +77,23 @@
 
 func registerCaps(set *stats.Set, caps *agent.Agent) {
 	registerCounts(set, caps.Counts, map[string]func(agent.Counts) uint64{
-		"caps_permits_taken_total":      func(c agent.Counts) uint64 { return c.Taken },
-		"caps_permits_returned_total":   func(c agent.Counts) uint64 { return c.Returned },
-		"caps_refused_total":            func(c agent.Counts) uint64 { return c.Refused },
-		"caps_isolated_total":           func(c agent.Counts) uint64 { return c.Isolated },
-		"caps_asks_total":               func(c agent.Counts) uint64 { return c.Asks },
-		"caps_asks_failed_total":        func(c agent.Counts) uint64 { return c.Failed },
-		"caps_asks_redirected_total":    func(c agent.Counts) uint64 { return c.Redirects },
-		"caps_asks_local_total":         func(c agent.Counts) uint64 { return c.Local },
-		"caps_asks_served_total":        func(c agent.Counts) uint64 { return c.Served },
-		"caps_substitutions_total":      func(c agent.Counts) uint64 { return c.Substituted },
-		"caps_pings_answered_total":     func(c agent.Counts) uint64 { return c.Pinged },
+		"caps_permits_taken_total":    func(c agent.Counts) uint64 { return c.Taken },
+		"caps_permits_returned_total": func(c agent.Counts) uint64 { return c.Returned },
+		"caps_refused_total":          func(c agent.Counts) uint64 { return c.Refused },
+		"caps_isolated_total":         func(c agent.Counts) uint64 { return c.Isolated },
+		"caps_asks_total":             func(c agent.Counts) uint64 { return c.Asks },
+		"caps_asks_failed_total":      func(c agent.Counts) uint64 { return c.Failed },
+		"caps_asks_redirected_total":  func(c agent.Counts) uint64 { return c.Redirects },
+		"caps_asks_local_total":       func(c agent.Counts) uint64 { return c.Local },
+		"caps_asks_served_total":      func(c agent.Counts) uint64 { return c.Served },
+		"caps_substitutions_total":    func(c agent.Counts) uint64 { return c.Substituted },
+		"caps_pings_answered_total":   func(c agent.Counts) uint64 { return c.Pinged },
 	})
 	registerCounts(set, caps.Owner.Counts, map[string]func(owner.Dump) uint64{
-		"caps_granted_total":  func(d owner.Dump) uint64 { return d.Granted },
-		"caps_denied_total":   func(d owner.Dump) uint64 { return d.Denied },
-		"caps_resumed_total":  func(d owner.Dump) uint64 { return d.Resumed },
-		"caps_organisations":  func(d owner.Dump) uint64 { return uint64(d.Organisations) },
+		"caps_granted_total": func(d owner.Dump) uint64 { return d.Granted },
+		"caps_denied_total":  func(d owner.Dump) uint64 { return d.Denied },
+		"caps_resumed_total": func(d owner.Dump) uint64 { return d.Resumed },
+		"caps_organisations": func(d owner.Dump) uint64 { return uint64(d.Organisations) },
 	})
 	set.Gauge("caps_reached_share", caps.Share)
 }
--- a/internal/quota/agent/agent.go
+++ b/internal/quota/agent/agent.go
@@ -23,13 +23,18 @@
 	// maxWait is how long a request waits for a permit.
 	maxWait = 50 * time.Millisecond
 	// replyTimeout is the time without a reply after which the next daemon is asked. A request must be able to wait for both.
-	replyTimeout = 25 * time.Millisecond
-	// lateTimeout is how long a reply is waited for that comes after replyTimeout. Its permits are used if they have not expired.
-	lateTimeout = 150 * time.Millisecond
+	replyTimeout = 28 * time.Millisecond
+	// repeatAfter is the time without a reply after which a request is repeated. Round trips between zones take up to 7 ms.
+	repeatAfter = 10 * time.Millisecond
+	maxRepeats  = 2
+	// lateTimeout is how long a reply is waited for that comes after replyTimeout, to use its permits or to return them.
+	lateTimeout = 300 * time.Millisecond
 	// preferredTimeout is how long a substitute waits for the reply of a preferred daemon, within the router's replyTimeout.
 	preferredTimeout = 12 * time.Millisecond
 	// pingTimeout is the time without a reply after which a ping has failed. Small instances stall for some 80 ms under load.
 	pingTimeout = 150 * time.Millisecond
+	// pingRepeat is the time without a reply after which a ping is repeated on another connection.
+	pingRepeat = 50 * time.Millisecond
 	// freshness is the maximum age of a result that decides whether a preferred daemon grants.
 	freshness = 600 * time.Millisecond
 	// avoidance is how long a daemon that did not reply is not asked, unless it replies to a ping.
--- a/internal/quota/agent/ask.go
+++ b/internal/quota/agent/ask.go
@@ -77,59 +77,97 @@
 // askSelf lets this daemon grant the permits. It returns the daemon that grants them instead, if there is one.
 func (a *Agent) askSelf(s *shelf, limit owner.Cap, wanted int) (redirect netip.AddrPort) {
 	requested := time.Now()
-	reply := a.grant(context.Background(), a.newRequest(s, a.Self, limit, wanted))
-	if reply.Owner.IsValid() {
+	granted := a.grant(context.Background(), a.newRequest(s, a.Self, limit, wanted))
+	if granted.Owner.IsValid() {
 		a.counters.redirects.Add(1)
-		return reply.Owner
+		return granted.Owner
 	}
 	a.counters.local.Add(1)
-	s.put(stock.Permit{Owner: a.Self, Requested: requested}, reply.Granted, reply.Next)
+	s.put(stock.Permit{Owner: a.Self, Requested: requested}, granted.Granted, granted.Next)
 	return netip.AddrPort{}
 }
 
-type outcome struct {
-	reply *proto.PermitReply
-	err   error
+// reply is the result of a request for permits.
+type reply struct {
+	requested time.Time
+	message   *proto.PermitReply
+	err       error
 }
 
-// askDaemon requests permits from another daemon. It reports whether that one replied, and which one grants them instead.
+// askDaemon requests permits from another daemon. It reports whether that one replied, and which one grants them instead. A request without
+// a reply is repeated on another connection, because a lost packet delays a reply by at least 200 ms.
 func (a *Agent) askDaemon(s *shelf, to netip.AddrPort, limit owner.Cap, wanted int) (redirect netip.AddrPort, ok bool) {
+	replies := make(chan reply, 1+maxRepeats)
+	a.send(s, to, limit, wanted, replies)
+	timer := time.NewTimer(repeatAfter)
+	defer timer.Stop()
+	outstanding, repeats := 1, 0
+	for {
+		select {
+		case r := <-replies:
+			outstanding--
+			redirect, ok = a.take(s, to, r)
+			if !ok && outstanding > 0 {
+				continue
+			}
+		case <-timer.C:
+			if repeats < maxRepeats {
+				repeats++
+				outstanding++
+				a.send(s, to, limit, wanted, replies)
+				timer.Reset(min(repeatAfter, replyTimeout-time.Duration(repeats)*repeatAfter))
+				continue
+			}
+			a.counters.failed.Add(1)
+			a.recordDown(to)
+		}
+		if outstanding > 0 {
+			go a.takeLate(s, to, replies, outstanding)
+		}
+		return redirect, ok
+	}
+}
+
+// send sends a request for permits. Its reply arrives on replies.
+func (a *Agent) send(s *shelf, to netip.AddrPort, limit owner.Cap, wanted int, replies chan<- reply) {
 	a.counters.asks.Add(1)
 	requested, request := time.Now(), a.newRequest(s, to, limit, wanted)
-	done := make(chan outcome, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), lateTimeout)
 		defer cancel()
-		reply, err := a.Client.Permit(ctx, to, request)
-		done <- outcome{reply, err}
+		message, err := a.Client.Permit(ctx, to, request)
+		replies <- reply{requested: requested, message: message, err: err}
 	}()
-	timer := time.NewTimer(replyTimeout)
-	defer timer.Stop()
-	select {
-	case result := <-done:
-		return a.take(s, to, requested, result)
-	case <-timer.C:
-		a.reach.Record(time.Now(), to, reach.Down)
-		a.pings.watch(time.Now(), to)
-		a.counters.failed.Add(1)
-		go func() { a.take(s, to, requested, <-done) }()
-		return netip.AddrPort{}, false
+}
+
+// takeLate processes the replies that arrive after another one, or after the next daemon was asked.
+func (a *Agent) takeLate(s *shelf, from netip.AddrPort, replies <-chan reply, count int) {
+	for range count {
+		if r := <-replies; r.err == nil {
+			a.take(s, from, r)
+		}
 	}
 }
 
+func (a *Agent) recordDown(daemon netip.AddrPort) {
+	now := time.Now()
+	a.reach.Record(now, daemon, reach.Down)
+	a.pings.watch(now, daemon)
+}
+
 // take processes the result of a request to another daemon.
-func (a *Agent) take(s *shelf, from netip.AddrPort, requested time.Time, result outcome) (redirect netip.AddrPort, ok bool) {
-	a.reach.Record(time.Now(), from, stateOf(result.err))
-	if result.err != nil {
+func (a *Agent) take(s *shelf, from netip.AddrPort, r reply) (redirect netip.AddrPort, ok bool) {
+	a.reach.Record(time.Now(), from, stateOf(r.err))
+	if r.err != nil {
 		a.counters.failed.Add(1)
 		a.pings.watch(time.Now(), from)
 		return netip.AddrPort{}, false
 	}
-	if result.reply.Owner.IsValid() {
+	if r.message.Owner.IsValid() {
 		a.counters.redirects.Add(1)
-		return result.reply.Owner, true
+		return r.message.Owner, true
 	}
-	s.put(stock.Permit{Owner: from, Requested: requested}, result.reply.Granted, result.reply.Next)
+	s.put(stock.Permit{Owner: from, Requested: r.requested}, r.message.Granted, r.message.Next)
 	return netip.AddrPort{}, true
 }
 
--- a/internal/quota/agent/ping.go
+++ b/internal/quota/agent/ping.go
@@ -145,10 +145,24 @@
 	})
 }
 
-// ping checks whether a daemon replies.
+// ping checks whether a daemon replies until ctx ends.
 func (a *Agent) ping(ctx context.Context, daemon netip.AddrPort) reach.State {
-	_, err := a.Client.Permit(ctx, daemon, &proto.PermitRequest{})
-	state := stateOf(err)
+	results := make(chan error, 2)
+	send := func() {
+		_, err := a.Client.Permit(ctx, daemon, &proto.PermitRequest{})
+		results <- err
+	}
+	go send()
+	timer := time.NewTimer(pingRepeat)
+	defer timer.Stop()
+	var state reach.State
+	select {
+	case err := <-results:
+		state = stateOf(err)
+	case <-timer.C:
+		go send()
+		state = stateOf(<-results)
+	}
 	a.reach.Record(time.Now(), daemon, state)
 	return state
 }
--- a/internal/quota/agent/view.go
+++ b/internal/quota/agent/view.go
@@ -55,7 +55,10 @@
 	if v.current != nil && v.current.generation == generation && now.Sub(v.current.at) < viewAge {
 		return v.current
 	}
-	next := &view{self: a.Self, generation: generation, at: now, gone: make(map[netip.AddrPort]bool), rankings: make(map[string][]netip.AddrPort)}
+	next := &view{
+		self: a.Self, generation: generation, at: now,
+		gone: make(map[netip.AddrPort]bool), rankings: make(map[string][]netip.AddrPort),
+	}
 	serving, unheard := false, 0
 	stillGone := make(map[netip.AddrPort]time.Time)
 	a.Members.Each(func(r member.Record) {
--- a/internal/quota/owner/owner.go
+++ b/internal/quota/owner/owner.go
@@ -128,7 +128,8 @@
 	}
 	idle, lost := now.Sub(a.used) > maxIdle, !standing.First || standing.Since.After(a.used)
 	a.used = now
-	if !a.yielded && !(idle && lost) {
+	forgotten := idle && lost
+	if !a.yielded && !forgotten {
 		return a, false
 	}
 	tokens, cautiousUntil := o.begin(now, a.cap, standing)
--- a/internal/quota/owner/owner_test.go
+++ b/internal/quota/owner/owner_test.go
@@ -18,7 +18,7 @@
 }
 
 // drain asks for permits in small steps and returns how many are granted in the time.
-func drain(o *Owner, from, to float64, rate float64, standing Standing) int {
+func drain(o *Owner, from, to, rate float64, standing Standing) int {
 	total := 0
 	for s := from; s < to; s += 0.01 {
 		if int(s*100)%10 == 0 {
--- a/internal/wire/link/accept.go
+++ b/internal/wire/link/accept.go
@@ -100,7 +100,7 @@
 	case rpcStatus:
 		return serveUnary(c, raw, peer, c.server.Fleet.Status)
 	case rpcPermit:
-		return serveUnary(c, raw, peer, c.server.Permits.Permit)
+		return serveUnary(c, raw, peer, c.permit)
 	default:
 		return code.NotRunf(code.BadRequest, "unknown rpc %q", rpc)
 	}
@@ -110,6 +110,13 @@
 	return req, nil
 }
 
+func (c *serverConn) permit(ctx context.Context, peer *proto.Peer, req *proto.PermitRequest) (*proto.PermitReply, error) {
+	if c.server.Permits == nil {
+		return nil, code.NotRunf(code.BadRequest, "this daemon grants no permits")
+	}
+	return c.server.Permits.Permit(ctx, peer, req)
+}
+
 type unary[In, Out any] func(ctx context.Context, peer *proto.Peer, req *In) (*Out, error)
 
 func serveUnary[In, Out any](c *serverConn, raw *drpcstream.Stream, peer *proto.Peer, handle unary[In, Out]) error {
--- a/internal/wire/link/pair_test.go
+++ b/internal/wire/link/pair_test.go
@@ -191,7 +191,9 @@
 func newPair(t *testing.T, configure func(*pair)) *pair {
 	listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
 	p := &pair{WithT: NewWithT(t), handler: &fakeAdmission{serve: answerTarget}, stopped: make(chan error, 1)}
-	p.server = &Server{Listener: listener, Calls: p.handler, Fleet: p.handler, Permits: p.handler, Incarnation: admissionIncarnation, Log: logr.Discard()}
+	p.server = &Server{
+		Listener: listener, Calls: p.handler, Fleet: p.handler, Permits: p.handler, Incarnation: admissionIncarnation, Log: logr.Discard(),
+	}
 	p.pool = &Pool{Self: proto.Hello{Incarnation: routerIncarnation}, Log: logr.Discard()}
 	p.pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
 		conn, err := listener.dial()
--- a/internal/wire/link/pool.go
+++ b/internal/wire/link/pool.go
@@ -53,8 +53,8 @@
 }
 
 var (
-	_ proto.CallClient  = (*Pool)(nil)
-	_ proto.FleetClient = (*Pool)(nil)
+	_ proto.CallClient   = (*Pool)(nil)
+	_ proto.FleetClient  = (*Pool)(nil)
 	_ proto.PermitClient = (*Pool)(nil)
 )
 
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -37,7 +37,7 @@
 	ListenAddress netip.AddrPort // ignored if Listener is set
 	Calls         proto.CallHandler
 	Fleet         proto.FleetHandler
-	Permits       proto.PermitHandler
+	Permits       proto.PermitHandler // if nil, requests for permits are refused
 	Incarnation   ident.Incarnation // of this daemon
 	Log           logr.Logger
 
