quota/reach: the reached share follows the samples instead of their minimum

The minimum of noisy estimates lowered the caps of organisations at their usual traffic during partitions.

--- a/internal/quota/owner/owner.go
+++ b/internal/quota/owner/owner.go
@@ -18,11 +18,9 @@
 	// DefaultCaution is the part of the rate that is granted during CautionTime.
 	DefaultCaution = 0.25
 	// startSlack is the part of the slack with which a bucket starts, so that the first requests of a small cap are not refused.
-	startSlack = 0.2
+	startSlack = 0.4
 	// fullShare is the share of the fleet from which an owner grants the whole rate: a few daemons are always paused or stopped.
 	fullShare = 0.9
-	// shareMargin is for the error of the estimated share.
-	shareMargin = 0.9
 	// MaxGap is the time between two ticks above which the process was paused. Other daemons replace an owner that does not reply.
 	MaxGap = 500 * time.Millisecond
 	// maxIdle is the time without an ask after which another daemon may have granted in between.
@@ -171,7 +169,7 @@
 	if share >= fullShare {
 		return 1
 	}
-	return share * shareMargin
+	return share
 }
 
 // Yield records that another daemon grants the permits of an organisation.
--- a/internal/quota/reach/reach.go
+++ b/internal/quota/reach/reach.go
@@ -2,6 +2,7 @@
 package reach
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -28,19 +29,22 @@
 	minSamples = 4
 	// sampleAge is the maximum age of a sample.
 	sampleAge = time.Second
-	// hold is how long the lowest estimate is used. An owner that regains the fleet grants more only after the daemons that granted in
-	// its place have found it again.
-	hold = 1500 * time.Millisecond
+	// settleTime is the time constant with which the share follows the samples. It rises slowly, so that an owner that regains the fleet
+	// grants more only after the daemons that granted in its place have found it again.
+	settleTime = 1500 * time.Millisecond
+	// drop is the difference from the samples at which the share falls at once. Two lost pings of 15 are no partition.
+	drop = 0.2
 	// maxResults limits the daemons whose results are kept.
 	maxResults = 4096
 )
 
 // Reach holds the results of recent messages to other daemons. Its zero value knows nothing.
 type Reach struct {
-	mu        sync.Mutex
-	results   map[netip.AddrPort]result
-	samples   []sample   // at most sampleCount, oldest first
-	estimates []estimate // of the time hold, oldest first
+	mu      sync.Mutex
+	results map[netip.AddrPort]result
+	samples []sample // at most sampleCount, oldest first
+	share   float64  // of the others; as of settled
+	settled time.Time
 }
 
 type result struct {
@@ -53,11 +57,6 @@
 	at time.Time
 }
 
-type estimate struct {
-	share float64
-	at    time.Time
-}
-
 // Record records the result of a message to a daemon.
 func (r *Reach) Record(now time.Time, daemon netip.AddrPort, state State) {
 	r.mu.Lock()
@@ -89,7 +88,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.expire(now)
+	r.samples = slices.DeleteFunc(r.samples, func(s sample) bool { return now.Sub(s.at) > sampleAge })
 	if len(r.samples) == sampleCount {
 		r.samples = slices.Delete(r.samples, 0, 1)
 	}
@@ -103,32 +102,35 @@
 			up++
 		}
 	}
-	r.estimates = append(r.estimates, estimate{share: float64(up) / float64(len(r.samples)), at: now})
+	r.settle(now, float64(up)/float64(len(r.samples)))
 }
 
-func (r *Reach) expire(now time.Time) {
-	r.samples = slices.DeleteFunc(r.samples, func(s sample) bool { return now.Sub(s.at) > sampleAge })
-	r.estimates = slices.DeleteFunc(r.estimates, func(e estimate) bool { return now.Sub(e.at) > hold })
+func (r *Reach) settle(now time.Time, estimate float64) {
+	elapsed := now.Sub(r.settled)
+	if elapsed > sampleAge || estimate < r.share-drop {
+		r.share = estimate
+	} else {
+		r.share += (estimate - r.share) * (1 - math.Exp(-elapsed.Seconds()/settleTime.Seconds()))
+	}
+	r.settled = now
 }
 
 // Share returns the share of the members, this daemon included, that it reaches. It reports false when there are too few samples.
 func (r *Reach) Share(now time.Time, members int) (float64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.expire(now)
-	if len(r.estimates) == 0 || members <= 1 {
-		return 1, members <= 1
+	if members <= 1 {
+		return 1, true
 	}
-	lowest := 1.0
-	for _, e := range r.estimates {
-		lowest = min(lowest, e.share)
+	if r.settled.IsZero() || now.Sub(r.settled) > sampleAge {
+		return 1, false
 	}
-	return (1 + lowest*float64(members-1)) / float64(members), true
+	return (1 + r.share*float64(members-1)) / float64(members), true
 }
 
 // Reset forgets everything, after a pause of the process.
 func (r *Reach) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.results, r.samples, r.estimates = nil, nil, nil
+	r.results, r.samples, r.settled = nil, nil, time.Time{}
 }
