quota/reach: the share is known from ten samples

With four, one lost ping after the start of the pings lowered the caps of a daemon for a second. The first round has twelve pings.

--- a/internal/quota/agent/ping.go
+++ b/internal/quota/agent/ping.go
@@ -20,6 +20,8 @@
 	pingInterval = 250 * time.Millisecond
 	// sampled is the number of random members that are pinged in each interval.
 	sampled = 5
+	// firstSampled is their number while the share that is reached is not known.
+	firstSampled = 12
 	// activeTime is how long pings go on after the latest grant, or after a daemon was watched last.
 	activeTime = 5 * time.Second
 	// maxWatched limits the daemons that are pinged in an interval besides the random ones.
@@ -115,20 +117,30 @@
 		return
 	}
 	v := a.view(now)
-	if share, known := a.reach.Share(now, len(v.known)); known && owner.Part(share) < 1 {
+	count := sampled
+	switch share, known := a.reach.Share(now, len(v.known)); {
+	case !known:
+		count = firstSampled
+	case owner.Part(share) < 1:
 		a.views.reset(now) // others may grant in place of this daemon
 	}
-	for _, daemon := range v.sample(sampled) {
+	for _, daemon := range v.sample(count) {
 		a.startPing(daemon, true)
 	}
 }
 
-// sample returns n distinct known members, or all of them if there are fewer, without this daemon.
+// sample returns n random known members without this daemon. In a fleet with fewer members they repeat, so that a partition is noticed as
+// fast as in a larger one.
 func (v *view) sample(n int) []netip.AddrPort {
+	if len(v.known) <= 1 {
+		return nil
+	}
 	picked := make([]netip.AddrPort, 0, n)
-	for _, at := range rand.Perm(len(v.known)) {
-		if address := v.known[at]; address != v.self && len(picked) < n {
-			picked = append(picked, address)
+	for len(picked) < n {
+		for _, at := range rand.Perm(len(v.known)) {
+			if address := v.known[at]; address != v.self && len(picked) < n {
+				picked = append(picked, address)
+			}
 		}
 	}
 	return picked
--- a/internal/quota/reach/reach.go
+++ b/internal/quota/reach/reach.go
@@ -25,14 +25,14 @@
 const (
 	// sampleCount is the number of latest samples from which the share is estimated.
 	sampleCount = 15
-	// minSamples is the number of samples below which the share is not known.
-	minSamples = 4
+	// minSamples is the number of samples below which the share is not known: one lost ping of fewer would look like a partition.
+	minSamples = 10
 	// sampleAge is the maximum age of a sample.
 	sampleAge = time.Second
 	// settleTime is the time constant with which the share follows the samples. It rises slowly, so that an owner that regains the fleet
 	// grants more only after the daemons that granted in its place have found it again.
 	settleTime = 1500 * time.Millisecond
-	// drop is the difference from the samples at which the share falls at once. Two lost pings of 15 are no partition.
+	// drop is the difference from the samples at which the share follows them at once. Two lost pings of 15 are no partition.
 	drop = 0.2
 	// maxResults limits the daemons whose results are kept.
 	maxResults = 4096
@@ -45,6 +45,8 @@
 	samples []sample // at most sampleCount, oldest first
 	share   float64  // of the others; as of settled
 	settled time.Time
+	// fallingUntil is when the share stops to follow only lower estimates.
+	fallingUntil time.Time
 }
 
 type result struct {
@@ -107,9 +109,13 @@
 
 func (r *Reach) settle(now time.Time, estimate float64) {
 	elapsed := now.Sub(r.settled)
-	if elapsed > sampleAge || estimate < r.share-drop {
+	if estimate < r.share-drop {
+		r.fallingUntil = now.Add(sampleAge) // until all samples are newer than the change
+	}
+	switch {
+	case elapsed > sampleAge, now.Before(r.fallingUntil) && estimate < r.share:
 		r.share = estimate
-	} else {
+	case !now.Before(r.fallingUntil):
 		r.share += (estimate - r.share) * (1 - math.Exp(-elapsed.Seconds()/settleTime.Seconds()))
 	}
 	r.settled = now
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -38,7 +38,7 @@
 	Calls         proto.CallHandler
 	Fleet         proto.FleetHandler
 	Permits       proto.PermitHandler // if nil, requests for permits are refused
-	Incarnation   ident.Incarnation // of this daemon
+	Incarnation   ident.Incarnation   // of this daemon
 	Log           logr.Logger
 
 	MaxConns     int           // limit on open connections; further ones are closed at once
