wire/dgram, quota: permits in datagrams, and a fresh estimate when a daemon begins to grant

Pings are repeated over a connection, which a stopped daemon refuses.

An owner that has just started was not cautious, because it had no higher-ranked daemon; it is now.

--- a/internal/cli/daemon/reports.go
+++ b/internal/cli/daemon/reports.go
@@ -11,6 +11,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/quota/agent"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
 	"marigoldwinch.example/marigoldwinch/internal/wire/dgram"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
@@ -23,6 +24,7 @@
 	Gate     *gate.Gate
 	Members  *member.Table
 	Reports  *pool.Pool
+	Caps     *agent.Agent
 	Log      logr.Logger
 }
 
@@ -44,9 +46,11 @@
 				parts.Reports.Service(record.Service).AddReport(report)
 			}
 		},
-		Log: parts.Log,
+		Permits: parts.Caps,
+		Log:     parts.Log,
 	}
 	parts.Reports.Ask = r.Ask
+	parts.Caps.Client = r
 	return r, nil
 }
 
--- a/internal/cli/daemon/router.go
+++ b/internal/cli/daemon/router.go
@@ -108,7 +108,8 @@
 		Self:    settings.Daemons,
 		Members: parts.Members,
 		Config:  parts.Holder,
-		Client:  parts.Client,
+		Client:  parts.Client, // replaced where datagrams are used
+		Streams: parts.Client,
 		Owner:   &owner.Owner{Slack: settings.CapSlack, Caution: min(owner.DefaultCaution, settings.CapOverage*cautionPerOverage)},
 		Window:  settings.CapWindow,
 		Slack:   settings.CapSlack,
--- a/internal/quota/agent/agent.go
+++ b/internal/quota/agent/agent.go
@@ -55,6 +55,7 @@
 	Members Members
 	Config  *config.Holder
 	Client  proto.PermitClient
+	Streams proto.PermitClient // repeats pings over connections, which are refused when a daemon does not run; Client if nil
 	Owner   *owner.Owner
 	Window  time.Duration // within which the slack may be used
 	Slack   int           // requests by which a cap may be exceeded within a window
--- a/internal/quota/agent/ping.go
+++ b/internal/quota/agent/ping.go
@@ -109,6 +109,7 @@
 		a.Log.Info("caps-paused", "longer-than", owner.MaxGap)
 	}
 	a.evict(now)
+	v := a.view(now) // also while nothing is granted, so that it is known since when this daemon is an owner
 	watched, sample := a.pings.due(now)
 	for _, daemon := range watched {
 		a.startPing(daemon, false)
@@ -116,7 +117,6 @@
 	if !sample {
 		return
 	}
-	v := a.view(now)
 	count := sampled
 	switch share, known := a.reach.Share(now, len(v.known)); {
 	case !known:
@@ -160,11 +160,11 @@
 // ping checks whether a daemon replies until ctx ends.
 func (a *Agent) ping(ctx context.Context, daemon netip.AddrPort) reach.State {
 	results := make(chan error, 2)
-	send := func() {
-		_, err := a.Client.Permit(ctx, daemon, &proto.PermitRequest{})
+	send := func(client proto.PermitClient) {
+		_, err := client.Permit(ctx, daemon, &proto.PermitRequest{})
 		results <- err
 	}
-	go send()
+	go send(a.Client)
 	timer := time.NewTimer(pingRepeat)
 	defer timer.Stop()
 	var state reach.State
@@ -172,7 +172,11 @@
 	case err := <-results:
 		state = stateOf(err)
 	case <-timer.C:
-		go send()
+		repeat := a.Streams
+		if repeat == nil {
+			repeat = a.Client
+		}
+		go send(repeat)
 		state = stateOf(<-results)
 	}
 	a.reach.Record(time.Now(), daemon, state)
--- a/internal/quota/agent/serve.go
+++ b/internal/quota/agent/serve.go
@@ -35,11 +35,16 @@
 	if position >= 0 {
 		preferred = ranked[:position]
 	}
+	var sampling sync.WaitGroup
+	if len(preferred) > 0 && !a.Owner.Granting(time.Now(), req.Organisation) {
+		sampling.Go(func() { a.sampleNow(ctx, v) })
+	}
 	running, alone := a.checkPreferred(ctx, preferred)
 	if running.IsValid() {
 		a.Owner.Yield(req.Organisation)
 		return &proto.PermitReply{Owner: running}
 	}
+	sampling.Wait()
 	now := time.Now()
 	ask := owner.Ask{
 		Organisation: req.Organisation, Wanted: req.Wanted, Returned: req.Returned,
@@ -94,7 +99,7 @@
 		a.pingAll(ctx, unknown, preferredTimeout)
 		now = time.Now()
 	}
-	alone = true
+	alone = len(preferred) > 0
 	for _, daemon := range preferred {
 		switch a.reach.State(now, daemon, freshness) {
 		case reach.Up:
@@ -107,6 +112,34 @@
 	return netip.AddrPort{}, alone
 }
 
+// sampleNow estimates the share of the fleet that is reached from pings of this moment. A daemon that begins to grant in place of another
+// one, because it is cut off itself, must not grant for the whole fleet.
+func (a *Agent) sampleNow(ctx context.Context, v *view) {
+	ctx, cancel := context.WithTimeout(ctx, preferredTimeout)
+	defer cancel()
+	daemons := v.sample(firstSampled)
+	states := make([]reach.State, len(daemons))
+	var running sync.WaitGroup
+	for i, daemon := range daemons {
+		running.Go(func() {
+			_, err := a.Client.Permit(ctx, daemon, &proto.PermitRequest{})
+			states[i] = stateOf(err)
+		})
+	}
+	running.Wait()
+	up, total := 0, 0
+	for _, state := range states {
+		switch state {
+		case reach.Up:
+			up++
+			total++
+		case reach.Down:
+			total++
+		}
+	}
+	a.reach.Restart(time.Now(), up, total)
+}
+
 // pingAll pings the daemons and waits for the results, at most for the given time.
 func (a *Agent) pingAll(ctx context.Context, daemons []netip.AddrPort, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
--- a/internal/quota/agent/view.go
+++ b/internal/quota/agent/view.go
@@ -19,7 +19,7 @@
 	// goneRetention is how long a gone member keeps its rank and counts as unreached: it may run on the other side of a partition.
 	goneRetention = 60 * time.Second
 	// viewAge is the maximum age of a view.
-	viewAge = time.Second
+	viewAge = 5 * time.Second
 	// maxUnheard is the share of suspect and gone members above which the network is assumed to be partitioned.
 	maxUnheard = 0.1
 	// maxRankings limits the rankings that are kept. A daemon sees the organisations of its callers and those that it owns.
--- a/internal/quota/owner/owner.go
+++ b/internal/quota/owner/owner.go
@@ -76,6 +76,7 @@
 	cap           Cap
 	bucket        bucket.Bucket
 	cautiousUntil time.Time
+	substitute    bool      // cautious only because a daemon that is ranked higher may still grant
 	used          time.Time // latest ask
 	yielded       bool      // another daemon grants the permits
 }
@@ -117,13 +118,16 @@
 		a.configure(now, o.caution(), standing.Share)
 		tokens, cautiousUntil := o.begin(now, a.cap, standing)
 		a.bucket.Fill(now, tokens)
-		a.cautiousUntil = cautiousUntil
+		a.cautiousUntil, a.substitute = cautiousUntil, !standing.First
 		if o.accounts == nil {
 			o.accounts = make(map[string]*account)
 		}
 		o.accounts[ask.Organisation] = a
 		return a, now.Before(cautiousUntil) || standing.Alone
 	}
+	if standing.Alone && a.substitute {
+		a.cautiousUntil = now
+	}
 	idle, lost := now.Sub(a.used) > maxIdle, !standing.First || standing.Since.After(a.used)
 	a.used = now
 	forgotten := idle && lost
@@ -136,7 +140,7 @@
 	}
 	a.yielded = false
 	a.bucket.Fill(now, min(tokens, a.bucket.Tokens(now)))
-	a.cautiousUntil = cautiousUntil
+	a.cautiousUntil, a.substitute = cautiousUntil, !standing.First
 	return a, true
 }
 
@@ -172,6 +176,14 @@
 	return share
 }
 
+// Granting reports whether this daemon has granted permits for the organisation until now, so that it needs no new start.
+func (o *Owner) Granting(now time.Time, organisation string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a := o.accounts[organisation]
+	return a != nil && !a.yielded && now.Sub(a.used) <= maxIdle
+}
+
 // Yield records that another daemon grants the permits of an organisation.
 func (o *Owner) Yield(organisation string) {
 	o.mu.Lock()
@@ -213,7 +225,7 @@
 	o.resumed++
 	for _, a := range o.accounts {
 		a.bucket.Fill(now, 0)
-		a.cautiousUntil = now.Add(CautionTime)
+		a.cautiousUntil, a.substitute = now.Add(CautionTime), false
 	}
 	return true
 }
--- a/internal/quota/reach/reach.go
+++ b/internal/quota/reach/reach.go
@@ -134,6 +134,22 @@
 	return (1 + r.share*float64(members-1)) / float64(members), true
 }
 
+// Restart replaces the samples by those of one round of pings, of which some were answered. A daemon that begins to grant in place of
+// another one must not rely on samples from before the cause of that.
+func (r *Reach) Restart(now time.Time, up, total int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if total < minSamples {
+		return
+	}
+	r.samples = r.samples[:0]
+	for i := range min(total, sampleCount) {
+		r.samples = append(r.samples, sample{up: i < up, at: now})
+	}
+	r.share, r.settled = float64(up)/float64(total), now
+	r.fallingUntil = time.Time{}
+}
+
 // Reset forgets everything, after a pause of the process.
 func (r *Reach) Reset() {
 	r.mu.Lock()
--- a/internal/wire/dgram/reporter.go
+++ b/internal/wire/dgram/reporter.go
@@ -37,9 +37,12 @@
 	Conn     Conn
 	Report   func() proto.Report
 	OnReport func(report proto.Report, from netip.AddrPort)
+	Permits  proto.PermitHandler // if nil, requests for permits are not answered
 	Log      logr.Logger
 
-	queries, replies bucket
+	queries, replies, permitReplies bucket
+
+	permits permits
 
 	counters counters
 }
@@ -93,6 +96,10 @@
 	case proto.Report:
 		r.counters.received.Add(1)
 		r.OnReport(m, from)
+	case proto.NumberedPermitRequest:
+		r.servePermit(m, from)
+	case proto.NumberedPermitReply:
+		r.replied(m, from)
 	default: // proto.LoadQuery
 		r.reply(from)
 	}
--- a/internal/wire/dgram/reporter_test.go
+++ b/internal/wire/dgram/reporter_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -132,3 +133,58 @@
 	var off *Reporter
 	g.Expect(off.Dump()).To(Equal(Dump{}))
 }
+
+// granter grants permits after a delay, except for the organisation it does not know.
+type granter struct {
+	delay time.Duration
+}
+
+func (g granter) Permit(_ context.Context, _ *proto.Peer, req *proto.PermitRequest) (*proto.PermitReply, error) {
+	time.Sleep(g.delay)
+	if req.Organisation == "unknown" {
+		return nil, code.NotRunf(code.BadRequest, "unknown")
+	}
+	return &proto.PermitReply{Granted: req.Wanted}, nil
+}
+
+// Guards against a reply that is taken for that of another request or comes from another daemon, and against requests that wait for each
+// other or for ever.
+func TestPermitsAreMatchedToTheirRequests(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var reporters [2]*Reporter
+	var addresses [2]netip.AddrPort
+	stopped := make(chan error, len(reporters))
+	for i := range reporters {
+		conn, self := listen(g)
+		addresses[i] = self
+		reporters[i] = &Reporter{Conn: conn, Log: logr.Discard(), Permits: granter{time.Duration(i) * 20 * time.Millisecond}}
+		go func() { stopped <- reporters[i].Run(ctx) }()
+	}
+	results := make(chan bool, 50)
+	start := time.Now()
+	for wanted := range cap(results) {
+		go func() {
+			reply, err := reporters[0].Permit(ctx, addresses[1], &proto.PermitRequest{Organisation: "ann", Wanted: wanted, Rate: 1})
+			results <- err == nil && reply.Granted == wanted
+		}()
+	}
+	for range cap(results) {
+		g.Expect(<-results).To(BeTrue())
+	}
+	g.Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
+	number, waiting := reporters[0].permits.add(addresses[1])
+	reporters[0].replied(proto.NumberedPermitReply{Number: number}, addresses[0])
+	g.Expect(waiting.reply).To(BeEmpty(), "from another daemon")
+	reporters[0].permits.remove(number, addresses[1])
+
+	short, stop := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer stop()
+	_, err := reporters[0].Permit(short, addresses[1], &proto.PermitRequest{Organisation: "unknown"})
+	g.Expect(code.Of(err).Code).To(Equal(code.PeerUnreachable))
+	g.Expect(reporters[0].permits.waiting).To(BeEmpty())
+	cancel()
+	for range reporters {
+		g.Expect(<-stopped).To(Succeed())
+	}
+}
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -220,6 +220,28 @@
 	})
 }
 
+// Guards against a datagram that is decoded as another one, or with other fields.
+func TestDatagramsSurviveTheCodec(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		report := reports.Draw(t, "report")
+		report.Server = netip.MustParseAddrPort("10.1.0.1:9000")
+		sent := rapid.SampledFrom([]Datagram{
+			LoadQuery{},
+			report,
+			NumberedPermitRequest{Number: rapid.Uint64().Draw(t, "number"), Request: PermitRequest{
+				Organisation: texts.Draw(t, "organisation"), Wanted: counts.Draw(t, "wanted"), Rate: 2.5, Burst: counts.Draw(t, "burst"),
+			}},
+			NumberedPermitReply{Number: rapid.Uint64().Draw(t, "number"), Reply: PermitReply{
+				Granted: counts.Draw(t, "granted"), Next: durations.Draw(t, "next"), Owner: addresses.Draw(t, "owner"),
+			}},
+		}).Draw(t, "message")
+		received, err := DecodeDatagram(EncodeDatagram(sent))
+		if err != nil || !reflect.DeepEqual(sent, received) {
+			t.Fatalf("sent %+v\nreceived %+v, %v", sent, received, err)
+		}
+	})
+}
+
 // Guards against messages that take unlimited memory. Each limit must be enforced when encoding and, for input from an encoder
 // without limits, when decoding.
 func TestSizeLimitsAreEnforced(t *testing.T) {
