--- a/internal/quota/agent/view.go
+++ b/internal/quota/agent/view.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -139,19 +138,23 @@
 	if found, ok := v.rankings[organisation]; ok {
 		return found
 	}
-	type scored struct {
-		address netip.AddrPort
-		score   uint64
-	}
-	all := make([]scored, len(v.known))
-	name := xxhash.Sum64String(organisation)
-	for i, address := range v.known {
-		all[i] = scored{address, score(name, address)}
+	var best [rankedCount + 1]scored // in descending order; the last one is dropped
+	count, name := 0, xxhash.Sum64String(organisation)
+	for _, address := range v.known {
+		next := scored{address, score(name, address)}
+		at := count
+		for at > 0 && best[at-1].score < next.score {
+			best[at] = best[at-1]
+			at--
+		}
+		if at < rankedCount {
+			best[at] = next
+			count = min(count+1, rankedCount)
+		}
 	}
-	slices.SortFunc(all, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	ranked := make([]netip.AddrPort, min(len(all), rankedCount))
+	ranked := make([]netip.AddrPort, count)
 	for i := range ranked {
-		ranked[i] = all[i].address
+		ranked[i] = best[i].address
 	}
 	if len(v.rankings) >= maxRankings {
 		clear(v.rankings)
@@ -160,6 +163,11 @@
 	return ranked
 }
 
+type scored struct {
+	address netip.AddrPort
+	score   uint64
+}
+
 func score(organisation uint64, address netip.AddrPort) uint64 {
 	var buffer [32]byte
 	ip := address.Addr().As16()
