--- a/internal/quota/agent/agent.go
+++ b/internal/quota/agent/agent.go
@@ -64,6 +64,7 @@
 	reach reach.Reach
 	views views
 	pings pings
+	lines lines
 	caps  atomic.Pointer[caps] // of the configuration in force
 
 	mu       sync.Mutex
--- a/internal/quota/agent/ping.go
+++ b/internal/quota/agent/ping.go
@@ -118,11 +118,14 @@
 		return
 	}
 	count := sampled
-	switch share, known := a.reach.Share(now, len(v.known)); {
-	case !known:
+	share, known := a.reach.Share(now, len(v.known))
+	if !known {
 		count = firstSampled
-	case owner.Part(share) < 1:
-		a.views.reset(now) // others may grant in place of this daemon
+	} else {
+		a.logShare(share, len(v.known))
+		if owner.Part(share) < 1 {
+			a.views.reset(now) // others may grant in place of this daemon
+		}
 	}
 	for _, daemon := range v.sample(count) {
 		a.startPing(daemon, true)
--- a/internal/quota/agent/serve.go
+++ b/internal/quota/agent/serve.go
@@ -55,7 +55,7 @@
 	decided := a.Owner.Grant(now, ask, standing)
 	if decided.Started {
 		a.counters.substituted.Add(1)
-		a.Log.V(1).Info("cap-owner-started", "organisation", req.Organisation, "rank", position, "share", standing.Share, "alone", alone)
+		a.log("cap-owner-started", req.Organisation, "rank", position, "share", standing.Share, "alone", alone)
 	}
 	return &proto.PermitReply{Granted: decided.Granted, Next: decided.Next}
 }
--- a/internal/quota/agent/shelf.go
+++ b/internal/quota/agent/shelf.go
@@ -89,6 +89,7 @@
 	if s.slack.Take(now, 1) == 1 {
 		return stock.Permit{}, nil
 	}
+	s.agent.log("cap-unreachable", s.organisation, "members", members)
 	failure := code.NotRunf(code.Isolated, "no daemon that grants permits for organisation %s replied", s.organisation)
 	failure.RetryAfter = isolatedRetry
 	return stock.Permit{}, failure
@@ -97,7 +98,7 @@
 // overCap returns the refusal of a request while no permit is available. The shelf must be locked.
 func (s *shelf) overCap(now time.Time) error {
 	if now.Sub(s.over) > s.agent.Window {
-		s.agent.Log.Info("cap-reached", "organisation", s.organisation, "rate", s.cap.Rate, "burst", s.cap.Burst,
+		s.agent.log("cap-reached", s.organisation, "rate", s.cap.Rate, "burst", s.cap.Burst,
 			"revision", s.cap.Revision, "demand", s.stock.Demand(now))
 	}
 	s.over = now
--- a/internal/wire/link/bench_test.go
+++ b/internal/wire/link/bench_test.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// BenchmarkPermit measures a request for permits on a pooled connection over loopback TCP, and reports the processor time of both sides. The
-// requests are paced as those of the benchmark with the same name in wire/dgram, because wake-ups take most of the time.
+// BenchmarkPermit measures a request for permits on a pooled connection over loopback TCP, and reports the processor time of both sides.
+// The requests are paced as those of the benchmark with the same name in wire/dgram, because wake-ups take most of the time.
 func BenchmarkPermit(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
