--- a/internal/cli/daemon/router.go
+++ b/internal/cli/daemon/router.go
@@ -118,8 +118,8 @@
 }
 
 // cautionPerOverage relates what two owners may grant together for a short time to the overage: with the default of 0.1 a new owner grants
-// a quarter of the rate.
-const cautionPerOverage = 2.5
+// 0.3 of the rate.
+const cautionPerOverage = 3
 
 type callParts struct {
 	fx.In
--- a/internal/quota/agent/fleet_test.go
+++ b/internal/quota/agent/fleet_test.go
@@ -90,6 +90,12 @@
 	return f.random.IntN(n)
 }
 
+func (f *fleet) perm(n int) []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Perm(n)
+}
+
 func (f *fleet) between(from, to time.Duration) time.Duration {
 	return from + time.Duration(f.rand(int(to-from)))
 }
@@ -291,3 +297,27 @@
 	}
 	return most, float64(most) / bound
 }
+
+func (f *fleet) ran(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.runs[name])
+}
+
+func (f *fleet) requests(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent[name]
+}
+
+func (f *fleet) refusals(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused[name]
+}
+
+func (f *fleet) messageCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.messages
+}
--- a/internal/quota/agent/network_test.go
+++ b/internal/quota/agent/network_test.go
@@ -77,4 +77,3 @@
 	}
 	return c.from.sleep(delay) && c.from.reaches(target)
 }
-
--- a/internal/quota/owner/owner.go
+++ b/internal/quota/owner/owner.go
@@ -16,9 +16,12 @@
 	// reach all routers, and the previous owner notices that it is cut off or that it is no longer the preferred one.
 	CautionTime = 1500 * time.Millisecond
 	// DefaultCaution is the part of the rate that is granted during CautionTime.
-	DefaultCaution = 0.25
+	DefaultCaution = 0.3
 	// startSlack is the part of the slack with which a bucket starts, so that the first requests of a small cap are not refused.
 	startSlack = 0.4
+	// partSlack is the part of the slack that is added to the burst of an owner that reaches only a part of the fleet. The part of a
+	// small burst would be a single request.
+	partSlack = 0.2
 	// fullShare is the share of the fleet from which an owner grants the whole rate: a few daemons are always paused or stopped.
 	fullShare = 0.9
 	// MaxGap is the time between two ticks above which the process was paused. Other daemons replace an owner that does not reply.
@@ -90,7 +93,7 @@
 	if ask.Cap.Revision > a.cap.Revision {
 		a.cap = ask.Cap
 	}
-	a.configure(now, o.caution(), standing.Share)
+	o.configure(now, a, standing.Share)
 	if !started {
 		a.bucket.Return(now, ask.Returned) // a new account has not granted them
 	}
@@ -115,7 +118,7 @@
 	a := o.accounts[ask.Organisation]
 	if a == nil {
 		a = &account{cap: ask.Cap, used: now}
-		a.configure(now, o.caution(), standing.Share)
+		o.configure(now, a, standing.Share)
 		tokens, cautiousUntil := o.begin(now, a.cap, standing)
 		a.bucket.Fill(now, tokens)
 		a.cautiousUntil, a.substitute = cautiousUntil, !standing.First
@@ -159,11 +162,14 @@
 	}
 }
 
-func (a *account) configure(now time.Time, caution, share float64) {
+func (o *Owner) configure(now time.Time, a *account, share float64) {
 	part := Part(share)
 	capacity := float64(a.cap.Burst) * part
+	if part < 1 {
+		capacity += float64(o.Slack) * partSlack * share
+	}
 	if now.Before(a.cautiousUntil) {
-		part = min(part, caution)
+		part = min(part, o.caution())
 	}
 	a.bucket.Set(now, a.cap.Rate*part, capacity)
 }
--- a/internal/quota/reach/reach.go
+++ b/internal/quota/reach/reach.go
@@ -45,8 +45,9 @@
 	samples []sample // at most sampleCount, oldest first
 	share   float64  // of the others; as of settled
 	settled time.Time
-	// fallingUntil is when the share stops to follow only lower estimates.
-	fallingUntil time.Time
+
+	falling      bool      // the share follows lower estimates only
+	fallingUntil time.Time // when all samples are newer than the change
 }
 
 type result struct {
@@ -110,12 +111,16 @@
 func (r *Reach) settle(now time.Time, estimate float64) {
 	elapsed := now.Sub(r.settled)
 	if estimate < r.share-drop {
-		r.fallingUntil = now.Add(sampleAge) // until all samples are newer than the change
+		r.falling, r.fallingUntil = true, now.Add(sampleAge)
 	}
 	switch {
-	case elapsed > sampleAge, now.Before(r.fallingUntil) && estimate < r.share:
-		r.share = estimate
-	case !now.Before(r.fallingUntil):
+	case elapsed > sampleAge:
+		r.share, r.falling = estimate, false
+	case r.falling && now.Before(r.fallingUntil): // some samples are older than the change
+		r.share = min(r.share, estimate)
+	case r.falling:
+		r.share, r.falling = estimate, false
+	default:
 		r.share += (estimate - r.share) * (1 - math.Exp(-elapsed.Seconds()/settleTime.Seconds()))
 	}
 	r.settled = now
@@ -147,12 +152,12 @@
 		r.samples = append(r.samples, sample{up: i < up, at: now})
 	}
 	r.share, r.settled = float64(up)/float64(total), now
-	r.fallingUntil = time.Time{}
+	r.falling = false
 }
 
 // Reset forgets everything, after a pause of the process.
 func (r *Reach) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.results, r.samples, r.settled = nil, nil, time.Time{}
+	r.results, r.samples, r.settled, r.falling = nil, nil, time.Time{}, false
 }
