quota/owner: denied routers return one after the other

Each router of an organisation above its cap asked again after 20 ms, which at 75 routers makes 3,750 requests a second for its owner. The time until the next permit now grows with the rate of denied requests.

--- a/internal/quota/owner/owner.go
+++ b/internal/quota/owner/owner.go
@@ -5,6 +5,7 @@
 package owner
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -24,6 +25,13 @@
 	partSlack = 0.2
 	// fullShare is the share of the fleet from which an owner grants the whole rate: a few daemons are always paused or stopped.
 	fullShare = 0.9
+	// spread is the time over which the asks that were denied within it return. Without it, all routers of an organisation above its cap
+	// ask for each permit.
+	spread = 100 * time.Millisecond
+	// maxSpread limits that time to a part of the time in which the bucket fills, so that no permit is lost.
+	maxSpread = 0.3
+	// denialTime is the time constant of the average rate of denied asks.
+	denialTime = 500 * time.Millisecond
 	// MaxGap is the time between two ticks above which the process was paused. Other daemons replace an owner that does not reply.
 	MaxGap = 500 * time.Millisecond
 	// maxIdle is the time without an ask after which another daemon may have granted in between.
@@ -82,6 +90,20 @@
 	substitute    bool      // cautious only because a daemon that is ranked higher may still grant
 	used          time.Time // latest ask
 	yielded       bool      // another daemon grants the permits
+	denials       float64   // denied asks per second, moving average
+	deniedAt      time.Time
+}
+
+// deny returns the time after which the next ask of the same router will probably be granted.
+func (a *account) deny(now time.Time) time.Duration {
+	if elapsed := now.Sub(a.deniedAt); elapsed > 0 {
+		a.denials *= math.Exp(-elapsed.Seconds() / denialTime.Seconds())
+		a.deniedAt = now
+	}
+	a.denials += 1 / denialTime.Seconds()
+	seconds := a.denials * spread.Seconds() / a.cap.Rate
+	seconds = min(seconds, maxSpread*float64(a.cap.Burst)/a.cap.Rate)
+	return max(a.bucket.Next(now), time.Duration(seconds*float64(time.Second)))
 }
 
 // Grant decides on an ask.
@@ -100,7 +122,7 @@
 	decided := Grant{Granted: a.bucket.Take(now, ask.Wanted), Started: started}
 	o.granted += uint64(decided.Granted)
 	if decided.Granted < ask.Wanted {
-		decided.Next = a.bucket.Next(now)
+		decided.Next = a.deny(now)
 		o.denied++
 	}
 	return decided
--- a/internal/quota/owner/owner_test.go
+++ b/internal/quota/owner/owner_test.go
@@ -120,3 +120,30 @@
 	ask.Returned = 50
 	g.Expect(o.Grant(start, ask, established).Granted).To(Equal(10))
 }
+
+// Guards against routers that all ask for each permit of an organisation far above its cap, and against permits that are lost because
+// they wait too long.
+func TestDeniedRoutersReturnOneAfterTheOther(t *testing.T) {
+	g := NewWithT(t)
+	o := &Owner{}
+	ask := Ask{Organisation: "kiosk", Cap: Cap{Rate: 50, Burst: 50}, Wanted: 2}
+	var next [75]time.Duration // after the start
+	asks, granted := 0, 0
+	for now := time.Duration(0); now < 20*time.Second; now += 2 * time.Millisecond {
+		if now%(100*time.Millisecond) == 0 {
+			o.Tick(at(now))
+		}
+		for router := range next {
+			if next[router] > now {
+				continue
+			}
+			asks++
+			decided := o.Grant(at(now), ask, established)
+			granted += decided.Granted
+			next[router] = now + max(decided.Next, 20*time.Millisecond)
+		}
+	}
+	g.Expect(granted).To(BeNumerically(">=", 0.98*50*20))
+	g.Expect(granted).To(BeNumerically("<=", 50*21))
+	g.Expect(asks / 20).To(BeNumerically("<", 600), "3,750 at the minimum")
+}
