--- a/internal/quota/owner/owner_test.go
+++ b/internal/quota/owner/owner_test.go
@@ -145,5 +145,5 @@
 	}
 	g.Expect(granted).To(BeNumerically(">=", 0.98*50*20))
 	g.Expect(granted).To(BeNumerically("<=", 50*21))
-	g.Expect(asks / 20).To(BeNumerically("<", 600), "3,750 at the minimum")
+	g.Expect(asks/20).To(BeNumerically("<", 600), "3,750 at the minimum")
 }
