quota/owner: a daemon that is cut off keeps its tokens between requests

An owner without history resets the bucket of an organisation that was not asked for during 2 s. A daemon that is cut off alone has the rate of one daemon, so most of its organisations are idle that long, and it lost its tokens each time.

--- a/internal/quota/owner/owner.go
+++ b/internal/quota/owner/owner.go
@@ -36,6 +36,8 @@
 	MaxGap = 500 * time.Millisecond
 	// maxIdle is the time without an ask after which another daemon may have granted in between.
 	maxIdle = 2 * time.Second
+	// keptShare is the reached share of the fleet below which the tokens are kept nevertheless.
+	keptShare = 0.5
 	// retention is how long the bucket of an organisation without requests is kept.
 	retention = 30 * time.Second
 )
@@ -155,7 +157,8 @@
 	}
 	idle, lost := now.Sub(a.used) > maxIdle, !standing.First || standing.Since.After(a.used)
 	a.used = now
-	forgotten := idle && lost
+	// A daemon that is cut off with few others keeps its tokens, because they are only its part of the cap.
+	forgotten := idle && lost && standing.Share >= keptShare
 	if !a.yielded && !forgotten {
 		return a, false
 	}
--- a/internal/quota/owner/owner_test.go
+++ b/internal/quota/owner/owner_test.go
@@ -147,3 +147,17 @@
 	g.Expect(granted).To(BeNumerically("<=", 50*21))
 	g.Expect(asks/20).To(BeNumerically("<", 600), "3,750 at the minimum")
 }
+
+// Guards against a daemon that is cut off and loses its part of a small cap between two requests.
+func TestACutOffDaemonKeepsItsTokens(t *testing.T) {
+	g := NewWithT(t)
+	o := &Owner{Slack: 20}
+	ask, granted := Ask{Organisation: "kiosk", Cap: Cap{Rate: 40, Burst: 40}, Wanted: 1}, 0
+	for s := 0.0; s < 60; s += 0.1 {
+		o.Tick(seconds(s))
+		if int(s*10)%30 == 0 {
+			granted += o.Grant(seconds(s), ask, Standing{Share: 1.0 / 75}).Granted
+		}
+	}
+	g.Expect(granted).To(BeNumerically(">=", 18))
+}
