--- a/internal/quota/agent/ask.go
+++ b/internal/quota/agent/ask.go
@@ -17,7 +17,9 @@
 
 // ask requests permits from the first daemon of the ranking that replies, in the last place from this daemon itself.
 func (a *Agent) ask(s *shelf, limit owner.Cap, wanted int) {
-	ranked := a.view(time.Now()).ranked(s.organisation)
+	now := time.Now()
+	v := a.view(now)
+	ranked, cutOff := v.ranked(s.organisation), a.isCutOff(now, v)
 	var tried []netip.AddrPort
 	for _, candidate := range append(slices.Clone(ranked), a.Self) {
 		if slices.Contains(tried, candidate) {
@@ -29,7 +31,7 @@
 				return
 			}
 			candidate = redirect
-		} else if a.avoided(candidate) {
+		} else if a.avoided(candidate) || cutOff && a.reach.State(now, candidate, freshness) != reach.Up {
 			continue
 		}
 		for candidate.IsValid() && candidate != a.Self && !slices.Contains(tried, candidate) {
@@ -51,6 +53,15 @@
 	time.Sleep(replyTimeout)
 }
 
+// maxCutOff is the share of the others up to which a daemon is taken to reach none. The estimate of a share falls with a delay.
+const maxCutOff = 0.1
+
+// isCutOff reports whether this daemon reaches no other one. Asking each daemon of a ranking would then only delay the requests.
+func (a *Agent) isCutOff(now time.Time, v *view) bool {
+	share, known := a.reach.Share(now, len(v.known))
+	return known && len(v.known) > 1 && share < 1/float64(len(v.known))+maxCutOff
+}
+
 // avoided reports whether a daemon did not reply recently. It is then pinged, so that it is asked again as soon as it replies.
 func (a *Agent) avoided(daemon netip.AddrPort) bool {
 	now := time.Now()
