--- a/internal/quota/reach/reach.go
+++ b/internal/quota/reach/reach.go
@@ -31,7 +31,7 @@
 	sampleAge = time.Second
 	// settleTime is the time constant with which the share follows the samples. It rises slowly, so that an owner that regains the fleet
 	// grants more only after the daemons that granted in its place have found it again.
-	settleTime = 1500 * time.Millisecond
+	settleTime = 3 * time.Second
 	// drop is the difference from the samples at which the share follows them at once. Two lost pings of 15 are no partition.
 	drop = 0.2
 	// maxResults limits the daemons whose results are kept.
