--- a/internal/quota/reach/reach.go
+++ b/internal/quota/reach/reach.go
@@ -118,9 +118,8 @@
 		r.share, r.falling = estimate, false
 	case r.falling && now.Before(r.fallingUntil): // some samples are older than the change
 		r.share = min(r.share, estimate)
-	case r.falling:
-		r.share, r.falling = estimate, false
 	default:
+		r.falling = false
 		r.share += (estimate - r.share) * (1 - math.Exp(-elapsed.Seconds()/settleTime.Seconds()))
 	}
 	r.settled = now
