--- a/internal/quota/owner/owner.go
+++ b/internal/quota/owner/owner.go
@@ -32,6 +32,8 @@
 	maxSpread = 0.3
 	// denialTime is the time constant of the average rate of denied asks.
 	denialTime = 500 * time.Millisecond
+	// shareMargin is for the error of the estimated share, and for what is granted before a cut is noticed.
+	shareMargin = 0.9
 	// MaxGap is the time between two ticks above which the process was paused. Other daemons replace an owner that does not reply.
 	MaxGap = 500 * time.Millisecond
 	// maxIdle is the time without an ask after which another daemon may have granted in between.
@@ -204,7 +206,7 @@
 	if share >= fullShare {
 		return 1
 	}
-	return share
+	return share * shareMargin
 }
 
 // Granting reports whether this daemon has granted permits for the organisation until now, so that it needs no new start.
