--- a/internal/cli/daemon/administration.go
+++ b/internal/cli/daemon/administration.go
@@ -18,6 +18,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
 	"marigoldwinch.example/marigoldwinch/internal/plat/object"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
+	"marigoldwinch.example/marigoldwinch/internal/quota/permit"
 	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
 	"marigoldwinch.example/marigoldwinch/internal/roll/coord"
 	"marigoldwinch.example/marigoldwinch/internal/route/budget"
@@ -113,6 +114,7 @@
 	Budgets   *budget.Budgets
 	Calls     *call.Client
 	Claims    *claim.Claims
+	Caps      *permit.Agent
 	Front     *front.Front
 	Rollout   *agent.Agent
 	Rounds    *coord.Coordinator
@@ -166,6 +168,7 @@
 		{Name: "claims", Dump: parts.Claims.Dump},
 		{Name: "rollout", Dump: parts.Rollout.Dump},
 		{Name: "rollout-coordinator", Dump: parts.Rounds.Dump},
+		{Name: "caps", Dump: parts.Caps.Dump},
 		{Name: "connections-out", Dump: parts.Pool.Dump},
 		{Name: "connections-in", Dump: parts.Link.Dump},
 	}
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -21,6 +21,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/quota/permit"
 	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
 	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 	"marigoldwinch.example/marigoldwinch/internal/wire/link"
@@ -222,6 +223,7 @@
 	Gate        *gate.Gate
 	Node        *gossip.Node
 	Rollout     *agent.Agent
+	Caps        *permit.Agent
 	Log         logr.Logger
 }
 
@@ -232,6 +234,7 @@
 		Calls:       parts.Gate,
 		Fleet:       parts.Node,
 		Rollouts:    parts.Rollout,
+		Permits:     parts.Caps,
 		Incarnation: parts.Incarnation,
 		MaxConns:    parts.Settings.AcceptedConns,
 		StopTimeout: min(timeout, flushTimeout),
--- a/internal/cli/daemon/start.go
+++ b/internal/cli/daemon/start.go
@@ -16,6 +16,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/opts"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
+	"marigoldwinch.example/marigoldwinch/internal/quota/permit"
 	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
 	"marigoldwinch.example/marigoldwinch/internal/roll/coord"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
@@ -49,6 +50,7 @@
 	Gate      *gate.Gate
 	Reports   *pool.Pool
 	Claims    *claim.Claims
+	Caps      *permit.Agent
 	Calls     *call.Client
 	Front     *front.Front
 	Endpoint  *endpoint
@@ -75,6 +77,7 @@
 		{"reports", parts.Reports.Run},
 		{"report-datagrams", runReporter(parts.Reporter)},
 		{"claims", parts.Claims.Run},
+		{"caps", parts.Caps.Run},
 		{"front", parts.Front.Run},
 		{"member-state", parts.State.Run},
 		{"rollouts", parts.Rounds.Run},
--- a/internal/wire/link/call.go
+++ b/internal/wire/link/call.go
@@ -183,3 +183,12 @@
 	}
 	return reply, nil
 }
+
+// Permit implements proto.PermitClient.
+func (p *Pool) Permit(ctx context.Context, to netip.AddrPort, req *proto.PermitRequest) (*proto.PermitReply, error) {
+	reply := new(proto.PermitReply)
+	if err := p.invoke(ctx, to, rpcPermit, req, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
--- a/internal/wire/link/pool.go
+++ b/internal/wire/link/pool.go
@@ -53,8 +53,9 @@
 }
 
 var (
-	_ proto.CallClient  = (*Pool)(nil)
-	_ proto.FleetClient = (*Pool)(nil)
+	_ proto.CallClient   = (*Pool)(nil)
+	_ proto.FleetClient  = (*Pool)(nil)
+	_ proto.PermitClient = (*Pool)(nil)
 )
 
 // shard holds the peers whose address hashes to it.
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -38,6 +38,7 @@
 	Calls         proto.CallHandler
 	Fleet         proto.FleetHandler
 	Rollouts      proto.RolloutHandler // may be nil
+	Permits       proto.PermitHandler  // if nil, requests for permits are refused
 	Incarnation   ident.Incarnation    // of this daemon
 	Log           logr.Logger
 
--- a/internal/wire/link/transport.go
+++ b/internal/wire/link/transport.go
@@ -24,6 +24,7 @@
 	rpcExchange = "exchange"
 	rpcStatus   = "status"
 	rpcRollout  = "rollout"
+	rpcPermit   = "permit"
 )
 
 // transport is the network connection below drpc. It counts the bytes written: if a call has written none, it certainly
--- a/internal/wire/proto/codec.go
+++ b/internal/wire/proto/codec.go
@@ -94,6 +94,10 @@
 		return appendRolloutRound(buf, m), nil
 	case *RolloutEvidence:
 		return appendRolloutEvidence(buf, m), nil
+	case *PermitRequest:
+		return appendPermitRequest(buf, m), nil
+	case *PermitReply:
+		return appendPermitReply(buf, m), nil
 	default:
 		return nil, code.Unknownf(code.Internal, "cannot encode a message of type %T", message)
 	}
@@ -153,6 +157,10 @@
 		return decode(buf, m, readRolloutRound)
 	case *RolloutEvidence:
 		return decode(buf, m, readRolloutEvidence)
+	case *PermitRequest:
+		return decode(buf, m, readPermitRequest)
+	case *PermitReply:
+		return decode(buf, m, readPermitReply)
 	default:
 		return code.Unknownf(code.Internal, "cannot decode a message of type %T", message)
 	}
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -25,6 +25,7 @@
 	texts     = rapid.StringN(0, 20, 40)
 	codes     = rapid.Map(rapid.IntRange(0, 60), func(n int) code.Code { return code.Code(n) })
 	counts    = rapid.IntRange(0, 1<<20)
+	positive  = rapid.IntRange(1, 1<<20)
 	durations = rapid.Map(rapid.Int64(), func(n int64) time.Duration { return time.Duration(n) })
 	bodies    = rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 100), nilIfEmpty[byte])
 	addresses = rapid.OneOf(
@@ -133,6 +134,11 @@
 		&Probe{Service: texts.Draw(t, "service")},
 		&ProbeReply{Code: codes.Draw(t, "code"), RetryAfter: durations.Draw(t, "next"), Report: reports.Draw(t, "report")},
 		&Status{From: records.Draw(t, "from"), InForce: number},
+		&PermitRequest{
+			Organisation: texts.Draw(t, "organisation"), Wanted: positive.Draw(t, "wanted"), Returned: positive.Draw(t, "returned"),
+			Revision: number, Rate: float64(positive.Draw(t, "rate")) / rateUnits, Burst: positive.Draw(t, "burst"),
+		},
+		&PermitReply{Granted: positive.Draw(t, "granted"), Next: durations.Draw(t, "until"), Owner: addresses.Draw(t, "owner")},
 	}).Draw(t, "message")
 }
 
@@ -268,6 +274,28 @@
 	}
 }
 
+// Guards against a datagram that is decoded as another one, or with other fields.
+func TestDatagramsSurviveTheCodec(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		report := reports.Draw(t, "report")
+		report.Server = netip.MustParseAddrPort("10.1.0.1:9000")
+		sent := rapid.SampledFrom([]Datagram{
+			LoadQuery{},
+			report,
+			NumberedPermitRequest{Number: rapid.Uint64().Draw(t, "number"), Request: PermitRequest{
+				Organisation: texts.Draw(t, "organisation"), Wanted: counts.Draw(t, "wanted"), Rate: 2.5, Burst: counts.Draw(t, "burst"),
+			}},
+			NumberedPermitReply{Number: rapid.Uint64().Draw(t, "number"), Reply: PermitReply{
+				Granted: counts.Draw(t, "granted"), Next: durations.Draw(t, "next"), Owner: addresses.Draw(t, "owner"),
+			}},
+		}).Draw(t, "message")
+		received, err := DecodeDatagram(EncodeDatagram(sent))
+		if err != nil || !reflect.DeepEqual(sent, received) {
+			t.Fatalf("sent %+v\nreceived %+v, %v", sent, received, err)
+		}
+	})
+}
+
 // Guards against messages that take unlimited memory. Each limit must be enforced when encoding and, for input from an encoder
 // without limits, when decoding.
 func TestSizeLimitsAreEnforced(t *testing.T) {
@@ -338,6 +366,7 @@
 		func() any { return new(Resolve) }, func() any { return new(Resolution) }, func() any { return new(Probe) },
 		func() any { return new(ProbeReply) }, func() any { return new(Exchange) }, func() any { return new(Status) },
 		func() any { return new(RolloutRound) }, func() any { return new(RolloutEvidence) },
+		func() any { return new(PermitRequest) }, func() any { return new(PermitReply) },
 	}
 	f.Fuzz(func(t *testing.T, kind byte, buf []byte) {
 		message := targets[int(kind)%len(targets)]()
