admit/order: organisations share slots in proportion to their rates; quota/reach: a starting fleet reaches its share at once

Cause: max-min fairness took organisations for equal, so that the largest of 80, with a hundred times the traffic of the smallest, always counted as heavy and left free slots to others. Change: the weight of an organisation is its rate; until a daemon has reached nine tenths of the fleet once, its share settles within 300 ms.

--- a/internal/admit/gate/precedence.go
+++ b/internal/admit/gate/precedence.go
@@ -29,8 +29,10 @@
 // newOrderRequest describes the call to the queue of its gate.
 func (c *call) newOrderRequest(now time.Time) *order.Request {
 	r := &order.Request{
-		Class: c.head.Class, Priority: classPriorities[c.head.Class], Nested: c.head.Depth > 0 || c.head.Dependent, Organisation: c.head.Organisation,
-		Repeated: c.head.ID.Attempt > 1, Arrived: now, Deadline: c.deadline,
+		Class: c.head.Class, Priority: classPriorities[c.head.Class], Nested: c.head.Depth > 0 || c.head.Dependent,
+		Organisation: c.head.Organisation,
+		Repeated:     c.head.ID.Attempt > 1, Arrived: now, Deadline: c.deadline,
+		Weight: c.gate.Config.Get().RateOf(c.head.Organisation),
 	}
 	if c.head.Objective != 0 {
 		r.Priority = c.head.Priority
--- a/internal/admit/order/order.go
+++ b/internal/admit/order/order.go
@@ -12,10 +12,11 @@
 // Request is a request that needs a slot.
 type Request struct {
 	Class        ident.Class
-	Priority     int    // 0 is the highest
-	Nested       bool   // made by a running request, whose work is lost if this one fails
-	Repeated     bool   // a further attempt, after another server has refused the request
-	Organisation string // empty if unknown
+	Priority     int     // 0 is the highest
+	Nested       bool    // made by a running request, whose work is lost if this one fails
+	Repeated     bool    // a further attempt, after another server has refused the request
+	Organisation string  // empty if unknown
+	Weight       float64 // size of the organisation's share, relative to those of others; 1 when 0
 	Arrived      time.Time
 	Objective    time.Time // a later response is worth little; zero without an objective
 	Deadline     time.Time
@@ -221,7 +222,7 @@
 	}
 	q.groups[groupOf(r)].arrived(r.Class, need, budget, now)
 	if !r.Nested {
-		q.shares[level(r)].of(r.Organisation).demand.add(need.Seconds(), now)
+		q.shares[level(r)].of(r).demand.add(need.Seconds(), now)
 	}
 }
 
@@ -230,7 +231,7 @@
 	q.progress = now
 	q.groups[groupOf(r)].served.add(1, now)
 	if !r.Nested {
-		q.shares[level(r)].of(r.Organisation).granted.add(q.work.expected(r).Seconds(), now)
+		q.shares[level(r)].of(r).granted.add(q.work.expected(r).Seconds(), now)
 	}
 }
 
--- a/internal/admit/order/share.go
+++ b/internal/admit/order/share.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -16,28 +17,31 @@
 	forgetBelow = 1e-4
 )
 
-// shares is the recent use of the slots by the organisations of one priority, for max-min fairness: an organisation that needs at most
-// an equal share gets all that it needs, and the others share the rest equally.
+// shares is the recent use of the slots by the organisations of one priority, for weighted max-min fairness: an organisation that needs at
+// most its share gets all that it needs, and the others share the rest in proportion to their weights. Organisations differ in size by a
+// hundred times; without weights, the largest ones would always count as heavy.
 type shares struct {
 	organisations map[string]*usage
-	level         float64 // slot time that an organisation may have had recently, in seconds; 0 without a bound
+	level         float64 // slot time per weight that an organisation may have had recently, in seconds; 0 without a bound
 	computed      time.Time
 }
 
 // usage is slot time in seconds.
 type usage struct {
 	demand, granted decaying
+	weight          float64 // above 0
 }
 
-func (s *shares) of(organisation string) *usage {
-	u := s.organisations[organisation]
+func (s *shares) of(r *Request) *usage {
+	u := s.organisations[r.Organisation]
 	if u == nil {
 		if s.organisations == nil {
 			s.organisations = make(map[string]*usage)
 		}
 		u = &usage{demand: decaying{window: shareWindow}, granted: decaying{window: shareWindow}}
-		s.organisations[organisation] = u
+		s.organisations[r.Organisation] = u
 	}
+	u.weight = cmp.Or(max(r.Weight, 0), 1)
 	return u
 }
 
@@ -53,7 +57,7 @@
 	if u == nil || s.level == 0 {
 		return 0
 	}
-	return max(0, int(math.Ceil(2*(u.granted.value(now)/s.level-1))))
+	return max(0, int(math.Ceil(2*(u.granted.value(now)/(s.level*u.weight)-1))))
 }
 
 func (q *Queue) over(r *Request, now time.Time) int {
@@ -63,32 +67,39 @@
 	return q.shares[level(r)].over(r.Organisation, now)
 }
 
-// compute sets the level at which the demands, each cut off at the level, add up to the slot time that was granted.
+// compute sets the level at which the demands, each cut off at the level times its weight, add up to the slot time that was granted.
 func (s *shares) compute(now time.Time) {
 	s.computed = now
-	demands := make([]float64, 0, len(s.organisations))
-	grants := make([]float64, 0, len(s.organisations))
+	type claim struct{ demand, weight float64 }
+	claims := make([]claim, 0, len(s.organisations))
+	var demands, grants, weights []float64
 	for name, u := range s.organisations {
 		demand := u.demand.value(now)
 		if demand < forgetBelow {
 			delete(s.organisations, name)
 			continue
 		}
+		claims = append(claims, claim{demand, u.weight})
 		demands = append(demands, demand)
 		grants = append(grants, u.granted.value(now))
+		weights = append(weights, u.weight)
 	}
 	s.level = 0
-	granted := sum(grants)
+	granted, weight := sum(grants), sum(weights)
 	if granted >= sum(demands) {
 		return
 	}
-	for i, demand := range demands {
-		equal := granted / float64(len(demands)-i)
-		if demand >= equal {
-			s.level = equal
+	slices.SortFunc(claims, func(a, b claim) int {
+		return cmp.Or(cmp.Compare(a.demand/a.weight, b.demand/b.weight), cmp.Compare(a.weight, b.weight))
+	})
+	for _, c := range claims {
+		fair := granted / weight
+		if c.demand >= fair*c.weight {
+			s.level = fair
 			return
 		}
-		granted -= demand
+		granted -= c.demand
+		weight -= c.weight
 	}
 }
 
--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -60,6 +60,7 @@
 
 	routesByHost map[string][]*Route         // by host, longest prefix first; set by Index
 	byKeyDigest  map[KeyDigest]*Organisation // set by Index
+	rates        map[string]float64          // of organisations by the name that servers receive; set by Index
 }
 
 // Service is the configuration of one service.
--- a/internal/conf/config/organisation.go
+++ b/internal/conf/config/organisation.go
@@ -86,9 +86,20 @@
 	return c.byKeyDigest[digest]
 }
 
+// RateOf returns the rate of the organisation with the name that servers receive, or 0 for an unlimited or unknown one. It is 0 for a nil
+// configuration.
+func (c *Config) RateOf(name string) float64 {
+	if c == nil || c.rates == nil {
+		return 0
+	}
+	return c.rates[name]
+}
+
 func (c *Config) indexKeys() {
 	c.byKeyDigest = make(map[KeyDigest]*Organisation)
+	c.rates = make(map[string]float64, len(c.Organisations))
 	for _, organisation := range c.Organisations {
+		c.rates[organisation.Name] = organisation.Rate
 		for _, digest := range organisation.Keys {
 			c.byKeyDigest[digest] = organisation
 		}
--- a/internal/quota/reach/reach.go
+++ b/internal/quota/reach/reach.go
@@ -32,6 +32,11 @@
 	// settleTime is the time constant with which the share follows the samples. It rises slowly, so that an owner that regains the fleet
 	// grants more only after the daemons that granted in its place have found it again.
 	settleTime = 3 * time.Second
+	// startSettleTime is the time constant until the share has been high once. When a whole fleet starts, nobody grants in place of the
+	// owners, whose first pings go to daemons that are about to start too.
+	startSettleTime = 300 * time.Millisecond
+	// highShare is the share of the fleet that a daemon reaches unless the network is partitioned.
+	highShare = 0.9
 	// drop is the difference from the samples at which the share follows them at once. Two lost pings of 15 are no partition.
 	drop = 0.2
 	// maxResults limits the daemons whose results are kept.
@@ -43,6 +48,7 @@
 	mu      sync.Mutex
 	results map[netip.AddrPort]result
 	samples []sample // at most sampleCount, oldest first
+	reached bool     // the share has been high since the start
 	share   float64  // of the others; as of settled
 	settled time.Time
 
@@ -120,9 +126,14 @@
 		r.share = min(r.share, estimate)
 	default:
 		r.falling = false
-		r.share += (estimate - r.share) * (1 - math.Exp(-elapsed.Seconds()/settleTime.Seconds()))
+		constant := settleTime
+		if !r.reached {
+			constant = startSettleTime
+		}
+		r.share += (estimate - r.share) * (1 - math.Exp(-elapsed.Seconds()/constant.Seconds()))
 	}
 	r.settled = now
+	r.reached = r.reached || r.share >= highShare
 }
 
 // Share returns the share of the members, this daemon included, that it reaches. It reports false when there are too few samples.
--- a/internal/wire/proto/codec.go
+++ b/internal/wire/proto/codec.go
@@ -149,6 +149,14 @@
 		return decode(buf, m, readProbe)
 	case *ProbeReply:
 		return decode(buf, m, readProbeReply)
+	default:
+		return decodeFleetMessage(buf, message)
+	}
+}
+
+// decodeFleetMessage decodes the messages that daemons exchange about other things than requests.
+func decodeFleetMessage(buf []byte, message drpc.Message) error {
+	switch m := message.(type) {
 	case *Exchange:
 		return decode(buf, m, readExchange)
 	case *Status:
