--- a/internal/roll/agent/order.go
+++ b/internal/roll/agent/order.go
@@ -49,6 +49,7 @@
 	tokens    float64
 	refilled  time.Time
 	announced time.Time // when a round last told that the switch is near
+	switched  time.Time // when phase switching was learned
 
 	heard    heard
 	rowLease time.Time // until when the last read of the row, which had this phase, extends the leases
@@ -100,6 +101,9 @@
 		before = o.phase.String()
 	}
 	o.known, o.phase, o.stored, o.rowLease = true, next, stored, time.Time{}
+	if next == phase.Switching {
+		o.switched = time.Now()
+	}
 	o.agent.Log.Info("rollout-phase", "service", o.ordered.Service, "order", o.ordered.Order, "target", o.ordered.Target,
 		"phase", next.String(), "before", before, "stored", stored, "elapsed", time.Since(o.first), "admitted", o.admitted, "reason", reason)
 }
@@ -141,9 +145,12 @@
 		return nil
 	}
 	switch o.phase {
-	case phase.Switching, phase.Completed:
+	case phase.Completed:
 		return o.refusal("release %s is replaced by %s", release, o.ordered.Target)
-	case phase.Trial:
+	case phase.Switching, phase.Trial:
+		if o.phase == phase.Switching && now.Sub(o.switched) >= o.handover() {
+			return o.refusal("release %s is replaced by %s", release, o.ordered.Target)
+		}
 		if !o.heard.leased.IsZero() && !o.leased(OldLease, now) {
 			return o.refusal("no round of the roll-out of %s was received for %s", o.ordered.Target, now.Sub(o.heard.leased))
 		}
@@ -152,6 +159,23 @@
 	return nil
 }
 
+// The time from the switch until old servers refuse requests, as a part of the duration and at most. The target servers have had few requests
+// and admit more step by step, so that they could not carry the whole load at once.
+const (
+	handoverPart = 0.1
+	maxHandover  = 2 * time.Second
+)
+
+func (o *order) handover() time.Duration {
+	return min(time.Duration(handoverPart*float64(o.ordered.Duration)), maxHandover)
+}
+
+// closed reports whether a server of the release takes no new requests for the rest of the phase.
+func (o *order) closed(release string, now time.Time) bool {
+	return o.known && o.phase >= phase.Switching && release != o.ordered.Target && now.Sub(o.switched) >= o.handover() &&
+		o.refusing(release, now) != nil
+}
+
 // leased reports whether a round was received within the time, or the phase was read from the table recently.
 func (o *order) leased(within time.Duration, now time.Time) bool {
 	return now.Sub(o.heard.leased) <= within || now.Before(o.rowLease)
--- a/internal/roll/agent/round.go
+++ b/internal/roll/agent/round.go
@@ -102,6 +102,7 @@
 func (o *order) evidence(withTally bool, now time.Time) *proto.RolloutEvidence {
 	evidence := o.agent.baseEvidence()
 	evidence.State = o.state(now)
+	evidence.Closed = o.closed(evidence.Release, now)
 	evidence.Received, evidence.Admitted, evidence.Limit, evidence.Running = o.received, o.admitted, o.limit, o.running
 	if withTally && len(o.old.Tally.Routes) > 0 {
 		evidence.Old = o.old.Tally.Clone()
--- a/internal/roll/coord/input.go
+++ b/internal/roll/coord/input.go
@@ -125,6 +125,9 @@
 	}
 	if e.aware {
 		d.Known = e.last.State.Phase
+		if d.Known == phase.Switching && !d.Target && !e.last.Closed {
+			d.Known = phase.Trial // it still takes requests, as in the trial
+		}
 		d.Received, d.Admitted, d.Running = e.last.Received, e.last.Admitted, e.last.Running
 		d.Limit = max(e.limit, e.last.Limit)
 	}
--- a/internal/roll/stage/stage.go
+++ b/internal/roll/stage/stage.go
@@ -127,7 +127,7 @@
 	switch {
 	case in.Phase.Final():
 		return in.Phase, AlreadyFinal
-	case in.Finding.Verdict == judge.Bad:
+	case in.condemned():
 		return phase.RolledBack, ReleaseBad
 	case in.Phase == phase.Switching:
 		return in.switching()
@@ -136,6 +136,15 @@
 	}
 }
 
+// minSwitchedExcess is the least deviation of a share that condemns a release after the switch. The old servers then have no responses from
+// the same time, so that a fault of the network or of a called service looks like one of the release; a bad release has 0.4 of bad responses.
+const minSwitchedExcess = 0.25
+
+// condemned reports whether the release is to be rolled back.
+func (in *Input) condemned() bool {
+	return in.Finding.Verdict == judge.Bad && (in.Phase != phase.Switching || in.Finding.Excess() >= minSwitchedExcess)
+}
+
 func (in *Input) trial() (phase.Phase, Reason) {
 	c := in.count()
 	switch part := in.part(); {
--- a/internal/wire/proto/rollout.go
+++ b/internal/wire/proto/rollout.go
@@ -55,6 +55,7 @@
 	Admitted    uint64 // while the server had the target release
 	Limit       uint64 // highest that was granted
 	Running     uint64
+	Closed      bool         // the server takes no new requests for the rest of the phase
 	Old         *tally.Tally // responses while the server had another release than the target; nil without any, and unless asked for
 	New         *tally.Tally // responses while it had the target release; nil without any, and unless asked for
 }
@@ -151,7 +152,8 @@
 	buf = putUint(buf, 8, m.Limit)
 	buf = putUint(buf, 9, m.Running)
 	buf = putTally(buf, 10, m.Old)
-	return putTally(buf, 11, m.New)
+	buf = putTally(buf, 11, m.New)
+	return putBool(buf, 12, m.Closed)
 }
 
 func readRolloutEvidence(r *reader, m *RolloutEvidence) {
@@ -180,6 +182,8 @@
 	case 11:
 		m.New = new(tally.Tally)
 		readNested(r, m.New, readTally)
+	case 12:
+		m.Closed = r.boolean()
 	}
 }
 
