--- a/internal/roll/agent/order.go
+++ b/internal/roll/agent/order.go
@@ -159,8 +159,8 @@
 	return nil
 }
 
-// The time from the switch until old servers refuse requests, as a part of the duration and at most. The target servers have had few requests
-// and admit more step by step, so that they could not carry the whole load at once.
+// The time from the switch until old servers refuse requests, as a part of the duration and at most. The target servers have had few
+// requests and admit more step by step, so that they could not carry the whole load at once.
 const (
 	handoverPart = 0.1
 	maxHandover  = 2 * time.Second
--- a/internal/roll/judge/judge.go
+++ b/internal/roll/judge/judge.go
@@ -52,7 +52,8 @@
 	failureTolerance  = 1.4
 	slowTolerance     = 1.5
 	// minFailureExcess and minSlowExcess are the least deviations of a share that condemn: a release with fewer bad responses is not
-	// worth a roll-back, and single servers whose responses get lost fail by a tenth more often than others. While servers are often slow because of others on their hosts, only slow responses during such a time differ from
+	// worth a roll-back, and single servers whose responses get lost fail by a tenth more often than others. While servers are
+	// often slow because of others on their hosts, only slow responses during such a time differ from
 	// those of the old release, which are a quarter of the bad ones.
 	minFailureExcess = 0.1
 	minSlowExcess    = 0.025
--- a/internal/roll/stage/stage.go
+++ b/internal/roll/stage/stage.go
@@ -137,7 +137,8 @@
 }
 
 // minSwitchedExcess is the least deviation of a share that condemns a release after the switch. The old servers then have no responses from
-// the same time, so that a fault of the network or of a called service looks like one of the release; a bad release has 0.4 of bad responses.
+// the same time, so that a fault of the network or of a called service looks like one of the release. A bad release has 0.4 of bad
+// responses.
 const minSwitchedExcess = 0.25
 
 // condemned reports whether the release is to be rolled back.
