quota/permit, quota/reach: requests of other daemons show that they are reached; pings wait for 500 ms

Cause: replies to pings are lost while the link of a daemon is full, and come too late while a new revision is put in force on instances of 0.16 of a core. Change: a daemon that sent a request for permits or a ping within the last second counts as reached; a ping fails after 500 ms instead of 150, and the share falls at once only by a difference of 0.3.

--- a/internal/quota/permit/agent.go
+++ b/internal/quota/permit/agent.go
@@ -31,8 +31,9 @@
 	lateTimeout = 300 * time.Millisecond
 	// preferredTimeout is how long a substitute waits for the reply of a preferred daemon, within the router's replyTimeout.
 	preferredTimeout = 12 * time.Millisecond
-	// pingTimeout is the time without a reply after which a ping has failed. Small instances stall for some 80 ms under load.
-	pingTimeout = 150 * time.Millisecond
+	// pingTimeout is the time without a reply after which a ping has failed. Small instances stall for some 80 ms under load, and for several
+	// times as long while a new revision of a large configuration comes into force on all of them.
+	pingTimeout = 500 * time.Millisecond
 	// pingRepeat is the time without a reply after which a ping is repeated on another connection.
 	pingRepeat = 50 * time.Millisecond
 	// freshness is the maximum age of a result that decides whether a preferred daemon grants.
--- a/internal/quota/permit/network_test.go
+++ b/internal/quota/permit/network_test.go
@@ -59,7 +59,7 @@
 		return nil, code.NotRunf(code.PeerUnreachable, "refused").WithCause(errors.WithStack(syscall.ECONNREFUSED))
 	}
 	if !killed {
-		reply, err := agent.Permit(c.from.fleet.ctx, nil, req)
+		reply, err := agent.Permit(c.from.fleet.ctx, &proto.Peer{Hello: proto.Hello{Address: c.from.address}}, req)
 		if c.transmit(target) {
 			return reply, err
 		}
--- a/internal/quota/permit/serve.go
+++ b/internal/quota/permit/serve.go
@@ -14,7 +14,10 @@
 )
 
 // Permit implements proto.PermitHandler.
-func (a *Agent) Permit(ctx context.Context, _ *proto.Peer, req *proto.PermitRequest) (*proto.PermitReply, error) {
+func (a *Agent) Permit(ctx context.Context, peer *proto.Peer, req *proto.PermitRequest) (*proto.PermitReply, error) {
+	if peer != nil {
+		a.reach.Heard(time.Now(), peer.Hello.Address)
+	}
 	if req.Organisation == "" {
 		a.counters.pinged.Add(1)
 		return &proto.PermitReply{}, nil
--- a/internal/quota/reach/reach.go
+++ b/internal/quota/reach/reach.go
@@ -37,8 +37,11 @@
 	startSettleTime = 300 * time.Millisecond
 	// highShare is the share of the fleet that a daemon reaches unless the network is partitioned.
 	highShare = 0.9
-	// drop is the difference from the samples at which the share follows them at once. Two lost pings of 15 are no partition.
-	drop = 0.2
+	// drop is the difference from the samples at which the share follows them at once. Four lost pings of 15 are no partition.
+	drop = 0.3
+	// heardAge is how long a daemon counts as reached after it was heard. It is shorter than the time in which a daemon on the other side of
+	// a partition grants only a part of the rate.
+	heardAge = time.Second
 	// maxResults limits the daemons whose results are kept.
 	maxResults = 4096
 )
@@ -47,9 +50,10 @@
 type Reach struct {
 	mu      sync.Mutex
 	results map[netip.AddrPort]result
-	samples []sample // at most sampleCount, oldest first
-	reached bool     // the share has been high since the start
-	share   float64  // of the others; as of settled
+	samples []sample                     // at most sampleCount, oldest first
+	reached bool                         // the share has been high since the start
+	heard   map[netip.AddrPort]time.Time // when each daemon last sent a request for permits or a ping
+	share   float64                      // of the others; as of settled
 	settled time.Time
 
 	falling      bool      // the share follows lower estimates only
@@ -79,6 +83,26 @@
 	r.results[daemon] = result{state: state, at: now}
 }
 
+// Heard records that a daemon has sent a request.
+func (r *Reach) Heard(now time.Time, daemon netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heard == nil || len(r.heard) >= maxResults {
+		r.heard = make(map[netip.AddrPort]time.Time)
+	}
+	r.heard[daemon] = now
+}
+
+// recentlyHeard returns how many daemons were heard lately, and forgets the others.
+func (r *Reach) recentlyHeard(now time.Time) int {
+	for daemon, at := range r.heard {
+		if now.Sub(at) > heardAge {
+			delete(r.heard, daemon)
+		}
+	}
+	return len(r.heard)
+}
+
 // State returns the latest state of a daemon, or Unknown when it is older than maxAge.
 func (r *Reach) State(now time.Time, daemon netip.AddrPort, maxAge time.Duration) State {
 	r.mu.Lock()
@@ -146,7 +170,9 @@
 	if r.settled.IsZero() || now.Sub(r.settled) > sampleAge {
 		return 1, false
 	}
-	return (1 + r.share*float64(members-1)) / float64(members), true
+	// Replies to pings are lost while the link of this daemon is full, which the requests of others show not to be a partition.
+	others := max(r.share*float64(members-1), float64(min(r.recentlyHeard(now), members-1)))
+	return (1 + others) / float64(members), true
 }
 
 // Restart replaces the samples by those of one round of pings, of which some were answered. A daemon that begins to grant in place of
@@ -169,5 +195,5 @@
 func (r *Reach) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.results, r.samples, r.settled, r.falling = nil, nil, time.Time{}, false
+	r.results, r.samples, r.heard, r.settled, r.falling = nil, nil, nil, time.Time{}, false
 }
--- a/internal/quota/reach/reach_test.go
+++ b/internal/quota/reach/reach_test.go
@@ -94,3 +94,21 @@
 	r.Reset()
 	g.Expect(r.State(start, daemon, time.Second)).To(Equal(Unknown))
 }
+
+// Guards against a cap that is cut down because replies to pings are lost on a full link while the other daemons send their requests, and
+// against a share that stays high after a partition.
+func TestRequestsOfOthersShowThatTheyAreReached(t *testing.T) {
+	g := NewWithT(t)
+	r := &Reach{}
+	now := pings(r, start, 2*time.Second, always(Down))
+	share, _ := r.Share(now, 75)
+	g.Expect(share).To(BeNumerically("<", 0.05))
+	for n := range 70 {
+		r.Heard(now, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000))
+	}
+	share, _ = r.Share(now, 75)
+	g.Expect(share).To(BeNumerically(">", 0.9))
+	now = pings(r, now, heardAge+100*time.Millisecond, always(Down))
+	share, _ = r.Share(now, 75)
+	g.Expect(share).To(BeNumerically("<", 0.05))
+}
--- a/internal/wire/dgram/permit.go
+++ b/internal/wire/dgram/permit.go
@@ -82,7 +82,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
 		defer cancel()
-		reply, err := r.Permits.Permit(ctx, nil, &m.Request)
+		reply, err := r.Permits.Permit(ctx, &proto.Peer{Hello: proto.Hello{Address: from}}, &m.Request)
 		if err != nil {
 			return // the other daemon then asks another one
 		}
