--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -211,7 +211,7 @@
 		Release: texts.Draw(t, "release"), Ready: rapid.Bool().Draw(t, "ready"), Slots: counts.Draw(t, "slots"),
 		Received: rapid.Uint64().Draw(t, "received"), Admitted: rapid.Uint64().Draw(t, "admitted"),
 		Limit: rapid.Uint64().Draw(t, "limit"), Running: rapid.Uint64().Draw(t, "running"),
-		Old: tallies.Draw(t, "old"), New: tallies.Draw(t, "new"),
+		Old: tallies.Draw(t, "old"), New: tallies.Draw(t, "new"), Closed: rapid.Bool().Draw(t, "closed"),
 	}
 }
 
