roll/agent: judge a daemon's own responses only during the trial

Cause: each target server also compared its own responses with those of the old release after the switch. A network fault at two servers condemned a good release by their own 9 of 45 and 12 of 32 failures, 2.7 s after the switch, and the duty of the roll-out was missed.

Change: after the switch only the coordinator decides, on the responses of all target servers. Daemons in trial still stop on their own evidence.

--- a/internal/roll/agent/run.go
+++ b/internal/roll/agent/run.go
@@ -73,10 +73,11 @@
 	r.order.running--
 }
 
-// judge stops the server at once when its own responses show that the release is bad, without agreement of other daemons. The old release
-// is represented by the tally of the last round.
+// judge stops the server at once when its own responses show in the trial that the release is bad, without agreement of other daemons. The
+// old release is represented by the tally of the last round. After the switch the old servers have no more responses, and a fault of the
+// network at one server would roll back a good release; the coordinator decides then, on the responses of all.
 func (o *order) judge(now time.Time) {
-	if !o.known || o.phase.Final() || now.Sub(o.judged) < judgeInterval {
+	if !o.known || o.phase != phase.Trial || now.Sub(o.judged) < judgeInterval {
 		return
 	}
 	o.judged = now
