admit/server: do not take a deadline for the end of a body without length

Cause: only the end of the connection ends a response without length. The end of the request's context closes the connection too, and a read that meets both ends closed at once can report a regular end (net.Pipe chooses among them). The part that was read then passed for the whole response.

Change: once the request's context has ended, an end of the connection is an error.

TestDeadlineIsNoEndOfABody fails before the change.

--- a/internal/admit/server/body.go
+++ b/internal/admit/server/body.go
@@ -20,9 +20,10 @@
 	io.ReadCloser
 	conn         *conn
 	sent         chan error
-	stop         func() bool // unregisters the close on the end of the request's context
-	closes       bool        // the server closes the connection after the response
-	endsWithConn bool        // implies closes
+	stop         func() bool  // unregisters the close on the end of the request's context
+	failed       func() error // the error of the request's context
+	closes       bool         // the server closes the connection after the response
+	endsWithConn bool         // implies closes
 	ended        atomic.Bool
 }
 
@@ -39,8 +40,12 @@
 }
 
 // connEnd returns io.EOF if the end of the connection is that of a complete response. A reset is reported only once: when the sending of
-// the request gets it, reading the response sees a regular end. The response is therefore complete only if the request was sent.
+// the request gets it, reading the response sees a regular end. The response is therefore complete only if the request was sent. The end
+// of the request's context closes the connection, which must not pass for its regular end either.
 func (b *responseBody) connEnd() error {
+	if err := b.failed(); err != nil {
+		return errors.Wrap(err, "the response without length was not read to its end")
+	}
 	if err := b.awaitUpload(); err != nil {
 		return errors.Wrap(err, "the response without length may be incomplete")
 	}
--- a/internal/admit/server/endless_test.go
+++ b/internal/admit/server/endless_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
@@ -199,3 +200,34 @@
 	<-sampled
 	return int64(peak) - int64(before.HeapAlloc)
 }
+
+// endingConn reports its own close as a regular end, as a pipe can when both of its ends are closed at once.
+type endingConn struct {
+	net.Conn
+}
+
+// Read implements io.Reader.
+func (c endingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.ErrClosedPipe) {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// Guards against a part of a response without length that passes for the whole one when the end of the request's context closes the
+// connection.
+func TestDeadlineIsNoEndOfABody(t *testing.T) {
+	g := NewWithT(t)
+	pieces := endlessBodies["no length"]
+	c := endlessClient(pieces[0], pieces[1], time.Millisecond)
+	defer c.Close()
+	dial := c.Dial
+	c.Dial = func(ctx context.Context) (net.Conn, error) {
+		conn, err := dial(ctx)
+		return endingConn{conn}, err
+	}
+	failed, _ := sendEndless(t, c, endlessDeadline/4)
+	g.Expect(failed).NotTo(BeNil())
+	g.Expect(failed.Outcome).To(Equal(code.Unknown))
+}
--- a/internal/admit/server/exchange.go
+++ b/internal/admit/server/exchange.go
@@ -36,7 +36,8 @@
 	}
 	k.keepAlive(response.Header)
 	response.Body = &responseBody{
-		ReadCloser: response.Body, conn: k, sent: sent, stop: stop, closes: response.Close, endsWithConn: endsWithConn(response),
+		ReadCloser: response.Body, conn: k, sent: sent, stop: stop, failed: a.Request.Context().Err, closes: response.Close,
+		endsWithConn: endsWithConn(response),
 	}
 	return response, nil
 }
