route/front: own header names in the tests of organisations

Cause: the tests used the header names of the hosted platform, which belong to platform/. Change: the default dialect with the key scheme Token; the same cases and checks.

--- a/internal/route/front/organisation_test.go
+++ b/internal/route/front/organisation_test.go
@@ -18,7 +18,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/logs"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/route/call"
-	"marigoldwinch.example/marigoldwinch/platform"
+	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 )
 
 // recorder is a Forwarder that keeps the requests with their trailers and refuses them with its failure.
@@ -59,7 +59,7 @@
 	return conf
 }
 
-// routed runs a front end with the headers of the hosted platform and returns its address. Its log is written to text.
+// routed runs a front end whose keys have the scheme Token and returns its address. Its log is written to text.
 func routed(t *testing.T, forwarder Forwarder, holder *config.Holder, text io.Writer) (f *Front, base string) {
 	g := gomega.NewWithT(t)
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -68,8 +68,10 @@
 	if text != nil {
 		log = logs.New(text, slog.LevelInfo)
 	}
+	dialect := hdrs.Default()
+	dialect.RequestID, dialect.KeyScheme = "X-Request-Id", "Token"
 	f = &Front{
-		Listener: listener, Forwarder: forwarder, Config: holder, Routed: true, Dialect: platform.Headers(), Service: "web",
+		Listener: listener, Forwarder: forwarder, Config: holder, Routed: true, Dialect: dialect, Service: "web",
 		Decisions: &logs.Sampler{Log: log}, Log: log,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -94,9 +96,9 @@
 	holder := &config.Holder{}
 	g.Expect(holder.Set(withOrganisations(1))).To(gomega.Succeed())
 	_, base := routed(t, back, holder, nil)
-	const forged, secret = "X-Marigoldwinch-Tenant", "Authorization"
+	const forged, secret = "Marigoldwinch-Organisation", "Authorization"
 	for _, path := range []string{"/private/1", "/public/1"} {
-		_, _, err := send(g, base, get(path, "authorization: Token k1", "x-marigoldwinch-tenant: me"))
+		_, _, err := send(g, base, get(path, "authorization: Token k1", "marigoldwinch-organisation: me"))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		seen := back.requests[len(back.requests)-1]
 		g.Expect(seen.Header[secret]).To(gomega.Equal([]string{"Token k1"}))
@@ -110,17 +112,17 @@
 	}{
 		{"/private/1", "Authorization: Token k1", "of-k1", 503},
 		{"/private/1", "aUTHORIZATION: tOKEN   k1 ", "of-k1", 503},
-		{"/private/1", "AUTHORIZATION: Token k1\nx-mARIGOLDWINCH-tenant: me\nX-Marigoldwinch-Tenant: you", "of-k1", 503},
-		{"/private/1", "Authorization: Token k1\nConnection: X-Marigoldwinch-Tenant, Authorization", "of-k1", 503},
+		{"/private/1", "AUTHORIZATION: Token k1\nmARIGOLDWINCH-organisation: me\nMarigoldwinch-Organisation: you", "of-k1", 503},
+		{"/private/1", "Authorization: Token k1\nConnection: Marigoldwinch-Organisation, Authorization", "of-k1", 503},
 		{"/public/1", "Authorization: Token k1", "of-k1", 503},
-		{"/public/1", "authorization: Token k1\nAuthorization: Token k1\nx-marigoldwinch-tenant: of-k1", "", 503},
-		{"/public/1", "Authorization: Token unknown\nX-MARIGOLDWINCH-TENANT: of-k1", "", 503},
+		{"/public/1", "authorization: Token k1\nAuthorization: Token k1\nmarigoldwinch-organisation: of-k1", "", 503},
+		{"/public/1", "Authorization: Token unknown\nMARIGOLDWINCH-ORGANISATION: of-k1", "", 503},
 		{"/public/1", "Authorization: Basic k1", "", 503},
 		{"/public/1", "Accept: */*", "", 503},
 		{"/private/1", "Authorization: Bearer k1", "", 401},
 		{"/private/1", "Authorization: k1", "", 401},
 		{"/private/1", "Authorization: Token k1\nAuthorization: Token k2", "", 401},
-		{"/private/1", "X-Marigoldwinch-Tenant: of-k1", "", 401},
+		{"/private/1", "Marigoldwinch-Organisation: of-k1", "", 401},
 		{"/private/1", "Authorization: Token k2", "", 401},
 		{"/private/1", "Authorization: Token", "", 401},
 	} {
@@ -146,7 +148,8 @@
 		g.Expect([]any{seen.Organisation.Name, seen.Priority}).To(gomega.Equal([]any{c.organisation, 7}))
 	}
 	_, _, err := send(g, base, "POST /public/1 HTTP/1.1\nHost: x\nConnection: close\nTransfer-Encoding: chunked\n"+
-		"Trailer: X-Sum, authorization, x-marigoldwinch-tenant\n\n1\na\n0\nX-Sum: 1\nauthorization: Token k1\nx-marigoldwinch-tenant: me\n\n")
+		"Trailer: X-Sum, authorization, marigoldwinch-organisation\n\n1\na\n0\n"+
+		"X-Sum: 1\nauthorization: Token k1\nmarigoldwinch-organisation: me\n\n")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(back.trailers).To(gomega.Equal([]http.Header{{"X-Sum": {"1"}}}))
 }
@@ -172,7 +175,7 @@
 		if step.conf != nil {
 			g.Expect(holder.Set(step.conf)).To(gomega.Succeed())
 		}
-		r, body, err := send(g, base, get("/private/1", "Authorization: Token secret-1", "X-Marigoldwinch-Request-Id: r1"))
+		r, body, err := send(g, base, get("/private/1", "Authorization: Token secret-1", "X-Request-Id: r1"))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect([]any{r.StatusCode, r.Header.Get(headerCode)}).To(gomega.Equal([]any{step.status, step.code}))
 		g.Expect(body).NotTo(gomega.ContainSubstring("secret-1"))
