review: case 9, a departure is forgotten after a drill of the store

Shown by review/9/run.sh: a departure that was stored and acknowledged is lost as the store comes back from an older copy; the daemon does not write it again, also not at its planned stop, and after the restart a late check-in puts the server in use again.

--- a/review/standin-2/leave.go
+++ b/review/standin-2/leave.go
@@ -22,33 +22,10 @@
 // The server's last check-in arrives some seconds late, after the acknowledgement and after the daemon's restart. The server goes on
 // serving for a while, as the pages say, and tells at its health path that it leaves.
 func runLeave(r *run) (bool, error) {
-	var err error
-	if r.store, err = startStore(r.rec, "127.0.0.1:0"); err != nil {
+	if err := startJarboards(r); err != nil {
 		return false, err
 	}
-	services := []string{"jarboard", "scoopdesk"}
-	look, order := newRoute("r-look", "/look/", "jarboard", "safe"), newRoute("r-order", "/order/", "jarboard", "unsafe")
-	r.store.operate("config", configuration("r1", services, look, order))
-	for _, m := range [][3]string{
-		{"jar-noord", "jarboard", "zd-noord"}, {"jar-haven", "jarboard", "zd-haven"},
-		{"scoop-noord", "scoopdesk", "zd-noord"}, {"scoop-haven", "scoopdesk", "zd-haven"},
-	} {
-		added, err := r.addMachine(m[0], m[1], m[2])
-		if err != nil {
-			return false, err
-		}
-		added.server.work = 150 * time.Millisecond
-	}
-	if err := r.startAll(); err != nil {
-		return false, err
-	}
-	calls := newTraffic()
-	for _, m := range r.machines[1:] { // no callers on the machine whose daemon is killed
-		for range 2 {
-			calls.add(newClient(m), "GET", "/look/1", "", 200*time.Millisecond, time.Second)
-			calls.add(newClient(m), "POST", "/order/1", "licorice", 200*time.Millisecond, time.Second)
-		}
-	}
+	calls := lookupsAndOrders(r.machines[1:]) // no callers on the machine whose daemon is killed
 	time.Sleep(5 * time.Second)
 
 	leaving := r.machines[0]
@@ -88,6 +65,39 @@
 	return judgeLeave(r, leaving, all, acknowledged, calm), nil
 }
 
+// startJarboards starts four machines in two zones, and routes for lookups and orders to the service of two of them.
+func startJarboards(r *run) (err error) {
+	if r.store, err = startStore(r.rec, "127.0.0.1:0"); err != nil {
+		return err
+	}
+	services := []string{"jarboard", "scoopdesk"}
+	look, order := newRoute("r-look", "/look/", "jarboard", "safe"), newRoute("r-order", "/order/", "jarboard", "unsafe")
+	r.store.operate("config", configuration("r1", services, look, order))
+	for _, m := range [][3]string{
+		{"jar-noord", "jarboard", "zd-noord"}, {"jar-haven", "jarboard", "zd-haven"},
+		{"scoop-noord", "scoopdesk", "zd-noord"}, {"scoop-haven", "scoopdesk", "zd-haven"},
+	} {
+		added, err := r.addMachine(m[0], m[1], m[2])
+		if err != nil {
+			return err
+		}
+		added.server.work = 150 * time.Millisecond
+	}
+	return r.startAll()
+}
+
+// lookupsAndOrders starts callers on the machines.
+func lookupsAndOrders(machines []*machine) *traffic {
+	calls := newTraffic()
+	for _, m := range machines {
+		for range 2 {
+			calls.add(newClient(m), "GET", "/look/1", "", 200*time.Millisecond, time.Second)
+			calls.add(newClient(m), "POST", "/order/1", "licorice", 200*time.Millisecond, time.Second)
+		}
+	}
+	return calls
+}
+
 // judgeLeave counts the requests that reached the server later than drain after the acknowledgement, and that were sent when the store had
 // been back for contact.
 func judgeLeave(r *run, leaving *machine, all []sent, acknowledged, calm time.Time) bool {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,6 +14,7 @@
 	"upload":  runUpload,
 	"leave":   runLeave,
 	"draft":   runDraft,
+	"forget":  runForget,
 }
 
 // caseLimit ends a case that hangs, before the 120 s that a script may take.
