--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -43,11 +45,15 @@
 		broken, err := cases[name](r)
 		done <- result{broken, err}
 	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 	var end result
 	select {
 	case end = <-done:
 	case <-time.After(caseLimit):
 		end = result{err: fmt.Errorf("the case did not end within %s", caseLimit)}
+	case s := <-stop:
+		end = result{err: fmt.Errorf("the case was stopped: %s", s)}
 	}
 	r.close()
 	status, verdict := 0, "the rule held"
