route/call: a late ack or reply to resolve does not end a run

Cause: a path that is slow was taken for one that is dead. Without an ack in time the router closed the connection, which ends the run of an idempotent request, and only then looked for another server. If the budget granted no retry, or the next attempt was late too, the caller got 502. The last attempt was spared only if one resolve was answered within 0.5 s; other requests were given up after three.

Change: the stream stays open until a resolve shows that the run has ended or never begun, or until resolves and load queries stay unanswered and the fleet suspects the daemon. Where a retry is allowed it runs beside the doubtful attempt instead of after its end; the first answer counts, and the run that loses is ended over a new connection. An answer in transit of which no copy is held is awaited for 1 s. That a non-idempotent request has not run is still proved by a resolve that names its connection. Hedges and these retries share the type race, in a file of its own.

Changed expectations, as strict as before: a silent connection is closed after the first resolve has a reply and not before it; without replies, a daemon that the fleet does not suspect is waited for until the deadline (cases with and without suspicion); a running but unacked lookup is retried after 1.25 s, as its connection may have gone silent behind its head. TestDaemonThatReportsIsAskedAgain now has a daemon that is suspected, since others are never given up for missing replies.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -30,11 +30,13 @@
 	offset         int64  // in the body, after the piece sent with the head
 
 	sendingBody atomic.Bool // sendBody is running
+	retried     atomic.Bool // retryBeside has made another attempt
 
 	mu            sync.Mutex
 	stream        proto.ClientStream
 	acked         bool
-	ackTimedOut   bool // no ack within ackTimeout; a later ack is ignored
+	ackOverdue    bool // no ack within ackTimeout, and none since
+	ackTimedOut   bool // the stream was given up without an ack; a later ack is ignored
 	closed        bool
 	timersStopped bool // when the attempt was closed, no callback of its timers was running or due
 	ackTimer      *time.Timer
@@ -138,37 +140,34 @@
 	return timeout + ackRoundTrips*a.r.pool.RoundTrip(a.sent.Server)
 }
 
-// onAckTimeout closes the connection when no ack has arrived in time. Recv then fails and the outcome of the attempt is resolved. The
-// last attempt of an idempotent request is checked first, because nothing is gained by giving up a run whose ack is only late.
+// onAckTimeout checks an attempt without an ack in time. The ack of a loaded instance or link may only be late, so that the stream stays
+// open, and the server goes on, until a resolve shows that nothing is lost with it.
 func (a *attempt) onAckTimeout() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.acked || a.closed {
 		return
 	}
-	// Either the daemon is paused or the connection is dead. Other servers are selected until a resolve gets a reply.
+	// Other servers are selected until a resolve gets a reply.
 	a.r.c.Choice.MarkUnreachable(a.r.req.Service, a.sent.Server)
-	if a.stream != nil && a.r.idempotent && a.r.isLastAttempt() {
-		a.stallTimer = time.AfterFunc(0, a.checkUnacked)
-		return
-	}
-	a.ackTimedOut = true
-	a.r.c.counters.silent.Add(1)
 	if a.stream == nil {
+		a.ackTimedOut = true
+		a.r.c.counters.silent.Add(1)
 		a.cancel() // Call has not returned a stream yet
 		return
 	}
-	a.stream.CloseSilent()
+	a.ackOverdue = true
+	a.stallTimer = time.AfterFunc(0, func() { a.checkRun(a.lastFrame.Load(), 0) })
 }
 
-// recordAck records an ack. It reports false after the ack timeout: the attempt is being resolved and admission may have revoked it.
+// recordAck records an ack. It reports false if the stream was given up before: admission may have revoked the attempt.
 func (a *attempt) recordAck() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ackTimedOut {
 		return false
 	}
-	a.acked = true
+	a.acked, a.ackOverdue = true, false
 	a.ackTimer.Stop()
 	return true
 }
@@ -276,7 +275,11 @@
 	if failure.Outcome == code.Unknown && isServerFault(failure.Code) {
 		a.r.c.Choice.RecordResult(a.r.req.Service, a.sent.Server, true, failure.Code.String())
 	}
+	unacked := a.leavesUnackedRun()
 	a.abandon()
+	if unacked {
+		go a.endRun()
+	}
 	return failure
 }
 
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -47,6 +47,9 @@
 		return scripts[min(int(head.ID.Attempt)-1, len(scripts)-1)]
 	}
 	c := newClient(f, 3)
+	if d.HasArg("suspect") {
+		suspectAll(c)
+	}
 	tokens, depth, size, p95, failed, leave, stall, unread := 50, 0, 0, 0, 0, 0, 0, 0
 	req := &Request{Service: "stock", Method: d.Cmd, Path: "/", Target: "/", Timeout: 5500 * time.Millisecond, ContentLength: -1}
 	scan := func(key string, into *int) {
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -104,6 +104,8 @@
 		return &proto.Resolution{State: proto.StateRunning}, nil
 	case "finished":
 		return &proto.Resolution{State: proto.StateFinished, Answer: answer("200 "+rest, true)}, nil
+	case "ended":
+		return &proto.Resolution{State: proto.StateFinished}, nil
 	case "unknown":
 		return &proto.Resolution{State: proto.StateUnknown}, nil
 	case "cancelled-in-queue":
@@ -276,6 +278,14 @@
 	}
 }
 
+// suspectAll makes the fleet suspect the daemons of all servers.
+func suspectAll(c *Client) {
+	list := c.Choice.Members.(records)
+	for i := range list {
+		list[i].State = member.Suspect
+	}
+}
+
 // readAll reads a response to its end.
 func readAll(x *Response) (string, error) {
 	defer x.Close()
--- /dev/null
+++ b/internal/route/call/race.go
@@ -0,0 +1,136 @@
+package call
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
+)
+
+// errLost is the error of an attempt that is cancelled because another attempt of its race was answered first.
+var errLost = errors.New("another attempt answered first")
+
+// race holds the concurrent attempts of a request. The first to receive an answer wins.
+type race struct {
+	r       *request
+	ctx     context.Context // of the request
+	winner  atomic.Pointer[attempt]
+	results chan raceResult // of all attempts but the first; has room for each of them
+
+	mu       sync.Mutex
+	attempts []*attempt
+	running  int // attempts whose end await has not seen; no attempt joins when it is 0
+}
+
+type raceResult struct {
+	response *Response
+	err      error
+	hedge    bool
+}
+
+// mayRace reports whether attempts of the request may run concurrently. A body is read by one attempt at a time.
+func (r *request) mayRace() bool {
+	return r.idempotent && r.depth == 0 && r.req.Body == nil
+}
+
+func newRace(ctx context.Context, first *attempt) *race {
+	race := &race{
+		r: first.r, ctx: ctx, results: make(chan raceResult, maxAttempts), attempts: []*attempt{first}, running: 1,
+	}
+	first.race = race
+	return race
+}
+
+// hedge makes another attempt because the answer is late.
+func (race *race) hedge() {
+	race.join(true, func() bool {
+		granted := race.r.budget.TakeHedge()
+		if granted {
+			race.r.c.counters.hedges.Add(1)
+		}
+		return granted
+	})
+}
+
+// retry makes another attempt because a previous one may be lost. That one goes on, since its answer may only be late. It reports false if
+// no other attempt is allowed now.
+func (race *race) retry() bool {
+	return race.join(false, func() bool {
+		granted := race.r.budget.TakeRetry()
+		if granted {
+			race.r.c.counters.retries.Add(1)
+		}
+		return granted
+	})
+}
+
+// join starts another attempt and reports true, unless the race has ended or the request may not run on another server. grant is asked
+// last, because it takes a token of a budget.
+func (race *race) join(hedge bool, grant func() bool) bool {
+	race.mu.Lock()
+	defer race.mu.Unlock()
+	if race.running == 0 || race.winner.Load() != nil || !race.r.mayRunBeside(race.running) || !grant() {
+		return false
+	}
+	a := race.r.newAttempt(race.ctx)
+	a.race = race
+	race.attempts = append(race.attempts, a)
+	race.running++
+	go func() {
+		response, err := a.run()
+		race.results <- raceResult{response: response, err: err, hedge: hedge}
+	}()
+	return true
+}
+
+// mayRunBeside reports whether the request may run on one more server beside its running attempts.
+func (r *request) mayRunBeside(running int) bool {
+	r.mu.Lock()
+	attempts, possibleRuns := r.attempts, r.possibleRuns
+	r.mu.Unlock()
+	return attempts < maxAttempts && possibleRuns+running < r.maxServers && len(r.c.Choice.Servers(r.req.Service)) > 1
+}
+
+// await waits, after the first attempt has failed, until another one is answered or all have failed. It returns the failure of the first
+// one then.
+func (race *race) await(first error) (*Response, error) {
+	for race.left() > 0 {
+		ended := <-race.results // an attempt ends with the context of the request at the latest
+		if ended.err == nil {
+			if ended.hedge {
+				race.r.c.counters.hedgesWon.Add(1)
+			}
+			return ended.response, nil
+		}
+		if !errors.Is(ended.err, errLost) {
+			race.r.recordFailure(code.Of(ended.err))
+		}
+	}
+	return nil, first
+}
+
+// left counts the end of an attempt and returns the number of attempts that are still running.
+func (race *race) left() int {
+	race.mu.Lock()
+	defer race.mu.Unlock()
+	race.running--
+	return race.running
+}
+
+// win reports whether a is the first attempt to be answered. If so, it cancels the others.
+func (race *race) win(a *attempt) bool {
+	if !race.winner.CompareAndSwap(nil, a) {
+		return false
+	}
+	race.mu.Lock()
+	defer race.mu.Unlock()
+	for _, other := range race.attempts {
+		if other != a {
+			other.cancel()
+		}
+	}
+	return true
+}
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -21,6 +21,8 @@
 	maxResolveTries = 3
 	// answerGrace is how long to wait for an answer in transit after a resolve no longer finds the request running.
 	answerGrace = 100 * time.Millisecond
+	// unheldAnswerGrace is the same for an answer of which admission holds no copy. It covers retransmissions on a busy link.
+	unheldAnswerGrace = time.Second
 	// noConn in a resolve keeps the connection of the attempt open. Connection numbers start at 1.
 	noConn = 0
 )
@@ -128,6 +130,28 @@
 	}
 }
 
+// leavesUnackedRun reports whether the attempt is given up while its server may be at work and its ack is overdue: a cancellation on its
+// connection may not arrive.
+func (a *attempt) leavesUnackedRun() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ackOverdue && !a.ackTimedOut && !a.closed && a.ctx.Err() != nil && time.Now().Before(a.r.deadline)
+}
+
+// endRun ends a run that nobody waits for any longer. That of an idempotent request ends with its connection.
+func (a *attempt) endRun() {
+	if !a.r.idempotent {
+		a.sendDone()
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), resolveTimeout)
+	defer cancel()
+	// A failure is ignored: runs end at their deadline.
+	_, _ = a.r.c.Transport.Resolve(ctx, a.sent.Server, &proto.Resolve{
+		ID: a.id, Conn: a.stream.Conn(), Incarnation: a.stream.Incarnation(), Elapsed: time.Since(a.began),
+	})
+}
+
 // sendDone tells admission that the response is not needed any longer.
 func (a *attempt) sendDone() {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.ctx), resolveTimeout)
@@ -138,8 +162,21 @@
 	})
 }
 
-// resolveTries returns the number of resolves to send without a reply. It is 1 for a request that may be retried after an unknown
-// outcome: another attempt helps the caller more than certainty about the outcome.
+// answerGrace returns how long the answer of a run that has ended may be in transit. Another attempt is made meanwhile where only the
+// answer itself would help the caller.
+func (a *attempt) answerGrace(found *proto.Resolution) time.Duration {
+	switch {
+	case found.State == proto.StateRevoked && !a.isAcked():
+		return 0
+	case found.State != proto.StateFinished || found.Answer != nil || found.Failure != nil:
+		return answerGrace
+	}
+	a.retryBeside()
+	return unheldAnswerGrace
+}
+
+// resolveTries returns the number of resolves to send without a reply after the connection has failed. It is 1 for a request that may be
+// retried after an unknown outcome: another attempt helps the caller more than certainty about the outcome.
 func (a *attempt) resolveTries() int {
 	if a.r.idempotent && a.r.depth == 0 {
 		return 1
@@ -162,77 +199,102 @@
 	if a.stallTimer != nil {
 		a.stallTimer.Stop() // of an attempt whose ack was late
 	}
-	a.stallTimer = time.AfterFunc(a.stallTimeout(), func() { a.checkStall(0) })
+	a.stallTimer = time.AfterFunc(a.stallTimeout(), a.checkStall)
 }
 
-// checkStall resolves an attempt whose stream is idle. The resolve does not name the connection, because that would close the
-// connection at the other end; it is named only after the stream has failed.
-func (a *attempt) checkStall(failures int) {
-	timeout := a.stallTimeout()
-	if a.unread.Load() {
-		a.scheduleStallCheck(timeout, 0)
-		return
+// checkStall checks an attempt whose stream is idle.
+func (a *attempt) checkStall() {
+	timeout, last := a.stallTimeout(), a.lastFrame.Load()
+	idle := time.Since(a.began) - time.Duration(last)
+	switch {
+	case a.unread.Load():
+		a.schedule(timeout, a.checkStall)
+	case idle < timeout:
+		a.schedule(timeout-idle, a.checkStall)
+	default:
+		a.checkRun(last, 0)
 	}
-	last := a.lastFrame.Load()
-	if idle := time.Since(a.began) - time.Duration(last); idle < timeout {
-		a.scheduleStallCheck(timeout-idle, 0)
+}
+
+// checkRun asks whether the server still runs the request, of which the last frame has arrived at last, after so many questions without a
+// reply. The resolve does not name the connection, because that would close the connection at the other end. While replies are missing,
+// the stream stays open and another attempt is made beside this one, if the request may be retried.
+func (a *attempt) checkRun(last int64, failures int) {
+	if a.lastFrame.Load() != last {
+		a.checkStall()
 		return
 	}
 	found, err := a.sendResolve(noConn)
-	if err == nil && found.State == proto.StateRunning {
-		a.scheduleStallCheck(timeout, 0)
-		return
+	switch {
+	case err != nil && !a.isServerLost(failures+1):
+		a.retryBeside()
+		a.schedule(a.resolveDelay(failures+1), func() { a.checkRun(last, failures+1) })
+	case err != nil:
+		a.giveUp(last, &proto.Resolution{State: proto.StateUnknown})
+	case found.State == proto.StateRunning:
+		if !a.isAcked() && time.Since(a.began) >= a.stallTimeout() {
+			a.retryBeside() // the connection may have gone silent after the head
+		}
+		a.schedule(a.stallTimeout(), a.checkStall)
+	default:
+		a.giveUp(last, found)
 	}
-	tries := a.resolveTries()
-	if a.r.pool.IsAlive(a.ctx, a.sent.Server) {
-		tries = maxResolveTries // the daemon is alive, so the resolve may just be delayed on a busy link
+}
+
+// retryBeside makes one other attempt while this one goes on, if the request may be retried.
+func (a *attempt) retryBeside() {
+	if a.race != nil && !a.retried.Load() {
+		a.retried.Store(a.race.retry())
 	}
-	if err != nil && failures+1 < tries {
-		a.scheduleStallCheck(timeout, failures+1)
-		return
+}
+
+// resolveDelay is the time until the next resolve after so many without a reply.
+func (a *attempt) resolveDelay(failures int) time.Duration {
+	if failures < maxResolveTries {
+		return resolveRetryDelay
 	}
-	if !clock.Sleep(a.ctx, answerGrace) {
+	return a.stallTimeout()
+}
+
+// isServerLost reports whether the server's daemon has certainly failed after so many resolves without a reply: a busy link delays
+// resolves and replies as well. A request that is retried only after the end of its attempt does not wait for certainty.
+func (a *attempt) isServerLost(failures int) bool {
+	sequential := a.r.idempotent && a.r.depth == 0 && a.race == nil
+	if failures < maxResolveTries && !sequential || a.r.pool.IsAlive(a.ctx, a.sent.Server) {
+		return false
+	}
+	return sequential || a.r.c.Choice.IsSuspect(a.r.req.Service, a.sent.Server)
+}
+
+// giveUp closes the stream of an attempt that the server no longer runs, unless its next frame has arrived since last or is still in
+// transit.
+func (a *attempt) giveUp(last int64, found *proto.Resolution) {
+	if !clock.Sleep(a.ctx, a.answerGrace(found)) {
 		return
 	}
 	if a.lastFrame.Load() != last || a.unread.Load() {
-		a.scheduleStallCheck(timeout, 0)
+		a.schedule(a.stallTimeout(), a.checkStall)
 		return
 	}
-	if err != nil {
-		found = &proto.Resolution{State: proto.StateUnknown}
-	}
-	a.stallResolution.Store(found)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.closed {
-		a.r.c.counters.silent.Add(1)
-		a.stream.CloseSilent()
-	}
-}
-
-// checkUnacked resolves an attempt without an ack. While the server runs the request, the stream stays open.
-func (a *attempt) checkUnacked() {
-	found, err := a.sendResolve(noConn)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	switch {
-	case a.acked || a.closed:
-		return
-	case err == nil && found.State == proto.StateRunning:
-		a.stallTimer = time.AfterFunc(a.stallTimeout(), func() { a.checkStall(0) })
+	if a.closed {
 		return
-	case err == nil:
+	}
+	a.ackTimedOut = !a.acked
+	// That a non-idempotent request never runs is proved only by the revocation of its connection, which the ledger does not forget.
+	if found.State != proto.StateRevoked || a.r.idempotent {
 		a.stallResolution.Store(found)
 	}
-	a.ackTimedOut = true
 	a.r.c.counters.silent.Add(1)
 	a.stream.CloseSilent()
 }
 
-func (a *attempt) scheduleStallCheck(wait time.Duration, failures int) {
+// schedule runs the next check of the attempt after wait, unless the attempt is closed.
+func (a *attempt) schedule(wait time.Duration, check func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.closed {
-		a.stallTimer = time.AfterFunc(wait, func() { a.checkStall(failures) })
+		a.stallTimer = time.AfterFunc(wait, check)
 	}
 }
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -35,9 +35,6 @@
 	minHedgeDelay       = time.Millisecond // shorter delays are within the jitter of the network
 )
 
-// errLost is the error of an attempt that is cancelled because the other attempt of its race was answered first.
-var errLost = errors.New("the other attempt answered first")
-
 // run makes attempts until one is answered or no retry is allowed.
 func (r *request) run(ctx context.Context) (*Response, error) {
 	for {
@@ -76,13 +73,6 @@
 	return r.body.rewind() && (isUnsent(failure) || r.isFreeRetry(failure) || r.budget.TakeRetry())
 }
 
-// isLastAttempt reports whether no other attempt is allowed when the present one fails with an unknown outcome.
-func (r *request) isLastAttempt() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.depth > 0 || r.attempts >= maxAttempts || r.possibleRuns+1 >= r.maxServers
-}
-
 // isFreeRetry reports whether a retry needs neither budget nor backoff because the attempt was refused by a daemon that has no
 // configuration yet, whose server is out of service because of a roll-out, or whose server reports its load. Such a refusal costs the
 // server nothing, and the report that comes with it leads the next selection to a better server.
@@ -119,30 +109,22 @@
 	return clock.Sleep(ctx, wait/2+rand.N(wait))
 }
 
-// try makes one attempt, and a hedge if the attempt is slow and hedging is allowed.
+// try makes one attempt, and further ones beside it if the attempt is slow or may be lost and they are allowed.
 func (r *request) try(ctx context.Context) (*Response, error) {
 	first := r.newAttempt(ctx)
-	delay, ok := r.hedgeDelay()
-	if !ok {
+	if !r.mayRace() {
 		return first.run()
 	}
-	race := &race{done: make(chan raceResult, 1)}
-	first.race = race
-	race.attempts = append(race.attempts, first)
-	timer := time.AfterFunc(delay, func() { r.hedge(ctx, race) })
-	response, err := first.run()
-	if timer.Stop() || err == nil {
-		return response, err
-	}
-	second := <-race.done // the hedge ends with ctx at the latest
-	if second.err == nil {
-		r.c.counters.hedgesWon.Add(1)
-		return second.response, nil
+	race := newRace(ctx, first)
+	if delay, ok := r.hedgeDelay(); ok {
+		timer := time.AfterFunc(delay, race.hedge)
+		defer timer.Stop()
 	}
-	if failure := code.Of(second.err); !errors.Is(second.err, errLost) {
-		r.recordFailure(failure)
+	response, err := first.run()
+	if err == nil {
+		return response, nil
 	}
-	return nil, err
+	return race.await(err)
 }
 
 // hedgeDelay returns the delay after which a hedge is sent. It reports false for requests that are not hedged.
@@ -162,57 +144,6 @@
 	return max(delay, minHedgeDelay), delay > 0 && !r.latencies.suspended.Load()
 }
 
-// race is a first attempt and its hedge. The first to receive an answer wins.
-type race struct {
-	winner atomic.Pointer[attempt]
-	done   chan raceResult // receives the result of the hedge exactly once
-
-	mu       sync.Mutex
-	attempts []*attempt
-}
-
-type raceResult struct {
-	response *Response
-	err      error
-}
-
-// hedge makes the second attempt of a race. It runs in the goroutine of the hedge timer.
-func (r *request) hedge(ctx context.Context, race *race) {
-	r.mu.Lock()
-	possibleRuns := r.possibleRuns
-	r.mu.Unlock()
-	if possibleRuns+2 > r.maxServers || race.winner.Load() != nil || len(r.c.Choice.Servers(r.req.Service)) < 2 || !r.budget.TakeHedge() {
-		race.done <- raceResult{err: errLost}
-		return
-	}
-	r.c.counters.hedges.Add(1)
-	a := r.newAttempt(ctx)
-	a.race = race
-	race.mu.Lock()
-	race.attempts = append(race.attempts, a)
-	race.mu.Unlock()
-	if race.winner.Load() != nil {
-		a.cancel()
-	}
-	response, err := a.run()
-	race.done <- raceResult{response: response, err: err}
-}
-
-// win reports whether a is the first attempt to be answered. If so, it cancels the other attempt.
-func (race *race) win(a *attempt) bool {
-	if !race.winner.CompareAndSwap(nil, a) {
-		return false
-	}
-	race.mu.Lock()
-	defer race.mu.Unlock()
-	for _, other := range race.attempts {
-		if other != a {
-			other.cancel()
-		}
-	}
-	return true
-}
-
 // latencies holds the times to the response header of the recent latency-sensitive requests of a service.
 type latencies struct {
 	mu             sync.Mutex
--- a/internal/route/choice/choice.go
+++ b/internal/route/choice/choice.go
@@ -78,6 +78,16 @@
 	return c.candidates(service, conf).servers
 }
 
+// IsSuspect reports whether the fleet takes the daemon beside a server for failed.
+func (c *Chooser) IsSuspect(service string, server netip.AddrPort) bool {
+	for _, r := range c.Members.Service(service) {
+		if r.Address == server {
+			return r.State == member.Suspect || r.State == member.Gone
+		}
+	}
+	return true
+}
+
 // Need describes an attempt for the selection of a server.
 type Need struct {
 	Class        ident.Class
