route/http1: a request that arrives before the stop is answered

Cause: as the stop ends idle connections, their read deadline is moved to the past. A process that has had no processor time has not noticed yet what has arrived before, and its read reports the deadline. The connection was closed, and the request was read and thrown away in the linger. The same befell a request whose header was half read: register refused it because the connection was stopped.

Change: after the deadline the connection is read once more for 20 ms, and a request that has begun to arrive is taken as the last one. Only behind a response that closes the connection nothing is taken, since such a request counts as not read. What the daemon can no longer run is refused as not run, as before.

Evidence: both cases of TestRequestThatArrivesBeforeTheStopIsAnswered fail before ('no response') and pass now; TestStopStartsNothingThatIsNotAnswered holds (3 runs with the race detector).

--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -24,6 +24,10 @@
 // caller is still sending reset the connection, before the caller has received the response.
 const lingerTimeout = 500 * time.Millisecond
 
+// arrivedTimeout is how long a connection whose idle time is over is read once more. A process that got no processor time has not noticed
+// yet what has arrived before.
+const arrivedTimeout = 20 * time.Millisecond
+
 // headerSlack is added to the header limit, as in net/http.
 const headerSlack = 4 << 10
 
@@ -49,7 +53,7 @@
 	mu       sync.Mutex
 	pending  int       // requests in service
 	waiting  bool      // the reader is waiting for the first byte of a request
-	stopped  bool      // no further request is started
+	stopped  bool      // no further request is awaited
 	closing  bool      // a response that closes the connection has been started: it is the last one, and nothing follows it
 	lastRead *exchange // exchange of the last request read
 
@@ -136,7 +140,7 @@
 		if !c.waitForRequest(limits) {
 			return false
 		}
-		_, err := c.reader.Peek(1)
+		err := c.awaitFirstByte()
 		if !c.beginHeader(limits) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
@@ -175,12 +179,23 @@
 	return true
 }
 
-// beginHeader starts the timeout for a request's header. It reports false when no further request may be read.
+// awaitFirstByte waits for a request until the read deadline. It returns os.ErrDeadlineExceeded only if nothing has arrived.
+func (c *conn) awaitFirstByte() error {
+	_, err := c.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = c.net.SetReadDeadline(time.Now().Add(arrivedTimeout))
+		_, err = c.reader.Peek(1)
+	}
+	return err
+}
+
+// beginHeader starts the timeout for a request's header. It reports false when no further request may be read: a request behind the
+// response that closes the connection counts as not read.
 func (c *conn) beginHeader(limits Limits) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
-	if c.stopped {
+	if c.closing {
 		return false
 	}
 	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
@@ -307,11 +322,12 @@
 	return closes || x.body.isAborted()
 }
 
-// register makes x the exchange of the last request read. It reports false when no further request may be started.
+// register makes x the exchange of the last request read. It reports false when no further request may be started. A request that had
+// begun to arrive when the connection was stopped is the last one.
 func (c *conn) register(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stopped {
+	if c.closing {
 		return false
 	}
 	c.pending++
--- a/internal/route/http1/server_test.go
+++ b/internal/route/http1/server_test.go
@@ -22,7 +22,8 @@
 	done   chan error
 }
 
-func start(t *testing.T, handler http.HandlerFunc) *harness {
+// start runs a server, which each option may change before.
+func start(t *testing.T, handler http.HandlerFunc, options ...func(*Server)) *harness {
 	r := &harness{WithT: NewWithT(t), done: make(chan error, 1)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	r.Expect(err).NotTo(HaveOccurred())
@@ -32,6 +33,9 @@
 			return Limits{HeaderBytes: 2 << 10, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
 		},
 	}
+	for _, option := range options {
+		option(r.server)
+	}
 	go func() { r.done <- r.server.Run() }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/internal/route/http1/stop_test.go
+++ b/internal/route/http1/stop_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -100,3 +101,61 @@
 		}
 	}
 }
+
+// starvedListener accepts connections whose reads notice nothing that arrives until their deadline has been moved to the past once.
+type starvedListener struct{ net.Listener }
+
+func (l starvedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &starvedConn{Conn: conn, expired: make(chan struct{})}, err
+}
+
+type starvedConn struct {
+	net.Conn
+	once    sync.Once
+	expired chan struct{}
+	resumed bool // used only by the reader
+}
+
+func (c *starvedConn) SetReadDeadline(deadline time.Time) error {
+	if !deadline.IsZero() && deadline.Before(time.Now()) {
+		c.once.Do(func() { close(c.expired) })
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+func (c *starvedConn) Read(p []byte) (int, error) {
+	<-c.expired
+	if !c.resumed {
+		c.resumed = true
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(p)
+}
+
+// Guards against a whole request that gets no response because its server stops before it has noticed or read all of it.
+func TestRequestThatArrivesBeforeTheStopIsAnswered(t *testing.T) {
+	for name, starved := range map[string]bool{"unnoticed": true, "header incomplete": false} {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }, func(s *Server) {
+				if starved {
+					s.Listener = starvedListener{s.Listener}
+				}
+			})
+			request := get("/")
+			sent := len(request)
+			if !starved {
+				sent -= 2
+			}
+			conn, reader := r.connect(t, request[:sent])
+			time.Sleep(50 * time.Millisecond)
+			stopped := make(chan error, 1)
+			go func() { stopped <- r.server.Shutdown(context.Background()) }()
+			time.Sleep(50 * time.Millisecond)
+			_, err := io.WriteString(conn, request[sent:])
+			r.Expect(err).NotTo(HaveOccurred())
+			r.Expect(r.readResponse(reader)).To(Equal("200 served last"))
+			r.Expect(<-stopped).To(Succeed())
+		})
+	}
+}
