route/call, wire/link: a large answer that still arrives is not given up

A frame of 32 KiB takes longer on a link of 10 Mbit/s that some forty transfers share.

Change: connections count the bytes that arrive, and a stream whose connection receives any is not given up.

--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -48,6 +48,7 @@
 	number       int
 	steps        []string
 	ignoresClose bool // Recv still returns frames after the stream is closed
+	trickles     bool // bytes of the next frame arrive all the time
 	complete     bool // the last frame of the response was received
 	closed       chan struct{}
 	once         sync.Once
@@ -193,6 +194,10 @@
 			s.ignoresClose = true
 		case "break":
 			return nil, errBroken
+		case "trickle": // the next frame arrives byte by byte during the duration that follows
+			s.mu.Lock()
+			s.trickles = true
+			s.mu.Unlock()
 		default: // a duration to wait
 			wait, err := time.ParseDuration(word)
 			if err != nil {
@@ -228,6 +233,15 @@
 func (s *fakeStream) Conn() uint64                   { return uint64(s.number) }
 func (s *fakeStream) Incarnation() ident.Incarnation { return 9 }
 
+func (s *fakeStream) Received() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.trickles {
+		return 0
+	}
+	return uint64(time.Now().UnixNano())
+}
+
 func (s *fakeStream) Close() error {
 	s.once.Do(func() {
 		if !s.complete {
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -266,13 +266,13 @@
 	return sequential || a.r.c.Choice.IsSuspect(a.r.req.Service, a.sent.Server)
 }
 
-// giveUp closes the stream of an attempt that the server no longer runs, unless its next frame has arrived since last or is still in
-// transit.
+// giveUp closes the stream of an attempt that the server no longer runs, unless its next frame has arrived since last or is arriving.
 func (a *attempt) giveUp(last int64, found *proto.Resolution) {
+	received := a.stream.Received()
 	if !clock.Sleep(a.ctx, a.answerGrace(found)) {
 		return
 	}
-	if a.lastFrame.Load() != last || a.unread.Load() {
+	if a.lastFrame.Load() != last || a.unread.Load() || a.stream.Received() != received {
 		a.schedule(a.stallTimeout(), a.checkStall)
 		return
 	}
--- a/internal/wire/link/call.go
+++ b/internal/wire/link/call.go
@@ -79,6 +79,11 @@
 	return c.conn.remote
 }
 
+// Received implements proto.ClientStream.
+func (c *clientStream) Received() uint64 {
+	return c.conn.tr.received.Load()
+}
+
 // CloseSilent implements proto.ClientStream.
 func (c *clientStream) CloseSilent() {
 	if c.closed.Swap(true) {
--- a/internal/wire/link/transport.go
+++ b/internal/wire/link/transport.go
@@ -33,6 +33,8 @@
 	net.Conn
 	// written is the number of bytes passed to the operating system.
 	written atomic.Uint64
+	// received is the number of bytes that have arrived.
+	received atomic.Uint64
 	// lost is set once the connection has failed or is closed, before drpc ends the stream for it.
 	lost atomic.Bool
 
@@ -43,6 +45,7 @@
 // Read implements net.Conn.
 func (p *transport) Read(data []byte) (int, error) {
 	size, err := p.Conn.Read(data)
+	p.received.Add(uint64(size))
 	if err != nil {
 		p.lost.Store(true)
 	}
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -296,6 +296,8 @@
 	Conn() uint64
 	// Incarnation returns the incarnation of the daemon that serves the call.
 	Incarnation() ident.Incarnation
+	// Received returns the number of bytes that have arrived on the connection.
+	Received() uint64
 	// CloseSilent closes the whole connection. The router calls it when the peer has not answered in time.
 	CloseSilent()
 }
