cli/daemon: test that a slow network cuts no run of a stopping daemon

Whole daemons in virtual time: the paths between them become 700 ms slower, one of them is stopped, and what it had taken before is answered.

--- a/internal/bench/memnet/network.go
+++ b/internal/bench/memnet/network.go
@@ -215,11 +215,17 @@
 	dialer                   *Process
 	listener                 *Process
 	toListener, toDialer     *direction
+	extraDelay               atomic.Int64 // of all data, in nanoseconds
 
 	mu     sync.Mutex
 	silent bool
 }
 
+// Delay delays all data by more than the latency of the path, including data in transit.
+func (p *Path) Delay(extra time.Duration) {
+	p.extraDelay.Store(int64(extra))
+}
+
 // Silence makes the path drop all further data, including data in transit.
 func (p *Path) Silence() {
 	p.mu.Lock()
@@ -274,7 +280,7 @@
 	for {
 		select {
 		case next := <-d.queue:
-			time.Sleep(time.Until(next.sent.Add(delay)))
+			time.Sleep(time.Until(next.sent.Add(delay + time.Duration(d.path.extraDelay.Load()))))
 			if d.path.isSilent() {
 				continue
 			}
--- a/internal/cli/daemon/stop_test.go
+++ b/internal/cli/daemon/stop_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"path"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/bench/load"
+	"marigoldwinch.example/marigoldwinch/internal/bench/memnet"
 	"marigoldwinch.example/marigoldwinch/internal/bench/sample"
 	"marigoldwinch.example/marigoldwinch/internal/conf/change"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
@@ -314,3 +316,42 @@
 		s.expectNoneCut(<-done, 0.999)
 	})
 }
+
+// Guards against runs that a stopping daemon gives up because acks and replies to resolves are late on a slow network.
+func TestSlowNetworkCutsNoRunOfAStoppingDaemon(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 700 * time.Millisecond
+		var slow atomic.Bool
+		l := sleepLayout()
+		l.latency = func(from, to string) time.Duration {
+			if slow.Load() && betweenDaemons(from, to) {
+				return delay
+			}
+			return time.Millisecond
+		}
+		s := l.start(t)
+		time.Sleep(10 * time.Second)
+		n := s.nodes[0]
+		n.settings.StopGrace, n.settings.KillAfter = 2*time.Second, 6*time.Second
+		send := func() (answers []<-chan int) {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				answers = append(answers, s.sleepThrough(n, method, "/orders/300ms"), s.sleepThrough(n, method, "/stock/2s"))
+			}
+			return answers
+		}
+		for range 8 { // opens connections to all servers
+			for _, status := range append(send(), send()...) {
+				s.Expect(<-status).To(Equal(http.StatusOK))
+			}
+		}
+		slow.Store(true)
+		s.fabric.EachPath(betweenDaemons, func(p *memnet.Path) { p.Delay(delay) })
+		answers := send()
+		n.stop()
+		for _, status := range answers {
+			s.Expect(<-status).To(Equal(http.StatusOK))
+		}
+		s.Expect(<-n.stopped).To(Succeed())
+	})
+}
