platform: order revisions by the store's era, then by version

The revision of the configuration was the store's version, which goes back in a drill and is given out again. Intent kept a maximum, and the holder and the gossip refuse what is not above the held revision.

The high 24 bits of a revision are now the era of the header Store-Era, the low 40 bits the version. Everything behind compares as before, and era 0 leaves revisions as they were. When the era rises or the version falls, all rows are read again; an answer of an earlier era is an error. A store that falls without a new era is followed by giving its folder the revision after the held one, when the read began after that was held. Requests to the store carry the raw version as before, and so do the orders of roll-outs.

--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -9,13 +9,15 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
+	"marigoldwinch.example/marigoldwinch/internal/plat/epoch"
 )
 
 // Source reads the accepted configuration from a platform that notifies its readers of changes.
 type Source interface {
 	// Next blocks until a change, or until nothing has changed for the given wait. It returns the folder and asOf, the revision up to
-	// which the source reports that the folder is current. A set without files means that there is no folder. It fails when the source
-	// does not begin to answer within the limit after the wait; 0 stands for the time limit of any request.
+	// which the source reports that the folder is current. Both revisions are of package epoch. A set without files means that there is
+	// no folder. It fails when the source does not begin to answer within the limit after the wait; 0 stands for the time limit of any
+	// request.
 	Next(ctx context.Context, wait, limit time.Duration) (set files.Set, asOf uint64, err error)
 }
 
@@ -71,16 +73,19 @@
 
 // followSource reads the source once, accepts what it has, and returns the time until the next read.
 func (w *Watch) followSource(ctx context.Context, turn *turn, reason followReason) time.Duration {
-	begun := time.Now()
+	begun, held := time.Now(), w.Node.HeldRevision()
 	set, asOf, err := w.readSource(ctx, turn.wait(reason, w.role()))
 	took := time.Since(begun)
 	if err != nil {
 		return turn.failed(took)
 	}
-	if len(set.Files) > 0 {
-		w.acceptFromSource(set, asOf)
-	} else {
+	switch {
+	case len(set.Files) == 0:
 		w.emptyReadAt = time.Now()
+	case asOf < held && epoch.Era(asOf) == epoch.Era(held):
+		w.acceptFallen(set, asOf)
+	default:
+		w.acceptFromSource(set, asOf)
 	}
 	return turn.answered(set.Revision, took)
 }
@@ -173,6 +178,23 @@
 		w.Log.Info("held-revision-replaced", "held", held.Revision, "read", set.Revision, "as-of", asOf)
 		set.Revision = asOf
 	}
+	w.acceptSet(set)
+}
+
+// acceptFallen accepts the folder of a source that is not as far as the revision that was held before the read: it has lost writes without
+// telling a new era, and its revisions are below the held one until it has made as many writes again. All daemons that read the same
+// folder give it the same revision.
+func (w *Watch) acceptFallen(set files.Set, asOf uint64) {
+	held := w.Node.FileSet()
+	if slices.Equal(set.Files, held.Files) {
+		return
+	}
+	w.Log.Info("source-fallen", "held", held.Revision, "read", set.Revision, "as-of", asOf)
+	set.Revision = held.Revision + 1
+	w.acceptSet(set)
+}
+
+func (w *Watch) acceptSet(set files.Set) {
 	w.counters.fetches.Add(1)
 	if err := w.Node.AcceptSet(set); err != nil && code.Of(err).Code != code.StaleRevision {
 		w.Log.Error(err, "revision-not-accepted", "revision", set.Revision)
--- a/internal/fleet/watch/source_test.go
+++ b/internal/fleet/watch/source_test.go
@@ -14,6 +14,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/plat/epoch"
 )
 
 // applyBound is the time in which a change must be in force on the hosted platform's installations.
@@ -90,3 +91,40 @@
 		g.Expect(w.Node.HeldRevision()).To(Equal(uint64(135)), "an unchanged folder must not raise the revision")
 	})
 }
+
+// answeredSource gives one answer to all reads.
+type answeredSource struct {
+	set  files.Set
+	asOf uint64
+}
+
+// Next implements Source.
+func (s answeredSource) Next(context.Context, time.Duration, time.Duration) (files.Set, uint64, error) {
+	return s.set, s.asOf, nil
+}
+
+// Guards against a configuration that stays out of force after the source has lost writes, and against a late answer from before.
+func TestSourceThatLostWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(1)
+		members := &member.Table{}
+		members.SetSelf(f.record(0))
+		w := &Watch{
+			Node:  &gossip.Node{Self: f.record(0), Table: members, Holder: &config.Holder{}, Merge: merge, Log: logr.Discard()},
+			Table: members, Log: logr.Discard(),
+		}
+		old, latest := []files.File{{Name: "old.ini"}}, []files.File{{Name: "latest.ini"}}
+		read := func(list []files.File, revision, asOf uint64) files.Set {
+			w.Source = answeredSource{set: files.Set{Revision: revision, Files: list}, asOf: asOf}
+			w.followSource(t.Context(), &turn{}, noPeerHeard)
+			return w.Node.FileSet()
+		}
+		g.Expect(read(old, 120, 120)).To(Equal(files.Set{Revision: 120, Files: old}))
+		g.Expect(read(latest, 100, 110)).To(Equal(files.Set{Revision: 121, Files: latest}))
+		g.Expect(read(latest, 100, 111).Revision).To(Equal(uint64(121)), "an unchanged folder must not raise the revision")
+		restored := epoch.Revision(1, 7)
+		g.Expect(read(old, restored, restored)).To(Equal(files.Set{Revision: restored, Files: old}))
+		g.Expect(read(latest, 130, 130)).To(Equal(files.Set{Revision: restored, Files: old}), "an answer of the earlier era")
+	})
+}
