watch: write what the store has lost again when its era rises

The daemon took the departure in its row for written, whatever became of the store: neither departureLoop nor Withdraw wrote it again. The same held for its announcement, which was due up to five minutes later.

The clients of a hosted store now observe Store-Era in all responses; a revision of the configuration tells it to daemons that do not ask the store. When it rises, each daemon writes its row again within StartSpread, one with a departure at once. A departure counts as written only in the era of its write. A planned stop reads the row and writes a departure that it lacks, until the store answers or the time for it ends.

--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"sync"
 
@@ -19,6 +20,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
+	"marigoldwinch.example/marigoldwinch/internal/plat/epoch"
 	"marigoldwinch.example/marigoldwinch/internal/plat/object"
 	"marigoldwinch.example/marigoldwinch/internal/plat/rest"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
@@ -35,6 +37,7 @@
 	newStore,
 	newObjects,
 	newPool,
+	newEra,
 )
 
 var fleet = fx.Provide(
@@ -53,9 +56,14 @@
 	return &config.Holder{}
 }
 
-func newStore(live *opts.Reloader, network Network) table.Store {
+// newEra returns the era of a hosted platform's store. The clients of the store observe it.
+func newEra() *epoch.Tracker {
+	return &epoch.Tracker{}
+}
+
+func newStore(live *opts.Reloader, network Network, era *epoch.Tracker) table.Store {
 	if live.Get().Hosted {
-		return &platform.Store{Client: tableClient(live, network)}
+		return &platform.Store{Client: hostedClient(live, network, era)}
 	}
 	return &table.HTTP{Client: tableClient(live, network)}
 }
@@ -68,6 +76,17 @@
 	return platformClient(live, network, func() netip.AddrPort { return live.Get().Table })
 }
 
+// hostedClient returns a client of a hosted platform's store.
+func hostedClient(live *opts.Reloader, network Network, era *epoch.Tracker) rest.Client {
+	client := tableClient(live, network)
+	client.OnResponse = func(header http.Header) {
+		if told, valid := platform.Era(header); valid {
+			era.Observe(told)
+		}
+	}
+	return client
+}
+
 func platformClient(live *opts.Reloader, network Network, locate func() netip.AddrPort) rest.Client {
 	return rest.Client{Resolve: locate, HTTP: network.client(), Timeout: live.Get().PlatformTimeout}
 }
@@ -150,11 +169,11 @@
 }
 
 // newSource returns nil unless the platform is a hosted one; the watch then polls the head of the configuration.
-func newSource(live *opts.Reloader, network Network, set *stats.Set, log logr.Logger) watch.Source {
+func newSource(live *opts.Reloader, network Network, era *epoch.Tracker, set *stats.Set, log logr.Logger) watch.Source {
 	if !live.Get().Hosted {
 		return nil
 	}
-	intent := &platform.Intent{Client: tableClient(live, network), Log: log}
+	intent := &platform.Intent{Client: hostedClient(live, network, era), Log: log}
 	set.Gauge("configuration_odd_entries_total", func() float64 { entries, _ := intent.Odd(); return float64(entries) })
 	set.Gauge("configuration_unreadable_total", func() float64 { _, unreadable := intent.Odd(); return float64(unreadable) })
 	return intent
@@ -168,6 +187,7 @@
 	Members  *member.Table
 	Holder   *config.Holder
 	Store    table.Store
+	Era      *epoch.Tracker
 	Reader   *change.Reader
 	Status   *status.Server
 	Log      logr.Logger
@@ -179,6 +199,7 @@
 		Table:  parts.Members,
 		Holder: parts.Holder,
 		Store:  parts.Store,
+		Era:    parts.Era,
 		Reader: headReader{parts.Reader},
 		Source: parts.Source,
 		Log:    parts.Log,
--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/clock"
@@ -26,7 +27,7 @@
 			continue
 		}
 		retry = backoff{}
-		if !clock.Sleep(ctx, gossip.Jitter(w.Refresh, jitterShare)) {
+		if !w.awaitRefresh(ctx, gossip.Jitter(w.Refresh, jitterShare)) {
 			return nil
 		}
 	}
@@ -51,25 +52,32 @@
 		return err
 	}
 	w.counters.announcements.Add(1)
+	era := w.era()
 	self, left := w.Table.Self(), w.currentDeparture()
 	value := announcement{Record: self, At: w.Now(), Departure: left}.encode()
 	err := w.Store.Commit(ctx, table.Txn{Puts: []table.Put{{Key: rowKey(self.Address), Value: value}}})
 	w.recordOutcome(err)
 	if err == nil {
-		w.markDeparturePersisted(left)
+		w.markDeparturePersisted(left, cmp.Or(era, w.era()))
 	}
 	return err
 }
 
 // Withdraw deletes this daemon's row at a planned stop. The row is kept when it belongs to a later incarnation at the same address,
-// or when this daemon has acknowledged a departure, because the next daemon at this address must honor that too. A departure that could
-// not be written before is written now.
+// or when this daemon has acknowledged a departure, because the next daemon at this address must honor that too. A departure that is not in
+// the row is written now, as soon as the store answers: it could not be written before, or the store has lost it since.
 func (w *Watch) Withdraw(ctx context.Context) error {
-	leaves := w.currentDeparture().Server != ""
-	if leaves && w.departurePersisted() {
-		return nil
+	for {
+		err := w.withdraw(ctx)
+		if err == nil || w.currentDeparture().Server == "" || !clock.Sleep(ctx, gossip.Jitter(departureRetry, jitterShare)) {
+			return err
+		}
 	}
-	self := w.Table.Self()
+}
+
+func (w *Watch) withdraw(ctx context.Context) error {
+	departure, self := w.currentDeparture(), w.Table.Self()
+	leaves := departure.Server != ""
 	row, err := w.Store.Get(ctx, rowKey(self.Address))
 	absent := code.Of(err).Code == code.NotFound
 	if err != nil && !absent {
@@ -79,6 +87,8 @@
 	switch {
 	case err == nil && held.Record.Incarnation > self.Incarnation:
 		return nil
+	case leaves && err == nil && held.Departure.same(departure):
+		return nil
 	case leaves:
 		return w.announce(ctx)
 	case absent:
--- a/internal/fleet/watch/departure.go
+++ b/internal/fleet/watch/departure.go
@@ -25,6 +25,7 @@
 	rowRead   bool      // the row of an earlier daemon was read or does not exist, or current was set
 	current   Departure // written with each announcement
 	persisted Departure // in the row, as far as this daemon knows
+	era       uint64    // of the store when persisted was written or read; a later one may have lost it
 }
 
 // PersistDeparture writes a departure into this daemon's row unless it is there already. After a failure, Run goes on trying.
@@ -68,9 +69,11 @@
 
 // departurePersisted reports whether this daemon's row holds the current departure, as far as this daemon knows.
 func (w *Watch) departurePersisted() bool {
+	era := w.era()
 	w.departures.mu.Lock()
 	defer w.departures.mu.Unlock()
-	return w.departures.current == w.departures.persisted
+	lost := w.departures.persisted.Server != "" && w.departures.era < era
+	return w.departures.current == w.departures.persisted && !lost
 }
 
 // currentDeparture returns the departure that each announcement must contain, zero when there is none.
@@ -80,19 +83,21 @@
 	return w.departures.current
 }
 
-func (w *Watch) markDeparturePersisted(d Departure) {
+// markDeparturePersisted records that this daemon's row held the departure in the era.
+func (w *Watch) markDeparturePersisted(d Departure, era uint64) {
 	w.departures.mu.Lock()
 	defer w.departures.mu.Unlock()
-	w.departures.persisted = d
+	w.departures.persisted, w.departures.era = d, era
 }
 
 // restoreDeparture adopts the departure that an earlier daemon at this address stored. Only the first call has an effect.
 func (w *Watch) restoreDeparture(d Departure) {
+	era := w.era()
 	w.departures.mu.Lock()
 	known := w.departures.rowRead
 	w.departures.rowRead = true
 	if !known {
-		w.departures.current, w.departures.persisted = d, d
+		w.departures.current, w.departures.persisted, w.departures.era = d, d, era
 	}
 	w.departures.mu.Unlock()
 	if known || d.Server == "" || w.OnDepartureRestored == nil {
--- a/internal/fleet/watch/departure_test.go
+++ b/internal/fleet/watch/departure_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +13,9 @@
 
 	"github.com/cockroachdb/datadriven"
 	. "github.com/onsi/gomega"
+
+	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/plat/epoch"
 )
 
 // Guards against losing an acknowledged departure of the server when the daemon is killed and restarted, also over several restarts,
@@ -53,7 +58,7 @@
 	})
 }
 
-// Guards against a departure that was acknowledged while the store was away and is unknown after the next restart.
+// Guards against a departure that was acknowledged while the store was away, or was lost by it, and is unknown after the next restart.
 func TestDepartureInOutageSurvivesRestart(t *testing.T) {
 	datadriven.RunTest(t, "testdata/departures", func(t *testing.T, d *datadriven.TestData) string {
 		text := "not restored\n"
@@ -67,6 +72,9 @@
 			for step := range strings.SplitSeq(strings.TrimSpace(d.Input), "\n") {
 				runDepartureStep(g, f, step)
 			}
+			if _, found := f.platform.row(3); !found {
+				text += "no row\n"
+			}
 		})
 		return text
 	})
@@ -82,6 +90,17 @@
 	case "leave":
 		err := f.get(daemon).watch.PersistDeparture(context.Background(), Departure{Server: argument})
 		g.Expect(err).To(HaveOccurred())
+	case "depart":
+		g.Expect(f.get(daemon).watch.PersistDeparture(context.Background(), Departure{Server: argument})).To(Succeed())
+	case "copy":
+		f.platform.set(func(p *fakePlatform) { p.copied = maps.Clone(p.rows) })
+	case "restore":
+		f.platform.set(func(p *fakePlatform) { clear(p.rows); maps.Copy(p.rows, p.copied) })
+	case "era":
+		era, err := strconv.ParseUint(argument, 10, 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(f.get(0).node.AcceptSet(files.Set{Revision: epoch.Revision(era, 1)})).To(Succeed())
+		time.Sleep(DefaultStartSpread + time.Second)
 	case "wait":
 		d, err := time.ParseDuration(argument)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/fleet/watch/platform_test.go
+++ b/internal/fleet/watch/platform_test.go
@@ -19,6 +19,7 @@
 	fleet      *fleet
 	mu         sync.Mutex
 	rows       map[string]table.Row
+	copied     map[string]table.Row
 	writes     int
 	changes    []files.Change
 	headOffset uint64 // subtracted from the head revision, as after restoring an old state
--- a/internal/fleet/watch/row.go
+++ b/internal/fleet/watch/row.go
@@ -44,6 +44,11 @@
 	Born   time.Time // start of the run, in milliseconds; zero when unknown
 }
 
+// same reports whether both are of one run. A row holds the start in milliseconds.
+func (d Departure) same(other Departure) bool {
+	return d.Server == other.Server && d.Born.Equal(other.Born)
+}
+
 func rowKey(address netip.AddrPort) string {
 	return rowPrefix + address.String()
 }
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -17,6 +17,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/plat/epoch"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 )
 
@@ -56,7 +57,8 @@
 	Holder *config.Holder
 	Store  table.Store
 	Reader Reader
-	Source Source // followed instead of polling the head; may be nil
+	Source Source         // followed instead of polling the head; may be nil
+	Era    *epoch.Tracker // of Store; nil when it tells none
 	Log    logr.Logger
 
 	// OnDepartureRestored is called at most once, with the departure that an earlier daemon at this address acknowledged. It may be
@@ -75,6 +77,7 @@
 	readyOnce       sync.Once
 	roles           roles
 	departures      departures
+	eras            eras
 	firstRead       chan struct{} // closed after the first attempt to read a page of members or when a peer has sent them
 	firstReadOnce   sync.Once
 	platform        platformState
@@ -91,6 +94,7 @@
 // Run announces this daemon, discovers the members and follows the configuration until ctx ends.
 func (w *Watch) Run(ctx context.Context) error {
 	w.init()
+	w.Holder.Subscribe(func(*config.Config) { w.checkEra() })
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return w.announceLoop(ctx) })
 	group.Go(func() error { return w.departureLoop(ctx) })
@@ -109,6 +113,7 @@
 	w.ready = make(chan struct{})
 	w.firstRead = make(chan struct{})
 	w.departures.unwritten = make(chan struct{}, 1)
+	w.eras.risen = make(chan struct{}, 1)
 	if w.StartSpread == 0 {
 		w.StartSpread = DefaultStartSpread
 	}
@@ -133,6 +138,7 @@
 
 // recordOutcome updates the platform state after a request to the platform and logs a change.
 func (w *Watch) recordOutcome(err error) {
+	w.checkEra()
 	w.platform.mu.Lock()
 	defer w.platform.mu.Unlock()
 	if err == nil {
--- a/internal/plat/rest/rest.go
+++ b/internal/plat/rest/rest.go
@@ -53,6 +53,7 @@
 	HTTP        *http.Client          // nil: defaultClient, shared by all clients
 	Timeout     time.Duration         // of one request, extended while its response arrives; 0: DefaultTimeout
 	MaxResponse int64                 // bytes; 0: DefaultMaxResponse
+	OnResponse  func(http.Header)     // called with the header of each response, of any status; may be nil
 }
 
 // Request is one request to a store. Its path is already escaped.
@@ -92,6 +93,9 @@
 		return Response{}, c.unavailable(r, !connected.Load(), "request failed without a response", causeOf(ctx, err))
 	}
 	defer func() { _ = response.Body.Close() }()
+	if c.OnResponse != nil {
+		c.OnResponse(response.Header)
+	}
 	return c.read(ctx, r, response, limit)
 }
 
