admit/status: a late check-in does not end a departure that the process cannot know

A daemon that is killed after it acknowledged a departure, and started again, took the server's late check-in for a sign that it is in service: an unhealthy response counted only until the first check-in, whatever its age. Callers then reached a server that had left.

Now a process can be told that the history of its server is not known yet. Restore also binds a server that is known only by a check-in from an earlier lifetime with the same id.

--- a/internal/admit/status/status.go
+++ b/internal/admit/status/status.go
@@ -80,6 +80,8 @@
 	draining     bool
 	left         bool
 	unhealthy    bool      // the last health response reported an unhealthy server
+	polled       bool      // a health response of this lifetime has arrived
+	awaiting     time.Time // start of this process, while it may lack a departure that an earlier one acknowledged; else zero
 	coldUntil    time.Time // zero when warm
 	warmProvenAt time.Time // when the last poll that found the server warm was sent; zero without proof
 	load         hdrs.Load
@@ -108,6 +110,7 @@
 		return nil
 	}
 	s.checkedIn, s.heardAt = true, time.Now()
+	s.checkHistory(c.Born)
 	s.born = c.Born
 	s.sequence = c.Sequence
 	s.release = c.Release
@@ -125,7 +128,7 @@
 func (s *Server) startLifetime(id string) {
 	s.Log.Info("server-lifetime", "server", id, "before", s.id)
 	s.id, s.sequence, s.born = id, 0, time.Time{}
-	s.checkedIn, s.draining, s.left, s.unhealthy = false, false, false, false
+	s.checkedIn, s.draining, s.left, s.unhealthy, s.polled = false, false, false, false, false
 	s.coldUntil, s.warmProvenAt = time.Time{}, time.Time{}
 	s.release = ""
 }
@@ -149,7 +152,7 @@
 func (s *Server) Restore(id string, born time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.id != "" && s.id != id || s.checkedIn && !s.born.Equal(born) {
+	if s.id != "" && s.id != id || s.checkedIn && s.born.After(born) {
 		return
 	}
 	if s.id == "" {
@@ -199,7 +202,7 @@
 	if s.unhealthy == h.Healthy {
 		s.Log.Info("server-health-changed", "server", s.id, "healthy", h.Healthy)
 	}
-	s.unhealthy = !h.Healthy
+	s.unhealthy, s.polled = !h.Healthy, true
 	if h.ColdFor > 0 {
 		s.markCold(polledAt.Add(h.ColdFor), "health")
 		return
@@ -277,7 +280,8 @@
 }
 
 // Refusing returns the reason why the server gets no new work, or nil. An unhealthy response counts only until the first
-// check-in of the lifetime: the endpoint can misreport, but a daemon that has just started knows nothing else.
+// check-in of the lifetime: the endpoint can misreport, but a daemon that has just started knows nothing else. While a departure may be
+// unknown, the check-in may be from before it, and counts only together with a healthy response.
 func (s *Server) Refusing() *code.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -290,6 +294,10 @@
 		return code.NotRunf(code.ServerLeaving, "server %s is draining", s.id)
 	case s.unhealthy && !s.checkedIn:
 		return code.NotRunf(code.ServerLeaving, "server %s is not healthy and has not checked in", s.id)
+	case s.unhealthy && !s.awaiting.IsZero():
+		return code.NotRunf(code.ServerLeaving, "server %s is not healthy, and may have left before the daemon's start", s.id)
+	case !s.polled && !s.awaiting.IsZero():
+		return code.NotRunf(code.NoServer, "server %s may have left before the daemon's start", s.id)
 	}
 	return nil
 }
--- a/internal/admit/status/status_test.go
+++ b/internal/admit/status/status_test.go
@@ -31,6 +31,10 @@
 					s.Leave(d.CmdArgs[0].Key)
 				case "restore":
 					s.Restore(text(t, d, "id"), start.Add(duration(t, d, "born")))
+				case "await-history":
+					s.AwaitHistory()
+				case "history-known":
+					s.HistoryKnown()
 				case "health":
 					h := Health{ID: text(t, d, "id"), Healthy: !d.HasArg("bad"), ColdFor: duration(t, d, "cold")}
 					s.SetHealth(h, time.Now())
