fleet: an acknowledged departure outlives its process also while the store is away

What callers saw: a server told its daemon that it leaves while the platform's store was away.

Cause: the departure was in the memory of one process only. The store did not answer within 300 ms, the next process could not read its row, no other daemon knew of the departure apart from the member state, which ends with the incarnation, and a check-in sent before the departure arrived late.

Now the daemon hands the departure (server, start of its lifetime, address of the daemon) to peers while it writes its row, and acknowledges it when the row is written, or when the store has failed or been silent and two peers say that they keep it. It looks for peers for 800 ms at most; servers wait 1 s. Every daemon keeps the departures of the last 20 min in memory and forwards news of them. A new process asks with each exchange until enough peers have told; it restores what they tell of its own server and writes it into its row when the store answers. Until the row or the peers are known, admit/status takes no server into service on the word of a check-in alone. A peer that has just started itself says so and does not count; after a start of the whole fleet nobody remembers, and the first healthy responses put servers into service. Older builds skip the new fields of the exchange, and do not count as keepers or as answers.

Why it works: the departure is with two other processes before the server has the acknowledgement, and each new process hears of it with its first exchange, before an earlier check-in can count. It names a lifetime, and a later one is not bound.

--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -83,7 +83,7 @@
 	if !settings.Hosted {
 		return nil
 	}
-	return &status.Server{
+	state := &status.Server{
 		Service: settings.Service,
 		ColdRate: func() float64 {
 			if service := serviceConfig(holder, settings.Service); service != nil {
@@ -93,6 +93,8 @@
 		},
 		Log: log,
 	}
+	state.AwaitHistory()
+	return state
 }
 
 func serviceConfig(holder *config.Holder, service string) *config.Service {
--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -189,6 +189,9 @@
 	}
 	if parts.Status != nil {
 		w.OnDepartureRestored = func(d watch.Departure) { parts.Status.Restore(d.Server, d.Born) }
+		w.OnHistoryKnown = parts.Status.HistoryKnown
+		parts.Node.OnDeparture = w.RecallDeparture
+		parts.Node.OnRecalled = parts.Status.HistoryKnown
 	}
 	return w
 }
--- a/internal/fleet/gossip/dump.go
+++ b/internal/fleet/gossip/dump.go
@@ -21,6 +21,7 @@
 	LogChanges    int
 	LogBytes      int
 	PendingRumors int
+	Departures    int // acknowledged by the daemons, kept for their next processes
 	Counters      CounterDump
 }
 
@@ -51,6 +52,7 @@
 		SeenRevision:  seenRevision,
 		SeenAge:       seenAge,
 		PendingRumors: n.rumors.len(),
+		Departures:    n.departures.Len(),
 		Counters:      n.Counts(),
 	}
 	select {
--- a/internal/fleet/gossip/exchange.go
+++ b/internal/fleet/gossip/exchange.go
@@ -29,6 +29,8 @@
 		From:    n.Table.Self(),
 		Seen:    proto.HeadSeen{Revision: revision, Age: age},
 		InForce: n.Holder.Revision(),
+
+		WantDepartures: n.recalls(),
 	}
 }
 
@@ -81,6 +83,7 @@
 	n.apply(message.Members)
 	n.mergeHeadSeen(message.Seen)
 	n.mergeRevisions(message)
+	n.mergeDepartures(message)
 }
 
 // followUp returns the next message to the peer, or nil when neither side needs anything more. progress reports whether the
--- a/internal/fleet/gossip/node.go
+++ b/internal/fleet/gossip/node.go
@@ -49,6 +49,9 @@
 	Seeds  []netip.AddrPort                        // contacted at the start and by some of the periodic exchanges
 	Log    logr.Logger
 
+	OnDeparture func(d member.Departure) // called when a peer tells a departure of this daemon's server; may be nil
+	OnRecalled  func()                   // called when enough peers have told the departures that they know; may be nil
+
 	Interval      time.Duration // DefaultInterval when 0
 	Timeout       time.Duration // DefaultTimeout when 0
 	IsolatedAfter time.Duration // DefaultIsolatedAfter when 0
@@ -59,6 +62,8 @@
 	seen          headSeen
 	lastContact   lastContact
 	rumors        rumors
+	departures    member.Departures
+	recall        recall
 	failureChecks failureChecks
 	discarded     discardedMembers
 	counters      counters
@@ -106,6 +111,7 @@
 	group.Go(func() error { return n.eagerLoop(ctx) })
 	group.Go(func() error { return n.joinLoop(ctx) })
 	group.Go(func() error { return n.silenceLoop(ctx) })
+	group.Go(func() error { return n.recallLoop(ctx) })
 	return group.Wait()
 }
 
--- a/internal/fleet/gossip/rumor.go
+++ b/internal/fleet/gossip/rumor.go
@@ -32,6 +32,7 @@
 type rumors struct {
 	mu      sync.Mutex
 	pending map[netip.AddrPort]*rumor
+	left    map[netip.AddrPort]*departureRumor // departures, by daemon
 	wake    chan struct{}
 }
 
@@ -40,6 +41,11 @@
 	roundsLeft int // at least 1 while queued
 }
 
+type departureRumor struct {
+	departure  member.Departure
+	roundsLeft int // at least 1 while queued
+}
+
 func (q *rumors) add(r member.Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -53,6 +59,19 @@
 	q.signal()
 }
 
+func (q *rumors) addDeparture(d member.Departure) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.left == nil {
+		q.left = make(map[netip.AddrPort]*departureRumor)
+	}
+	if len(q.left) >= maxRumors && q.left[d.Daemon] == nil {
+		return
+	}
+	q.left[d.Daemon] = &departureRumor{departure: d, roundsLeft: eagerRounds}
+	q.signal()
+}
+
 func (q *rumors) signal() {
 	select {
 	case q.wake <- struct{}{}:
@@ -78,10 +97,28 @@
 	return records
 }
 
+// takeDepartures is take for departures.
+func (q *rumors) takeDepartures() []member.Departure {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var departures []member.Departure
+	for daemon, rumor := range q.left {
+		if len(departures) == maxBatch {
+			break
+		}
+		departures = append(departures, rumor.departure)
+		rumor.roundsLeft--
+		if rumor.roundsLeft == 0 {
+			delete(q.left, daemon)
+		}
+	}
+	return departures
+}
+
 func (q *rumors) len() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.pending)
+	return len(q.pending) + len(q.left)
 }
 
 // eagerLoop makes the eager exchanges. A new update starts a round after batchDelay; repeated rounds wait for roundDelay.
@@ -117,8 +154,8 @@
 }
 
 func (n *Node) eagerRound(ctx context.Context, exchanges *sync.WaitGroup) {
-	records := n.rumors.take()
-	if !n.revisions.takeRound() && len(records) == 0 {
+	records, departures := n.rumors.take(), n.rumors.takeDepartures()
+	if !n.revisions.takeRound() && len(records) == 0 && len(departures) == 0 {
 		return
 	}
 	for _, peer := range n.eagerPeers() {
@@ -126,7 +163,7 @@
 			return
 		}
 		n.counters.eager.Add(1)
-		exchanges.Go(func() { _ = n.sendRecordsOrCheck(ctx, peer.Address, records) })
+		exchanges.Go(func() { _ = n.sendNewsOrCheck(ctx, peer.Address, records, departures) })
 	}
 }
 
@@ -141,10 +178,10 @@
 	return peers
 }
 
-func (n *Node) sendRecordsOrCheck(ctx context.Context, to netip.AddrPort, records []member.Record) error {
+func (n *Node) sendNewsOrCheck(ctx context.Context, to netip.AddrPort, records []member.Record, departures []member.Departure) error {
 	start := time.Now()
 	request := n.newExchange()
-	request.Members = records
+	request.Members, request.Departures = records, departures
 	err := n.synchronize(ctx, to, request)
 	if err != nil {
 		n.checkFailure(ctx, to, start)
@@ -191,7 +228,7 @@
 		var answers atomic.Int64
 		for _, peer := range peers {
 			sends.Go(func() {
-				if n.sendRecordsOrCheck(ctx, peer.Address, []member.Record{n.Table.Self()}) == nil {
+				if n.sendNewsOrCheck(ctx, peer.Address, []member.Record{n.Table.Self()}, nil) == nil {
 					answers.Add(1)
 				}
 			})
--- a/internal/fleet/gossip/serve.go
+++ b/internal/fleet/gossip/serve.go
@@ -39,6 +39,7 @@
 	if request.WantSince {
 		n.revisions.addMissing(reply, request)
 	}
+	n.answerDepartures(reply, request)
 	n.revisions.addRequest(reply, request.InForce)
 	if request.IndirectTarget.IsValid() {
 		reply.TargetIncarnation, reply.TargetReached = n.tryMember(ctx, request.IndirectTarget)
--- a/internal/fleet/watch/departure.go
+++ b/internal/fleet/watch/departure.go
@@ -92,9 +92,15 @@
 	known := w.departures.rowRead
 	w.departures.rowRead = true
 	if !known {
-		w.departures.current, w.departures.persisted = d, d
+		w.departures.persisted = d
+	}
+	recalled := w.departures.current // from peers
+	known = known || recalled == d || recalled.follows(d)
+	if !known {
+		w.departures.current = d
 	}
 	w.departures.mu.Unlock()
+	defer w.markHistoryKnown()
 	if known || d.Server == "" || w.OnDepartureRestored == nil {
 		return
 	}
--- a/internal/fleet/watch/departure_test.go
+++ b/internal/fleet/watch/departure_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,22 +58,29 @@
 func TestDepartureInOutageSurvivesRestart(t *testing.T) {
 	datadriven.RunTest(t, "testdata/departures", func(t *testing.T, d *datadriven.TestData) string {
 		text := "not restored\n"
+		var restored atomic.Pointer[string] // nil unless a daemon has restored a departure
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newFleet(1)
 			f.platform.change()
-			f.onDepartureRestored = func(i int, d Departure) { text = fmt.Sprintf("daemon %d restored %s\n", i, d.Server) }
+			f.onDepartureRestored = func(i int, d Departure) {
+				text := fmt.Sprintf("daemon %d restored %s\n", i, d.Server)
+				restored.Store(&text)
+			}
 			f.startAll(t, 5, true)
 			time.Sleep(10 * time.Second)
 			for step := range strings.SplitSeq(strings.TrimSpace(d.Input), "\n") {
-				runDepartureStep(g, f, step)
+				runDepartureStep(g, f, step, &restored)
+			}
+			if last := restored.Load(); last != nil {
+				text = *last
 			}
 		})
 		return text
 	})
 }
 
-func runDepartureStep(g *WithT, f *fleet, step string) {
+func runDepartureStep(g *WithT, f *fleet, step string, restored *atomic.Pointer[string]) {
 	const daemon = 3
 	switch name, argument, _ := strings.Cut(step, " "); name {
 	case "down":
@@ -82,6 +90,8 @@
 	case "leave":
 		err := f.get(daemon).watch.PersistDeparture(context.Background(), Departure{Server: argument})
 		g.Expect(err).To(HaveOccurred())
+	case "acknowledge":
+		g.Expect(f.get(daemon).watch.KeepDeparture(context.Background(), Departure{Server: argument})).To(Succeed())
 	case "wait":
 		d, err := time.ParseDuration(argument)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -92,6 +102,22 @@
 		f.kill(daemon)
 		f.start(daemon)
 		time.Sleep(10 * time.Second)
+	case "restart-all":
+		for i := range 5 {
+			f.kill(i)
+		}
+		for i := range 5 {
+			f.start(i)
+		}
+		time.Sleep(10 * time.Second)
+	case "restart-others":
+		for i := range daemon {
+			f.kill(i)
+			f.start(i)
+			time.Sleep(2 * time.Second)
+		}
+	case "forget":
+		restored.Store(nil)
 	default:
 		g.Expect(step).To(BeEmpty(), "unknown step")
 	}
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -107,6 +107,7 @@
 	}
 	if f.onDepartureRestored != nil {
 		d.watch.OnDepartureRestored = func(left Departure) { f.onDepartureRestored(i, left) }
+		d.node.OnDeparture = d.watch.RecallDeparture
 	}
 	if f.source != nil {
 		d.watch.Source = &sourceReader{source: f.source, fleet: f, self: self.Address}
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -59,9 +59,11 @@
 	Source Source // followed instead of polling the head; may be nil
 	Log    logr.Logger
 
-	// OnDepartureRestored is called at most once, with the departure that an earlier daemon at this address acknowledged. It may be
-	// nil; the first announcement then does not wait for the row of the earlier daemon.
+	// OnDepartureRestored is called with the departure that an earlier daemon at this address acknowledged, again if peers or the row
+	// then tell one of a later lifetime. It may be nil; the first announcement then does not wait for the row of the earlier daemon.
 	OnDepartureRestored func(d Departure)
+	// OnHistoryKnown is called when the row of the earlier daemon has been read or does not exist; may be nil.
+	OnHistoryKnown func()
 
 	StartSpread time.Duration    // DefaultStartSpread when 0
 	PeersFirst  time.Duration    // DefaultPeersFirst when 0
@@ -69,12 +71,14 @@
 	Now         func() time.Time // wall clock of the instance; time.Now when nil
 	FirstStart  bool             // the fleet starts for the first time: the followers alone look for a configuration
 
+	initOnce        sync.Once
 	announced       chan struct{} // closed after the first attempt to announce
 	announcedOnce   sync.Once
 	ready           chan struct{} // closed when the members are known
 	readyOnce       sync.Once
 	roles           roles
 	departures      departures
+	handovers       handovers
 	firstRead       chan struct{} // closed after the first attempt to read a page of members or when a peer has sent them
 	firstReadOnce   sync.Once
 	platform        platformState
@@ -105,6 +109,10 @@
 }
 
 func (w *Watch) init() {
+	w.initOnce.Do(w.setUp)
+}
+
+func (w *Watch) setUp() {
 	w.announced = make(chan struct{})
 	w.ready = make(chan struct{})
 	w.firstRead = make(chan struct{})
--- a/internal/wire/proto/codec.go
+++ b/internal/wire/proto/codec.go
@@ -26,6 +26,7 @@
 	maxHeldDigests = 2 * files.MaxFiles // of the files of a folder, and of those received of the next one
 	maxChanges     = 4096
 	maxFiles       = 4096
+	MaxDepartures  = 256 // Exchange.Departures
 )
 
 // Ping checks a connection; the reply has the same type.
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -164,6 +164,14 @@
 		Changes:           rapid.Map(rapid.SliceOfN(changes, 0, 4), nilIfEmpty[files.Change]).Draw(t, "changes"),
 		Since:             rapid.Uint64().Draw(t, "since"), WantSince: rapid.Bool().Draw(t, "want"), More: rapid.Bool().Draw(t, "more"),
 	}
+	for range rapid.IntRange(0, 3).Draw(t, "departures") {
+		m.Departures = append(m.Departures, member.Departure{
+			Daemon: addresses.Draw(t, "daemon"), Server: texts.Draw(t, "server"), Age: durations.Draw(t, "departure-age"),
+			Born: time.UnixMilli(rapid.Int64Range(1, 1<<43).Draw(t, "born")),
+		})
+	}
+	m.WantDepartures, m.KeptDepartures = rapid.Bool().Draw(t, "want-departures"), rapid.Bool().Draw(t, "kept-departures")
+	m.AllDepartures = rapid.Bool().Draw(t, "all-departures")
 	if rapid.Bool().Draw(t, "has-snapshot") {
 		m.Snapshot = &files.Set{Revision: rapid.Uint64().Draw(t, "revision"), Files: fileLists.Draw(t, "files")}
 	}
--- a/internal/wire/proto/fleet.go
+++ b/internal/wire/proto/fleet.go
@@ -168,9 +168,10 @@
 }
 
 func appendExchange(buf []byte, m *Exchange) ([]byte, error) {
-	if len(m.Digests) > maxDigests || len(m.Members) > maxMembers || len(m.Changes) > maxChanges || len(m.Held) > maxHeldDigests {
-		return nil, code.Unknownf(code.BodyTooLarge, "exchange with %d digests, %d members, %d changes and %d files held",
-			len(m.Digests), len(m.Members), len(m.Changes), len(m.Held))
+	if len(m.Digests) > maxDigests || len(m.Members) > maxMembers || len(m.Changes) > maxChanges || len(m.Held) > maxHeldDigests ||
+		len(m.Departures) > MaxDepartures {
+		return nil, code.Unknownf(code.BodyTooLarge, "exchange with %d digests, %d members, %d changes, %d files held and %d departures",
+			len(m.Digests), len(m.Members), len(m.Changes), len(m.Held), len(m.Departures))
 	}
 	buf = putNested(buf, 1, &m.From, appendRecord)
 	buf = putNested(buf, 2, &m.Seen, appendSeen)
@@ -195,7 +196,8 @@
 	buf = putDigests(buf, 13, m.Held)
 	buf = putAddress(buf, 14, m.IndirectTarget)
 	buf = putBool(buf, 15, m.TargetReached)
-	return putUint(buf, 16, uint64(m.TargetIncarnation)), nil
+	buf = putUint(buf, 16, uint64(m.TargetIncarnation))
+	return appendDepartures(buf, m), nil
 }
 
 func readExchange(r *reader, m *Exchange) {
@@ -228,8 +230,10 @@
 		m.AcceptsParts = r.boolean()
 	case 13:
 		m.Held = r.digests(maxHeldDigests)
-	default:
+	case 14, 15, 16:
 		readIndirect(r, m)
+	default:
+		readDepartures(r, m)
 	}
 }
 
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -200,6 +200,11 @@
 	TargetReached  bool           // in the reply: the member at IndirectTarget answered
 	// TargetIncarnation is that of the member that answered at IndirectTarget; 0 in the replies of earlier versions.
 	TargetIncarnation ident.Incarnation
+	// Departures are those that the receiver shall keep. Daemons of earlier versions skip this field and those below.
+	Departures     []member.Departure
+	WantDepartures bool // in a request: the sender is a new process that asks for the departures known
+	KeptDepartures bool // in the reply: the receiver keeps the departures of the request
+	AllDepartures  bool // in the reply to WantDepartures: the sender has learned the departures from before its own start
 }
 
 // FolderPart is a part of the configuration folder, so that a large folder takes a slow link only for a short time at once.
