cli/daemon: a departure that nothing keeps is not acknowledged

It now honors the departure and answers 503 within a second; the server tells it again, or ends without an acknowledgement. An acknowledgement always outlives its process.

--- a/internal/cli/daemon/checkin.go
+++ b/internal/cli/daemon/checkin.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 
 	"marigoldwinch.example/marigoldwinch/internal/admit/status"
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
 )
 
@@ -22,23 +23,27 @@
 		return err
 	}
 	if c.Draining {
-		h.persist()
+		return h.persist()
 	}
 	return nil
 }
 
-func (h *checkInHandler) leave(id string) {
+func (h *checkInHandler) leave(id string) error {
 	h.Status.Leave(id)
-	h.persist()
+	return h.persist()
 }
 
-// persist acknowledges the departure all the same when neither the store nor a peer can keep it: this process honors it anyway.
-func (h *checkInHandler) persist() {
+// persist returns an error when neither the store nor a peer can keep the departure. This process honors it anyway; the server tells it
+// again, or ends without an acknowledgement.
+func (h *checkInHandler) persist() error {
 	id, born, departing := h.Status.Departure()
 	if !departing {
-		return
+		return nil
 	}
-	if err := h.Watch.KeepDeparture(context.Background(), watch.Departure{Server: id, Born: born}); err != nil {
+	err := h.Watch.KeepDeparture(context.Background(), watch.Departure{Server: id, Born: born})
+	if err != nil {
 		h.Log.Info("departure-not-kept", "server", id, "cause", err.Error())
+		return code.NotRunf(code.PlatformUnavailable, "the departure of %s cannot be kept", id)
 	}
+	return nil
 }
--- a/internal/fleet/watch/departure_test.go
+++ b/internal/fleet/watch/departure_test.go
@@ -92,6 +92,14 @@
 		g.Expect(err).To(HaveOccurred())
 	case "acknowledge":
 		g.Expect(f.get(daemon).watch.KeepDeparture(context.Background(), Departure{Server: argument})).To(Succeed())
+	case "refuse":
+		start := time.Now()
+		g.Expect(f.get(daemon).watch.KeepDeparture(context.Background(), Departure{Server: argument})).NotTo(Succeed())
+		g.Expect(time.Since(start)).To(BeNumerically("<", time.Second), "the server waits 1 s")
+	case "cut":
+		f.split(func(i int) bool { return i == daemon })
+	case "heal":
+		f.split(nil)
 	case "wait":
 		d, err := time.ParseDuration(argument)
 		g.Expect(err).NotTo(HaveOccurred())
