--- a/internal/cli/daemon/checkin.go
+++ b/internal/cli/daemon/checkin.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-logr/logr"
 
 	"marigoldwinch.example/marigoldwinch/internal/admit/status"
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/watch"
 )
 
-// persistTimeout bounds how long the acknowledgement of a departure waits for the store. Servers wait 1 s for it.
-const persistTimeout = 300 * time.Millisecond
-
-// checkInHandler handles the check-ins of the daemon's own server. It persists a departure before it acknowledges it, because the
-// next process of this daemon must honor the acknowledgement too.
+// checkInHandler handles the check-ins of the daemon's own server. It keeps a departure before it acknowledges it, because the next
+// process of this daemon must honor the acknowledgement too.
 type checkInHandler struct {
 	Status *status.Server
 	Watch  *watch.Watch
@@ -26,26 +23,27 @@
 		return err
 	}
 	if c.Draining {
-		h.persist()
+		return h.persist()
 	}
 	return nil
 }
 
-func (h *checkInHandler) leave(id string) {
+func (h *checkInHandler) leave(id string) error {
 	h.Status.Leave(id)
-	h.persist()
+	return h.persist()
 }
 
-// persist ignores a store that does not answer within persistTimeout: the departure is acknowledged all the same, because this
-// process honors it anyway.
-func (h *checkInHandler) persist() {
+// persist returns an error when neither the store nor a peer can keep the departure. This process honors it anyway; the server tells it
+// again, or ends without an acknowledgement.
+func (h *checkInHandler) persist() error {
 	id, born, departing := h.Status.Departure()
 	if !departing {
-		return
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), persistTimeout)
-	defer cancel()
-	if err := h.Watch.PersistDeparture(ctx, watch.Departure{Server: id, Born: born}); err != nil {
+	err := h.Watch.KeepDeparture(context.Background(), watch.Departure{Server: id, Born: born})
+	if err != nil {
 		h.Log.Info("departure-not-kept", "server", id, "cause", err.Error())
+		return code.NotRunf(code.PlatformUnavailable, "the departure of %s cannot be kept", id)
 	}
+	return nil
 }
--- a/internal/fleet/watch/departure_test.go
+++ b/internal/fleet/watch/departure_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,15 +63,22 @@
 func TestDepartureInOutageSurvivesRestart(t *testing.T) {
 	datadriven.RunTest(t, "testdata/departures", func(t *testing.T, d *datadriven.TestData) string {
 		text := "not restored\n"
+		var restored atomic.Pointer[string] // nil unless a daemon has restored a departure
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newFleet(1)
 			f.platform.change()
-			f.onDepartureRestored = func(i int, d Departure) { text = fmt.Sprintf("daemon %d restored %s\n", i, d.Server) }
+			f.onDepartureRestored = func(i int, d Departure) {
+				text := fmt.Sprintf("daemon %d restored %s\n", i, d.Server)
+				restored.Store(&text)
+			}
 			f.startAll(t, 5, true)
 			time.Sleep(10 * time.Second)
 			for step := range strings.SplitSeq(strings.TrimSpace(d.Input), "\n") {
-				runDepartureStep(g, f, step)
+				runDepartureStep(g, f, step, &restored)
+			}
+			if last := restored.Load(); last != nil {
+				text = *last
 			}
 			if _, found := f.platform.row(3); !found {
 				text += "no row\n"
@@ -80,7 +88,7 @@
 	})
 }
 
-func runDepartureStep(g *WithT, f *fleet, step string) {
+func runDepartureStep(g *WithT, f *fleet, step string, restored *atomic.Pointer[string]) {
 	const daemon = 3
 	switch name, argument, _ := strings.Cut(step, " "); name {
 	case "down":
@@ -101,6 +109,16 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(f.get(0).node.AcceptSet(files.Set{Revision: epoch.Revision(era, 1)})).To(Succeed())
 		time.Sleep(DefaultStartSpread + time.Second)
+	case "acknowledge":
+		g.Expect(f.get(daemon).watch.KeepDeparture(context.Background(), Departure{Server: argument})).To(Succeed())
+	case "refuse":
+		start := time.Now()
+		g.Expect(f.get(daemon).watch.KeepDeparture(context.Background(), Departure{Server: argument})).NotTo(Succeed())
+		g.Expect(time.Since(start)).To(BeNumerically("<", time.Second), "the server waits 1 s")
+	case "cut":
+		f.split(func(i int) bool { return i == daemon })
+	case "heal":
+		f.split(nil)
 	case "wait":
 		d, err := time.ParseDuration(argument)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -111,6 +129,22 @@
 		f.kill(daemon)
 		f.start(daemon)
 		time.Sleep(10 * time.Second)
+	case "restart-all":
+		for i := range 5 {
+			f.kill(i)
+		}
+		for i := range 5 {
+			f.start(i)
+		}
+		time.Sleep(10 * time.Second)
+	case "restart-others":
+		for i := range daemon {
+			f.kill(i)
+			f.start(i)
+			time.Sleep(2 * time.Second)
+		}
+	case "forget":
+		restored.Store(nil)
 	default:
 		g.Expect(step).To(BeEmpty(), "unknown step")
 	}
