--- a/internal/bench/proc/fleet.go
+++ b/internal/bench/proc/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net/netip"
@@ -32,7 +33,7 @@
 const (
 	readyInterval    = 50 * time.Millisecond
 	maxReadyInterval = time.Second
-	stopGrace        = time.Second
+	defaultStopGrace = time.Second
 	firstConfigFile  = "10-services.ini"
 	tailLines        = 40
 )
@@ -68,8 +69,10 @@
 	ServiceTime   time.Duration     // mean service time of the servers; unused with Serve
 	Serve         func(*Node) error // runs the server of a node; nil to start a process for each
 	LogLevel      string
-	LoadQueries   bool // routers ask for load in datagrams; otherwise they probe
-	Relays        bool // put a relay in front of each daemon and of each server
+	LoadQueries   bool          // routers ask for load in datagrams; otherwise they probe
+	Relays        bool          // put a relay in front of each daemon and of each server
+	StopGrace     time.Duration // of the daemons at a planned stop; 1 s when 0
+	KillAfter     time.Duration // from SIGTERM until a daemon is killed, as it is told; not known when 0
 
 	Nodes           []*Node
 	Platform        *Process
@@ -154,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	node.Daemon = f.process(name, "daemon", "--settings", settings)
+	node.Daemon = f.process(name, "daemon", "--settings", settings, "--kill-after", f.KillAfter.String())
 	f.Nodes = append(f.Nodes, node)
 	if f.Serve != nil {
 		return node, f.Serve(node)
@@ -182,7 +185,7 @@
 	text := fmt.Sprintf("[daemon]\nservice = %s\nzone = %s\n"+
 		"[server]\naddress = %s\n[platform]\ntable = %s\nobjects = %s\n[stop]\ngrace = %s\ntimeout = %s\n"+
 		"[listen]\ncallers = %s\ndaemons = %s\nadmin = %s\n",
-		node.Service, node.Zone, server, f.PlatformRelay.Listen, f.PlatformRelay.Listen, stopGrace, StopTimeout,
+		node.Service, node.Zone, server, f.PlatformRelay.Listen, f.PlatformRelay.Listen, cmp.Or(f.StopGrace, defaultStopGrace), StopTimeout,
 		node.Callers, node.Daemons, node.Admin)
 	if node.DaemonRelay != nil {
 		text += "daemons-at = " + node.DaemonRelay.Target.String() + "\n"
--- a/internal/bench/proc/relay.go
+++ b/internal/bench/proc/relay.go
@@ -29,7 +29,9 @@
 	Target netip.AddrPort
 
 	silent [directionCount]atomic.Bool
-	delay  atomic.Int64 // time.Duration, applied to each chunk of data
+	delay  [directionCount]atomic.Int64 // time.Duration, applied to each chunk of data
+	rate   atomic.Int64                 // bytes per second in each direction, shared by all connections; unlimited when 0
+	link   [directionCount]sync.Mutex   // held while data crosses a link of limited rate
 
 	mu       sync.Mutex // guards the fields below
 	listener net.Listener
@@ -53,17 +55,38 @@
 // Silence starts or stops dropping all data in the given directions, by default both, while connections stay open. A
 // connection that lost data forwards nothing for the rest of its life, as after a firewall on the path lost its state.
 func (r *Relay) Silence(silent bool, directions ...Direction) {
-	if len(directions) == 0 {
-		directions = []Direction{ToTarget, FromTarget}
-	}
-	for _, direction := range directions {
+	for _, direction := range orBoth(directions) {
 		r.silent[direction].Store(silent)
 	}
 }
 
-// Delay delays every chunk of data.
-func (r *Relay) Delay(delay time.Duration) {
-	r.delay.Store(int64(delay))
+// Delay delays every chunk of data in the given directions, by default both.
+func (r *Relay) Delay(delay time.Duration, directions ...Direction) {
+	for _, direction := range orBoth(directions) {
+		r.delay[direction].Store(int64(delay))
+	}
+}
+
+func orBoth(directions []Direction) []Direction {
+	if len(directions) == 0 {
+		return []Direction{ToTarget, FromTarget}
+	}
+	return directions
+}
+
+// Limit limits the bytes per second in each direction, over all connections; 0 ends the limit.
+func (r *Relay) Limit(rate int64) {
+	r.rate.Store(rate)
+}
+
+// cross takes the time that a number of bytes needs on the link.
+func (r *Relay) cross(direction Direction, size int) {
+	if rate := r.rate.Load(); rate > 0 {
+		r.link[direction].Lock()
+		time.Sleep(time.Duration(size) * time.Second / time.Duration(rate))
+		r.link[direction].Unlock()
+	}
+	time.Sleep(time.Duration(r.delay[direction].Load()))
 }
 
 // Reset closes every connection with a TCP reset. New connections are still accepted.
@@ -152,7 +175,7 @@
 		if stalled.Load() {
 			continue
 		}
-		time.Sleep(time.Duration(r.delay.Load()))
+		r.cross(direction, read)
 		if _, err := to.Write(buffer[:read]); err != nil {
 			return
 		}
