quota/permit: a planned stop does not wait for pings in progress

A daemon that grants permits pings others, 0.5 s at the most. At a stop it waited for the replies, with silent peers the whole time, after the drain had used up all of its own: with a request that lasts until the end of the drain (0.8 s before the kill), 0.3 s for the last responses of each side and 0.5 s for pings outlive the grace. Nobody needs these replies any more. Now Run returns at once, and a ping in progress ends within its own limit.

--- a/internal/quota/permit/agent_test.go
+++ b/internal/quota/permit/agent_test.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -86,6 +87,26 @@
 	})
 }
 
+// Guards against a planned stop that waits for the replies of daemons which are silent.
+func TestTheStopWaitsForNoPing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(t, 1, 3, organisation("kiosk", 50))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.daemons[0].agent.Run(ctx) }()
+		f.send("kiosk", 3*time.Second, constant(50), f.anywhere)
+		f.daemons[1].kill(true)
+		f.daemons[2].kill(true)
+		f.send("kiosk", pingTimeout, constant(50), func() *process { return f.daemons[0] })
+		f.daemons[0].kill(true) // so that Run alone ticks its agent
+		cancel()
+		began := time.Now()
+		g.Expect(<-done).To(Succeed())
+		g.Expect(time.Since(began)).To(BeNumerically("<", tickInterval))
+	})
+}
+
 // Guards against more requests than the bound in any window while daemons are cut off, paused, killed, restarted and lose their owner.
 func TestTheBoundHoldsThroughFaults(t *testing.T) {
 	for seed := range uint64(4) {
--- a/internal/quota/permit/ping.go
+++ b/internal/quota/permit/ping.go
@@ -34,7 +34,6 @@
 	grantedAt time.Time
 	sentAt    time.Time
 	watched   map[netip.AddrPort]time.Time // when each was watched last
-	running   sync.WaitGroup
 }
 
 // granted records that this daemon grants permits, so that it must know which part of the fleet it reaches.
@@ -75,7 +74,7 @@
 	return watched, sample
 }
 
-// Run ticks until ctx ends.
+// Run ticks until ctx ends. Pings in progress end by themselves, within pingTimeout.
 func (a *Agent) Run(ctx context.Context) error {
 	a.Config.Subscribe(a.applyCaps)
 	for {
@@ -85,11 +84,9 @@
 			a.Tick(time.Now())
 		}
 		if !clock.Sleep(ctx, interval) {
-			break
+			return nil
 		}
 	}
-	a.pings.running.Wait()
-	return nil
 }
 
 // applyCaps puts the caps of a new revision in force for the organisations for which this daemon grants permits.
@@ -150,14 +147,14 @@
 }
 
 func (a *Agent) startPing(daemon netip.AddrPort, sample bool) {
-	a.pings.running.Go(func() {
+	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		defer cancel()
 		state := a.ping(ctx, daemon)
 		if sample {
 			a.reach.Sample(time.Now(), state)
 		}
-	})
+	}()
 }
 
 // ping checks whether a daemon replies until ctx ends.
