roll/coord: write a phase again that the table has lost

After the store had come back from an older copy, the rows of a roll-out (rollout/SERVICE and, on a hosted platform, the status that operators read) stayed as in the copy: absent or behind until the next phase, and for good when the final phase was lost.

A coordinator that knew the phase to be stored only read the row, and a finished session never looked at it again.

The poll of the active coordinator now goes through the write that reads first and writes only what the row lacks. Each configuration wakes the coordinators; when it tells a new era, the first two daemons of the succession do the same for a final phase. The row still only moves forward, conditional on its version.

TestLostPhaseIsWrittenAgain failed before (no row).

--- a/internal/roll/coord/coord.go
+++ b/internal/roll/coord/coord.go
@@ -13,6 +13,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/plat/epoch"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 	"marigoldwinch.example/marigoldwinch/internal/roll/agent"
 	"marigoldwinch.example/marigoldwinch/internal/roll/phase"
@@ -42,6 +43,8 @@
 	announceLead = 750 * time.Millisecond
 	// finalRounds is how long a final phase is told to daemons that have not confirmed it. Later ones read the row.
 	finalRounds = 30 * time.Second
+	// restorers is the number of daemons of a service that write a final phase again after the table has come back from an older copy.
+	restorers = 2
 )
 
 // StatusRow returns the row in which operators of a hosted platform read the state of a roll-out.
@@ -112,7 +115,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.session
-	return s != nil && s.is(view.Ordered) && s.done && s.withdrawn == view.Withdrawn
+	return s != nil && s.is(view.Ordered) && s.done && s.withdrawn == view.Withdrawn && !s.restores()
+}
+
+// era returns the era of the table that the configuration in force tells. Run is woken by each configuration.
+func (c *Coordinator) era() uint64 {
+	return epoch.Era(c.Agent.Config.Revision())
 }
 
 // end drops what is no longer needed. The session of a finished order is kept, as a mark that it is finished.
@@ -142,6 +150,10 @@
 	if view, found := c.Agent.View(); !found || !s.is(view.Ordered) {
 		return
 	}
+	if s.done {
+		s.restore(ctx, view, now)
+		return
+	}
 	s.updateRole(ctx, now)
 	c.active.Store(s.coordinating)
 	if s.coordinating {
--- a/internal/roll/coord/role.go
+++ b/internal/roll/coord/role.go
@@ -114,7 +114,7 @@
 		return
 	}
 	if view.State.Known {
-		s.done = view.State.Phase.Final() && view.State.Stored
+		s.setDone(view.State.Phase.Final() && view.State.Stored)
 		if s.done {
 			return
 		}
--- a/internal/roll/coord/rollout_test.go
+++ b/internal/roll/coord/rollout_test.go
@@ -8,7 +8,9 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/plat/epoch"
 	"marigoldwinch.example/marigoldwinch/internal/plat/fake"
+	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 	"marigoldwinch.example/marigoldwinch/internal/roll/phase"
 )
 
@@ -53,6 +55,27 @@
 	f.Expect(f.afterBad.Load()).To(BeZero(), "requests later than 5 s after the 50th bad response")
 }
 
+// lose makes the table lose the row, and tells all daemons its new era.
+func (f *fleet) lose(era uint64, ordered *config.Rollout) {
+	f.Expect(f.platform.Table.Commit(f.ctx, table.Txn{Deletes: []string{rowKey}})).To(Succeed())
+	f.revision = epoch.Revision(era, 0)
+	f.configure(ordered)
+	time.Sleep(2 * storePoll)
+}
+
+// Guards against a phase that the table has lost and that nobody writes again, before and after the end of the roll-out.
+func TestLostPhaseIsWrittenAgain(t *testing.T) {
+	inFleet(t, 5, 5, func(f *fleet) {
+		f.begin(order(1))
+		time.Sleep(duration / 5)
+		f.lose(1, order(1))
+		f.Expect(f.row()).To(Equal("trial"))
+		time.Sleep(duration + finalRounds)
+		f.lose(2, order(1))
+		f.expectAll(phase.Completed)
+	})
+}
+
 // Guards against a good release that is not completed in time, and against requests that are refused or cut by the switch.
 func TestGoodReleaseIsCompleted(t *testing.T) {
 	inFleet(t, 5, 5, func(f *fleet) {
--- a/internal/roll/coord/session.go
+++ b/internal/roll/coord/session.go
@@ -23,7 +23,9 @@
 	c         *Coordinator
 	ordered   config.Rollout
 	withdrawn bool
-	done      bool // the final phase is in the table, and this daemon has nothing left to do
+	done      bool   // the final phase is in the table, and this daemon has nothing left to do
+	doneEra   uint64 // of the table when done was last true; a later one may have lost the phase
+	askedEra  uint64 // of the table at the last start of restore
 	row       *row
 
 	coordinating     bool
@@ -90,6 +92,9 @@
 	if !fresh {
 		return
 	}
+	if s.done {
+		s.doneEra = max(s.doneEra, s.askedEra)
+	}
 	switch {
 	case got.superseded:
 		s.coordinating = false
@@ -269,7 +274,7 @@
 	case plan.Phase == state.Phase:
 		s.announcedAt = time.Time{}
 		if s.row.idleFor(now, s.pollInterval()) {
-			s.row.read(ctx, s.ordered)
+			s.row.advance(ctx, s.ordered, state.Phase) // only reads, unless the table has lost the phase
 		}
 	case plan.Phase == phase.RolledBack:
 		if plan.Reason == stage.ReleaseBad {
@@ -322,5 +327,22 @@
 		e := s.daemons[s.current[r.Address]]
 		confirmed = confirmed && e != nil && e.aware && e.last.State.Known && e.last.State.Phase == view.State.Phase && e.last.State.Stored
 	}
-	s.done = confirmed || now.Sub(s.finalAt) > finalRounds
+	s.setDone(confirmed || now.Sub(s.finalAt) > finalRounds)
+}
+
+func (s *session) setDone(done bool) {
+	s.done, s.doneEra = done, s.c.era()
+}
+
+// restores reports whether this daemon is one of those that write a final phase again in an era of the table that may have lost it.
+func (s *session) restores() bool {
+	return s.done && s.doneEra < s.c.era() && s.rank() < restorers
+}
+
+// restore writes the final phase unless the table still has it.
+func (s *session) restore(ctx context.Context, view agent.View, now time.Time) {
+	if s.row.idleFor(now, storePoll) {
+		s.askedEra = s.c.era()
+		s.row.advance(ctx, s.ordered, view.State.Phase)
+	}
 }
