roll/coord: number orders within the era of the table

An order that the store lost in a drill could keep the same order, written again by the operator under a lower version, from its roll-out for good: a coordinator that had yet to learn of the drill wrote the row of the lost one, with the higher number, and the coordinators of the later one took it for a later order and stepped down.

The row now holds the era of the configuration from which its writer learned the order. The later order is that of the later era, and in one era that of the higher number. Without eras the row is as it was.

TestOrderOfALaterEraReplacesALostOne failed before (superseded). With -race, roll/coord and roll/agent pass.

--- a/internal/roll/agent/agent.go
+++ b/internal/roll/agent/agent.go
@@ -13,6 +13,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/plat/epoch"
 	"marigoldwinch.example/marigoldwinch/internal/roll/phase"
 )
 
@@ -84,7 +85,7 @@
 		held.renew(ordered.Duration)
 	default:
 		next := newOrder(a, *ordered)
-		next.inherited = first
+		next.inherited, next.era = first, epoch.Era(conf.Revision)
 		if held != nil {
 			next.banned = held.rejected(ordered.Target)
 		}
--- a/internal/roll/agent/order.go
+++ b/internal/roll/agent/order.go
@@ -26,11 +26,12 @@
 	announceFor = 2 * time.Second
 )
 
-// order is the state of one order. mu guards all fields but the first three.
+// order is the state of one order. mu guards all fields but the first four.
 type order struct {
 	agent     *Agent
 	seen      time.Time // when this process learned of the order
 	inherited bool      // the first configuration of this process had the order
+	era       uint64    // of the configuration that this process learned the order from
 
 	mu        sync.Mutex
 	ordered   config.Rollout
--- a/internal/roll/agent/view.go
+++ b/internal/roll/agent/view.go
@@ -12,6 +12,7 @@
 // View is what the coordinator part of the same daemon needs of an order.
 type View struct {
 	Ordered   config.Rollout
+	Era       uint64 // of the configuration that this process learned the order from
 	State     proto.RolloutState
 	Withdrawn bool
 	LeasedAt  time.Time      // last round that extended the leases
@@ -31,7 +32,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return View{
-		Ordered: o.ordered, State: o.state(time.Now()), Withdrawn: o.withdrawn, LeasedAt: o.heard.leased, Seen: o.seen,
+		Ordered: o.ordered, Era: o.era, State: o.state(time.Now()), Withdrawn: o.withdrawn, LeasedAt: o.heard.leased, Seen: o.seen,
 		PeerAt: o.heard.peer.at, Peer: o.heard.peer.from, FullAt: o.heard.full.at, Full: o.heard.full.from,
 	}, true
 }
--- a/internal/roll/coord/row.go
+++ b/internal/roll/coord/row.go
@@ -22,6 +22,7 @@
 type rowJSON struct {
 	Service string `json:"service"`
 	Order   uint64 `json:"order"`
+	Era     uint64 `json:"era,omitempty"` // of the table when it gave the order its number
 	Target  string `json:"target"`
 	Phase   string `json:"phase"`
 }
@@ -40,6 +41,7 @@
 type row struct {
 	store      table.Store
 	service    string
+	era        uint64 // of the table when it gave the order its number
 	statusRow  StatusRow
 	counters   *counters
 	background *sync.WaitGroup
@@ -136,7 +138,7 @@
 	switch {
 	case value.Order == ordered.Order && value.Target == ordered.Target:
 		got.found, got.phase = valid, at
-	case value.Order > ordered.Order:
+	case value.Era > r.era, value.Era == r.era && value.Order > ordered.Order:
 		got.superseded = true
 	}
 	return got, read.Version, nil
@@ -168,7 +170,7 @@
 
 func (r *row) transaction(ordered config.Rollout, next phase.Phase, version string) (table.Txn, error) {
 	key := rowPrefix + r.service
-	value, err := json.Marshal(rowJSON{Service: r.service, Order: ordered.Order, Target: ordered.Target, Phase: next.String()})
+	value, err := json.Marshal(rowJSON{Service: r.service, Order: ordered.Order, Era: r.era, Target: ordered.Target, Phase: next.String()})
 	if err != nil {
 		return table.Txn{}, code.NotRunf(code.Internal, "encode the row of a roll-out").WithCause(err)
 	}
--- a/internal/roll/coord/row_test.go
+++ b/internal/roll/coord/row_test.go
@@ -63,6 +63,17 @@
 	r.Expect(r.value("status/stock")).To(Equal("r2 trial"))
 }
 
+// Guards against an order that was lost by the table, has the higher number, and keeps a later one from its roll-out for good.
+func TestOrderOfALaterEraReplacesALostOne(t *testing.T) {
+	r := newRowRig(t)
+	r.row.era = 1
+	r.write(order(50), phase.Switching)
+	r.row.era = 2
+	r.Expect(r.write(order(49), phase.Trial)).To(Equal(result{reached: true, found: true, phase: phase.Trial, created: true}))
+	r.row.era = 1
+	r.Expect(r.write(order(50), phase.Switching)).To(Equal(result{reached: true, superseded: true}))
+}
+
 // Guards against a write that took effect and is taken for lost, and against the reverse.
 func TestLostResponseIsReadBack(t *testing.T) {
 	r := newRowRig(t)
--- a/internal/roll/coord/session.go
+++ b/internal/roll/coord/session.go
@@ -73,7 +73,9 @@
 func newSession(c *Coordinator, view agent.View) *session {
 	return &session{
 		c: c, ordered: view.Ordered, withdrawn: view.Withdrawn,
-		row:     &row{store: c.Store, service: c.Service, statusRow: c.StatusRow, counters: &c.counters, background: &c.background},
+		row: &row{
+			store: c.Store, service: c.Service, era: view.Era, statusRow: c.StatusRow, counters: &c.counters, background: &c.background,
+		},
 		daemons: make(map[lifetime]*evidence), members: make(map[netip.AddrPort]bool), current: make(map[netip.AddrPort]lifetime),
 	}
 }
