route/front: a response that breaks off while it waits for its turn fails alone

Without a stop it happens when the deadline passes during the wait; at the end of a drain, when the requests in flight are cancelled. Cause: an answer of several frames waits for the earlier answers of its connection before its header is written, and the next frame was read only after the header. What had failed during the wait could then be shown by nothing but a closed connection, which takes the requests pipelined behind it along. Change: an answer that had to wait reads its next frame before its header, and becomes an error response if that fails. An answer that need not wait is streamed as before.

TestBrokenResponseThatWaitsFailsAlone failed before (unexpected EOF in place of 502 and the next answer).

--- a/internal/route/front/front_test.go
+++ b/internal/route/front/front_test.go
@@ -322,3 +322,27 @@
 		g.Expect(response.StatusCode).To(gomega.Equal(http.StatusNotFound))
 	}
 }
+
+// Guards against a response that breaks off while an earlier one of its connection is awaited, and takes those behind it with it.
+func TestBrokenResponseThatWaitsFailsAlone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	backend := &fakeBackend{release: make(chan struct{})}
+	_, base, _ := start(t, backend)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", base)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	for _, target := range []string{"/gated", "/truncated", "/last"} {
+		_, err := io.WriteString(conn, "GET /stock"+target+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	time.AfterFunc(100*time.Millisecond, func() { close(backend.release) })
+	reader, statuses := bufio.NewReader(conn), []int(nil)
+	for range 3 {
+		response, err := http.ReadResponse(reader, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		statuses = append(statuses, response.StatusCode)
+	}
+	g.Expect(statuses).To(gomega.Equal([]int{207, http.StatusBadGateway, 207}))
+}
--- a/internal/route/front/response.go
+++ b/internal/route/front/response.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -18,6 +19,12 @@
 	// Wait for the first part of the body before sending the header, so that an early failure can still be reported
 	// as an error response.
 	piece, err := response.Next()
+	var first []byte
+	if err == nil && !isWhole(response, piece) && awaitTurn(w) {
+		// The response may have broken off during the wait. The rest of the connection is not lost if that shows before the header.
+		first = bytes.Clone(piece)
+		piece, err = response.Next()
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		f.truncated.Add(1)
 		f.writeError(w, err)
@@ -34,17 +41,31 @@
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	w.WriteHeader(response.Status)
+	if _, writeErr := w.Write(first); writeErr != nil {
+		panic(http.ErrAbortHandler) // the caller has disconnected
+	}
 	f.copyBody(w, response, piece, err)
 	for name, values := range response.Trailer {
 		header[http.TrailerPrefix+name] = values
 	}
 }
 
+// isWhole reports whether the first piece is the whole body.
+func isWhole(response *call.Response, piece []byte) bool {
+	return response.ContentLength >= 0 && int64(len(piece)) == response.ContentLength
+}
+
+// awaitTurn waits until the earlier responses of the connection have been written, and reports whether there were any.
+func awaitTurn(w http.ResponseWriter) bool {
+	pipelined, ok := w.(interface{ AwaitTurn() bool })
+	return ok && pipelined.AwaitTurn()
+}
+
 // copyBody forwards the body part by part and flushes each, unless the first part is the whole body. A truncated response
 // aborts the caller's connection, because a regular end of the body would make it look complete.
 func (f *Front) copyBody(w http.ResponseWriter, response *call.Response, piece []byte, err error) {
 	control := http.NewResponseController(w)
-	complete := response.ContentLength >= 0 && int64(len(piece)) == response.ContentLength
+	complete := isWhole(response, piece)
 	for err == nil {
 		if _, writeErr := w.Write(piece); writeErr != nil {
 			panic(http.ErrAbortHandler) // the caller has disconnected
--- a/internal/route/http1/exchange.go
+++ b/internal/route/http1/exchange.go
@@ -79,6 +79,17 @@
 	return x.header
 }
 
+// AwaitTurn waits until the earlier responses of the connection have been written, and reports whether there were any.
+func (x *exchange) AwaitTurn() bool {
+	select {
+	case <-x.prevDone:
+		return false
+	default:
+		<-x.prevDone
+		return true
+	}
+}
+
 // WriteHeader implements http.ResponseWriter. It waits until the earlier responses of the connection have been written.
 func (x *exchange) WriteHeader(status int) {
 	if x.wroteHeader {
