--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -340,6 +340,7 @@
 		"long header value":  {putNested([]byte{byte(kindPiece)}, 2, longValue, appendHeader), &Envelope{}, code.HeaderTooLarge},
 		"frame":              {make([]byte, MaxFrame+1), &Exchange{}, code.BodyTooLarge},
 		"members":            {[]byte(strings.Repeat("\x2a\x00", maxMembers+1)), &Exchange{}, code.BadRequest},
+		"departures":         {[]byte(strings.Repeat("\x8a\x01\x00", MaxDepartures+1)), &Exchange{}, code.BadRequest},
 		"verdict":            {putUint([]byte{byte(kindAck)}, 1, 3), &Envelope{}, code.BadRequest},
 		"class":              {putUint([]byte{byte(kindHead)}, 10, 4), &Envelope{}, code.BadRequest},
 		"frame kind":         {[]byte{9}, &Envelope{}, code.BadRequest},
