admit/gate: times and refusals by stage and class

A refusal of an upload told neither whether it waited for a place for its body, for the transfer or for a slot, nor how much of its body had been received in vain. Each call now counts the time and the end of every stage by class; refused and slow calls log the times of their stages.

--- a/internal/admit/gate/body.go
+++ b/internal/admit/gate/body.go
@@ -15,9 +15,10 @@
 // that of the HTTP transport.
 type body struct {
 	stream   proto.Stream
-	piece    []byte      // received and not yet read; after readAll the whole body
-	end      bool        // piece is the last one
-	complete atomic.Bool // the last piece was received
+	piece    []byte       // received and not yet read; after readAll the whole body
+	end      bool         // piece is the last one
+	complete atomic.Bool  // the last piece was received
+	received atomic.Int64 // bytes
 }
 
 func (b *body) begin(stream proto.Stream, head *proto.Head) {
@@ -25,6 +26,7 @@
 	b.piece = head.Body
 	b.end = head.End
 	b.complete.Store(head.End)
+	b.received.Store(int64(len(head.Body)))
 }
 
 // Read implements io.Reader. If the stream ends before the last piece, Read returns an error, so that the transport aborts the
@@ -81,6 +83,7 @@
 		return errors.Newf("received frame %T, want a body piece", frame)
 	}
 	b.piece = piece.Data
+	b.received.Add(int64(len(piece.Data)))
 	b.end = piece.End
 	if piece.End {
 		b.complete.Store(true)
--- a/internal/admit/gate/buffer.go
+++ b/internal/admit/gate/buffer.go
@@ -30,6 +30,7 @@
 // bodies permits it.
 func (c *call) bufferBody() *code.Error {
 	g := c.gate
+	c.enterStage(AwaitingPlace)
 	waitCtx, cancel := context.WithTimeout(c.stream.Context(), maxQueueWait)
 	defer cancel()
 	if g.arrivals.Acquire(waitCtx, 1) != nil {
@@ -39,6 +40,7 @@
 	if refused := g.enterUnlessStopping(c); refused != nil {
 		return refused
 	}
+	c.enterStage(ReceivingBody)
 	g.arriving.Add(1)
 	defer g.arriving.Add(-1)
 	c.acknowledge(proto.Queued)
@@ -49,7 +51,6 @@
 	defer timer.Stop()
 	select {
 	case refused := <-done:
-		c.bodyReceived = time.Now()
 		return refused
 	case <-timer.C:
 		return code.NotRunf(code.DeadlineExceeded, "the deadline passed while the request body was being received")
--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -30,7 +30,7 @@
 	stream       proto.Stream
 	deadline     time.Time
 	arrived      time.Time // when the head was received
-	bodyReceived time.Time // when the body was buffered; equal to arrived when it is not buffered
+	stage        stageTimes
 	granted      time.Time // when the call got its slot
 	entry        ledger.Entry
 	target       *url.URL // parsed Target of head; set by validate
@@ -54,7 +54,7 @@
 	g.prepare()
 	excess := peer.ExcessTransit(head.SentAt, received.Sub(epoch))
 	c := &call{
-		gate: g, peer: peer, head: head, stream: stream, arrived: received, bodyReceived: received,
+		gate: g, peer: peer, head: head, stream: stream, arrived: received, stage: stageTimes{since: received},
 		deadline: received.Add(head.Remaining - excess),
 	}
 	entry, refused := g.Ledger.Begin(peer, head, c.deadline)
@@ -75,6 +75,7 @@
 	} else {
 		c.body.begin(stream, head)
 	}
+	c.enterStage(AwaitingSlot)
 	w, refused := g.admit(c, service)
 	if refused != nil {
 		return c.refuse(refused)
@@ -99,6 +100,7 @@
 		return c.fail(refused)
 	}
 	defer c.endRollout()
+	c.enterStage(Running)
 	if g.Instance != nil {
 		c.identity = g.Instance.Identity()
 	}
@@ -123,7 +125,7 @@
 }
 
 func (c *call) sendRefusal(refused *code.Error) error {
-	c.gate.count(refused.Code)
+	c.countFailure(refused)
 	c.logFailure(refused)
 	return c.stream.Send(&proto.Ack{
 		Verdict:    proto.Refused,
@@ -141,7 +143,7 @@
 }
 
 func (c *call) sendFailure(failed *code.Error) error {
-	c.gate.count(failed.Code)
+	c.countFailure(failed)
 	c.logFailure(failed)
 	return c.stream.Send(&proto.Failure{
 		Code:    failed.Code,
@@ -205,6 +207,7 @@
 	c.logSlow()
 	defer func() { _ = response.Body.Close() }() // the body was forwarded or discarded by then, so an error has no effect
 	c.gate.Limit.End(&c.ticket, responseResult(response))
+	c.leaveStage().passed.Add(1)
 	defer func() { c.gate.times[c.head.Class].Add(time.Since(c.arrived)) }()
 	return c.reply(ctx, response)
 }
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -83,6 +83,7 @@
 	arrivals *semaphore.Weighted         // limits arriving to maxArriving; set by prepare
 	calls    atomic.Int64                // unfinished calls that were admitted, queued or allowed to send a body; incremented under mu
 	failures [failureCodes]atomic.Uint64 // refused and failed calls by code
+	stages   [Stages][ident.Classes]stageCounts
 	endings  endings
 	times    [ident.Classes]recent.Times // from the arrival of a call to the end of its response, by class
 
--- a/internal/admit/gate/log.go
+++ b/internal/admit/gate/log.go
@@ -29,7 +29,9 @@
 	report := g.Report()
 	fields := []any{
 		"attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(),
-		"server", c.identity, "code", failed.Code.String(), "outcome", failed.Outcome.String(), "running", report.InFlight,
+		"server", c.identity, "class", c.countedClass().String(), "stage", c.stage.current.String(), "place", c.stage.took[AwaitingPlace],
+		"body", c.stage.took[ReceivingBody], "waited", c.stage.took[AwaitingSlot], "received", c.body.received.Load(),
+		"code", failed.Code.String(), "outcome", failed.Outcome.String(), "running", report.InFlight,
 		"limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", time.Until(c.deadline),
 		"revision", g.Config.Revision(), "detail", failed.Error(),
 	}
@@ -60,6 +62,7 @@
 	}
 	report := g.Report()
 	g.Decisions.Abnormal("call-slow", c.logID(), "attempt", c.head.ID.Attempt, "router", c.peer.Hello.Address.String(), "server", c.identity,
-		"body", c.bodyReceived.Sub(c.arrived), "waited", c.granted.Sub(c.bodyReceived), "at-server", now.Sub(c.granted), "usual", usual,
+		"class", c.countedClass().String(), "place", c.stage.took[AwaitingPlace], "body", c.stage.took[ReceivingBody],
+		"waited", c.stage.took[AwaitingSlot], "at-server", now.Sub(c.granted), "usual", usual,
 		"running", report.InFlight, "limit", report.Limit, "queued", report.Queued, "pace", report.Pace, "left", c.deadline.Sub(now))
 }
--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -8,6 +8,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/admit/gate"
 	"marigoldwinch.example/marigoldwinch/internal/admit/order"
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/base/stats"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
@@ -63,6 +64,7 @@
 		"admission_streams_cancelled_total": func(e gate.EndingCounts) uint64 { return e.Cancelled },
 		"admission_streams_lost_total":      func(e gate.EndingCounts) uint64 { return e.Lost },
 	})
+	registerStages(set, admission)
 	for priority := range order.MaxPriorities {
 		set.Gauge("admission_refused_by_precedence_total", func() float64 { return float64(admission.RefusedByPriority()[priority]) },
 			"priority", strconv.Itoa(priority))
@@ -73,6 +75,21 @@
 	}
 }
 
+func registerStages(set *stats.Set, admission *gate.Gate) {
+	for stage := range gate.Stage(gate.Stages) {
+		for class := range ident.Class(ident.Classes) {
+			register := func(name string, value func(gate.StageCounts) float64) {
+				read := func() float64 { return value(admission.StageCounts(stage, class)) }
+				set.Gauge(name, read, "stage", stage.String(), "class", class.String())
+			}
+			register("admission_stage_passed_total", func(n gate.StageCounts) float64 { return float64(n.Passed) })
+			register("admission_stage_refused_total", func(n gate.StageCounts) float64 { return float64(n.Refused) })
+			register("admission_stage_seconds_total", func(n gate.StageCounts) float64 { return n.Took.Seconds() })
+			register("admission_wasted_body_bytes_total", func(n gate.StageCounts) float64 { return float64(n.WastedBytes) })
+		}
+	}
+}
+
 func registerCalls(set *stats.Set, calls *call.Client) {
 	registerCounts(set, calls.Counts, map[string]func(call.Dump) uint64{
 		"calls_requests_total":   func(d call.Dump) uint64 { return d.Requests },
