admit/gate: buffered requests wait for a faster moment of the instance

Cause: a run takes as long as the pace of the instance at its start says. Routers select by a pace that is 3 ms old, but a body takes 0.15 s to arrive and up to 0.25 s to get a slot, by when the pace has changed: of the uploads logged as slow, those begun at a pace of 500 took 1.81 s in the median, those begun at 100 0.52 s, whatever the pace was at their end. Slow runs miss the objective of 1.2 s and keep the slots that uploads may hold four times as long, so that others are refused after 250 ms with their body there.

A request whose body has been buffered now waits while the instance is slower than it was within the last second, no longer than the slow run would cost. It holds no slot meanwhile.

--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -160,19 +160,19 @@
 	timer := time.NewTimer(time.Until(w.until))
 	defer timer.Stop()
 	var ended *code.Error
-	select {
-	case <-w.ready:
-		return w.refused
-	case <-timer.C:
-		ended = code.NotRunf(code.DeadlineExceeded, "the deadline passed while the request was queued")
-		switch {
-		case w.request != nil:
-			ended = code.NotRunf(code.QueueDeadline, "no slot became free in time to run the request within %s", w.deadline.Sub(w.arrived))
-		case w.until.Before(c.deadline):
-			ended = code.NotRunf(code.Overloaded, "no slot became free within %s", w.until.Sub(w.arrived))
+	for ended == nil {
+		select {
+		case <-w.ready:
+			return w.refused
+		case <-timer.C:
+			if c.gate.extend(w) {
+				timer.Reset(time.Until(w.until))
+				continue
+			}
+			ended = c.waitedTooLong(w)
+		case <-c.stream.Context().Done():
+			ended = code.NotRunf(code.Cancelled, "the call was cancelled while queued")
 		}
-	case <-c.stream.Context().Done():
-		ended = code.NotRunf(code.Cancelled, "the call was cancelled while queued")
 	}
 	if !c.gate.abandon(w) && w.refused == nil {
 		c.gate.releaseUnused(c.head.Class)
@@ -180,6 +180,16 @@
 	return ended
 }
 
+func (c *call) waitedTooLong(w *waiter) *code.Error {
+	switch {
+	case w.request != nil:
+		return code.NotRunf(code.QueueDeadline, "no slot became free in time to run the request within %s", w.deadline.Sub(w.arrived))
+	case w.until.Before(c.deadline):
+		return code.NotRunf(code.Overloaded, "no slot became free within %s", w.until.Sub(w.arrived))
+	}
+	return code.NotRunf(code.DeadlineExceeded, "the deadline passed while the request was queued")
+}
+
 // run sends the request to the server and the response to the router.
 func (c *call) run(service *config.Service) error {
 	ctx, cancel := c.runContext()
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -64,6 +64,7 @@
 	Server      Backend
 	Instance    Instance     // nil when the servers of the service do not check in
 	Rollout     Rollout      // may be nil
+	PollHealth  func()       // requests a health poll of the server, which tells its pace; does not block; may be nil
 	Dialect     hdrs.Dialect // names and formats of the headers to and from the server
 	Limit       *limit.Limiter
 	Ledger      *ledger.Ledger
@@ -91,6 +92,7 @@
 	mu        sync.Mutex
 	byClass   [ident.Classes]int // slots in use by class
 	queue     classQueue
+	tempo     tempo
 	lastCheck time.Time     // when a call of class Check last requested a slot
 	idle      chan struct{} // closed when calls reaches 0; nil unless Drain is waiting
 	precedence
--- a/internal/admit/gate/queue.go
+++ b/internal/admit/gate/queue.go
@@ -34,7 +34,7 @@
 	}
 	// Queued calls are served first. A slot that is free for the class after that is not needed by any of them.
 	g.grant(service, now)
-	if g.fits(class, service, now) && g.allowStart(now) {
+	if g.fits(class, service, now) && !g.holds(class, c.acked, c.deadline, now) && g.allowStart(now) {
 		g.takeSlot(class)
 		g.enter(c)
 		c.granted = now
@@ -47,7 +47,9 @@
 		return nil, refused
 	}
 	w := &c.waiter
-	*w = waiter{id: c.head.ID, class: class, arrived: now, deadline: c.deadline, until: c.deadline, ready: make(chan struct{})}
+	*w = waiter{
+		id: c.head.ID, class: class, arrived: now, deadline: c.deadline, until: c.deadline, buffered: c.acked, ready: make(chan struct{}),
+	}
 	maxWait := maxQueueWait
 	if c.acked {
 		maxWait = maxQueueWaitBuffered
@@ -56,6 +58,7 @@
 		w.until = limit
 	}
 	g.queue.push(w)
+	g.pollHeld(now)
 	g.countQueued()
 	g.enter(c)
 	return w, nil
@@ -188,7 +191,7 @@
 		}
 		return nil
 	})
-	fits := func(class ident.Class) bool { return g.fits(class, service, now) }
+	fits := func(class ident.Class) bool { return g.fits(class, service, now) && !g.holdsFirst(class, now) }
 	for g.queue.length > 0 {
 		bound := max(1, int(checkPriorityShare*float64(g.Limit.Current())))
 		class, found := g.queue.next(fits, g.byClass[ident.Check] >= bound)
@@ -198,6 +201,7 @@
 		g.takeSlot(class)
 		g.queue.remove(class, 0, nil)
 	}
+	g.pollHeld(now)
 	g.countQueued()
 }
 
--- a/internal/admit/gate/schedule.go
+++ b/internal/admit/gate/schedule.go
@@ -36,6 +36,7 @@
 	arrived  time.Time
 	deadline time.Time
 	until    time.Time      // when the wait times out; not after deadline
+	buffered bool           // the body has arrived
 	ready    chan struct{}  // closed when the call has got a slot or was refused
 	refused  *code.Error    // set before ready is closed; nil means that the call holds a slot
 	request  *order.Request // set if the call waits in the queue by precedence
--- a/internal/cli/daemon/admission.go
+++ b/internal/cli/daemon/admission.go
@@ -209,6 +209,12 @@
 		parts.Rollout.Ready = func() bool { return g.InService() && !parts.Status.Silent() }
 		g.Rollout = parts.Rollout
 		g.Instance = parts.Status
+		g.PollHealth = parts.Status.PollHealth
+		observe := parts.Status.OnLoad
+		parts.Status.OnLoad = func(load hdrs.Load) {
+			observe(load)
+			g.ObservePace(load.Pace)
+		}
 		g.Isolated = nil // such a server reports its departure to this daemon directly, so work goes on when isolated
 	}
 	return g
