--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -30,7 +30,7 @@
 	stream       proto.Stream
 	deadline     time.Time
 	arrived      time.Time // when the head was received
-	bodyReceived time.Time // when the body was buffered; equal to arrived when it is not buffered
+	stage        stageTimes
 	granted      time.Time // when the call got its slot
 	entry        ledger.Entry
 	target       *url.URL // parsed Target of head; set by validate
@@ -54,7 +54,7 @@
 	g.prepare()
 	excess := peer.ExcessTransit(head.SentAt, received.Sub(epoch))
 	c := &call{
-		gate: g, peer: peer, head: head, stream: stream, arrived: received, bodyReceived: received,
+		gate: g, peer: peer, head: head, stream: stream, arrived: received, stage: stageTimes{since: received},
 		deadline: received.Add(head.Remaining - excess),
 	}
 	entry, refused := g.Ledger.Begin(peer, head, c.deadline)
@@ -75,6 +75,7 @@
 	} else {
 		c.body.begin(stream, head)
 	}
+	c.enterStage(AwaitingSlot)
 	w, refused := g.admit(c, service)
 	if refused != nil {
 		return c.refuse(refused)
@@ -99,6 +100,7 @@
 		return c.fail(refused)
 	}
 	defer c.endRollout()
+	c.enterStage(Running)
 	if g.Instance != nil {
 		c.identity = g.Instance.Identity()
 	}
@@ -123,7 +125,7 @@
 }
 
 func (c *call) sendRefusal(refused *code.Error) error {
-	c.gate.count(refused.Code)
+	c.countFailure(refused)
 	c.logFailure(refused)
 	return c.stream.Send(&proto.Ack{
 		Verdict:    proto.Refused,
@@ -141,7 +143,7 @@
 }
 
 func (c *call) sendFailure(failed *code.Error) error {
-	c.gate.count(failed.Code)
+	c.countFailure(failed)
 	c.logFailure(failed)
 	return c.stream.Send(&proto.Failure{
 		Code:    failed.Code,
@@ -158,19 +160,19 @@
 	timer := time.NewTimer(time.Until(w.until))
 	defer timer.Stop()
 	var ended *code.Error
-	select {
-	case <-w.ready:
-		return w.refused
-	case <-timer.C:
-		ended = code.NotRunf(code.DeadlineExceeded, "the deadline passed while the request was queued")
-		switch {
-		case w.request != nil:
-			ended = code.NotRunf(code.QueueDeadline, "no slot became free in time to run the request within %s", w.deadline.Sub(w.arrived))
-		case w.until.Before(c.deadline):
-			ended = code.NotRunf(code.Overloaded, "no slot became free within %s", w.until.Sub(w.arrived))
+	for ended == nil {
+		select {
+		case <-w.ready:
+			return w.refused
+		case <-timer.C:
+			if c.gate.extend(w) {
+				timer.Reset(time.Until(w.until))
+				continue
+			}
+			ended = c.waitedTooLong(w)
+		case <-c.stream.Context().Done():
+			ended = code.NotRunf(code.Cancelled, "the call was cancelled while queued")
 		}
-	case <-c.stream.Context().Done():
-		ended = code.NotRunf(code.Cancelled, "the call was cancelled while queued")
 	}
 	if !c.gate.abandon(w) && w.refused == nil {
 		c.gate.releaseUnused(c.head.Class)
@@ -178,6 +180,16 @@
 	return ended
 }
 
+func (c *call) waitedTooLong(w *waiter) *code.Error {
+	switch {
+	case w.request != nil:
+		return code.NotRunf(code.QueueDeadline, "no slot became free in time to run the request within %s", w.deadline.Sub(w.arrived))
+	case w.until.Before(c.deadline):
+		return code.NotRunf(code.Overloaded, "no slot became free within %s", w.until.Sub(w.arrived))
+	}
+	return code.NotRunf(code.DeadlineExceeded, "the deadline passed while the request was queued")
+}
+
 // run sends the request to the server and the response to the router.
 func (c *call) run(service *config.Service) error {
 	ctx, cancel := c.runContext()
@@ -205,6 +217,7 @@
 	c.logSlow()
 	defer func() { _ = response.Body.Close() }() // the body was forwarded or discarded by then, so an error has no effect
 	c.gate.Limit.End(&c.ticket, responseResult(response))
+	c.leaveStage().passed.Add(1)
 	defer func() { c.gate.times[c.head.Class].Add(time.Since(c.arrived)) }()
 	return c.reply(ctx, response)
 }
--- a/internal/admit/gate/gate.go
+++ b/internal/admit/gate/gate.go
@@ -64,6 +64,7 @@
 	Server      Backend
 	Instance    Instance     // nil when the servers of the service do not check in
 	Rollout     Rollout      // may be nil
+	PollHealth  func()       // requests a health poll of the server, which tells its pace; does not block; may be nil
 	Dialect     hdrs.Dialect // names and formats of the headers to and from the server
 	Limit       *limit.Limiter
 	Ledger      *ledger.Ledger
@@ -83,6 +84,7 @@
 	arrivals *semaphore.Weighted         // limits arriving to maxArriving; set by prepare
 	calls    atomic.Int64                // unfinished calls that were admitted, queued or allowed to send a body; incremented under mu
 	failures [failureCodes]atomic.Uint64 // refused and failed calls by code
+	stages   [Stages][ident.Classes]stageCounts
 	endings  endings
 	times    [ident.Classes]recent.Times // from the arrival of a call to the end of its response, by class
 
@@ -90,6 +92,7 @@
 	mu        sync.Mutex
 	byClass   [ident.Classes]int // slots in use by class
 	queue     classQueue
+	tempo     tempo
 	lastCheck time.Time     // when a call of class Check last requested a slot
 	idle      chan struct{} // closed when calls reaches 0; nil unless Drain is waiting
 	precedence
