route/front: a response that waits for its turn is held, and not lost at the end of a drain

It waited behind a request that outlasted the stop; at the end of the drain the requests in flight are cancelled, and with them the frames that had not been read. The same happened where the deadline passed during the wait. Change: while earlier responses of its connection are awaited, a response is read on, up to 64 KiB and two frames; what is held whole needs its server no longer, and its connection between daemons is free earlier.

TestPipelinedResponsesFailAlone, which replaces TestBrokenResponseThatWaitsFailsAlone and has its case, failed before (502 in place of 200 in its second case). The stand-in stream gives nothing after its cancellation, as a real one.

--- a/internal/route/front/front_test.go
+++ b/internal/route/front/front_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -54,6 +55,9 @@
 	case "/truncated":
 		x.out <- &proto.Answer{Status: 200, Header: header, ContentLength: -1, Body: []byte("part")}
 		close(x.out)
+	case "/two":
+		x.out <- &proto.Answer{Status: 200, Header: header, ContentLength: -1, Body: []byte("part")}
+		x.out <- &proto.Piece{Data: []byte("rest"), End: true}
 	case "/early":
 		x.out <- &proto.Answer{Status: 200, Header: header, ContentLength: -1}
 		close(x.out)
@@ -78,6 +82,9 @@
 }
 
 func (x *fakeStream) Recv() (proto.Frame, error) {
+	if x.ctx.Err() != nil {
+		return nil, x.ctx.Err() // a cancelled stream gives nothing more
+	}
 	select {
 	case frame, ok := <-x.out:
 		if !ok {
@@ -323,26 +330,41 @@
 	}
 }
 
-// Guards against a response that breaks off while an earlier one of its connection is awaited, and takes those behind it with it.
-func TestBrokenResponseThatWaitsFailsAlone(t *testing.T) {
-	g := gomega.NewWithT(t)
-	backend := &fakeBackend{release: make(chan struct{})}
-	_, base, _ := start(t, backend)
-	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", base)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = conn.Close() }()
-	for _, target := range []string{"/gated", "/truncated", "/last"} {
-		_, err := io.WriteString(conn, "GET /stock"+target+" HTTP/1.1\r\nHost: h\r\n\r\n")
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+// Guards against a response that breaks off while an earlier one of its connection is awaited, and takes those behind it with it, and
+// against one of two frames that is lost at the end of a drain though its server has answered.
+func TestPipelinedResponsesFailAlone(t *testing.T) {
+	ends := map[string]func(f *Front, gate chan struct{}){
+		"[207 /gated 502 200 partrest 207 /last]": func(_ *Front, gate chan struct{}) { close(gate) },
+		"[502 502 200 partrest 207 /last]": func(f *Front, _ chan struct{}) {
+			expired, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = f.Drain(expired) // the gated request is in flight
+		},
 	}
-	time.AfterFunc(100*time.Millisecond, func() { close(backend.release) })
-	reader, statuses := bufio.NewReader(conn), []int(nil)
-	for range 3 {
-		response, err := http.ReadResponse(reader, nil)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = io.Copy(io.Discard, response.Body)
+	for want, end := range ends {
+		g := gomega.NewWithT(t)
+		backend := &fakeBackend{release: make(chan struct{})}
+		f, base, _ := start(t, backend)
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", base)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		statuses = append(statuses, response.StatusCode)
+		for _, target := range []string{"/gated", "/truncated", "/two", "/last"} {
+			_, err := io.WriteString(conn, "GET /stock"+target+" HTTP/1.1\r\nHost: h\r\n\r\n")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		time.AfterFunc(100*time.Millisecond, func() { end(f, backend.release) })
+		reader, answers := bufio.NewReader(conn), []string(nil)
+		for range 4 {
+			response, err := http.ReadResponse(reader, nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			body, err := io.ReadAll(response.Body)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			answer := strconv.Itoa(response.StatusCode)
+			if response.StatusCode < http.StatusBadRequest {
+				answer += " " + string(body)
+			}
+			answers = append(answers, answer)
+		}
+		_ = conn.Close()
+		g.Expect(fmt.Sprint(answers)).To(gomega.Equal(want))
 	}
-	g.Expect(statuses).To(gomega.Equal([]int{207, http.StatusBadGateway, 207}))
 }
--- a/internal/route/front/response.go
+++ b/internal/route/front/response.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -18,13 +17,7 @@
 func (f *Front) writeResponse(w http.ResponseWriter, r *http.Request, response *call.Response) {
 	// Wait for the first part of the body before sending the header, so that an early failure can still be reported
 	// as an error response.
-	piece, err := response.Next()
-	var first []byte
-	if err == nil && !isWhole(response, piece) && awaitTurn(w) {
-		// The response may have broken off during the wait. The rest of the connection is not lost if that shows before the header.
-		first = bytes.Clone(piece)
-		piece, err = response.Next()
-	}
+	held, piece, err := hold(response, turnOf(w))
 	if err != nil && !errors.Is(err, io.EOF) {
 		f.truncated.Add(1)
 		f.writeError(w, err)
@@ -41,7 +34,7 @@
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	w.WriteHeader(response.Status)
-	if _, writeErr := w.Write(first); writeErr != nil {
+	if _, writeErr := w.Write(held); writeErr != nil {
 		panic(http.ErrAbortHandler) // the caller has disconnected
 	}
 	f.copyBody(w, response, piece, err)
@@ -55,10 +48,44 @@
 	return response.ContentLength >= 0 && int64(len(piece)) == response.ContentLength
 }
 
-// awaitTurn waits until the earlier responses of the connection have been written, and reports whether there were any.
-func awaitTurn(w http.ResponseWriter) bool {
-	pipelined, ok := w.(interface{ AwaitTurn() bool })
-	return ok && pipelined.AwaitTurn()
+// maxHeldBytes limits what is held of a response that waits for its turn, up to two frames.
+const maxHeldBytes = 64 << 10
+
+// hold reads the first piece of a response and, while earlier responses of its connection are awaited, what follows. A response that is
+// held whole can't break off any more; another one is read once again after the wait, because a failure that shows before the header takes
+// no other response with it.
+func hold(response *call.Response, turn <-chan struct{}) (held, piece []byte, err error) {
+	piece, err = response.Next()
+	for err == nil && !isWhole(response, piece) && len(held) <= maxHeldBytes && isPending(turn) {
+		held = append(held, piece...)
+		piece, err = response.Next()
+	}
+	if err == nil && len(held) > 0 && isPending(turn) {
+		<-turn
+		held = append(held, piece...)
+		piece, err = response.Next()
+	}
+	return held, piece, err
+}
+
+// turnOf returns the channel that is closed when the earlier responses of the connection have been written; nil if there can't be any.
+func turnOf(w http.ResponseWriter) <-chan struct{} {
+	if pipelined, ok := w.(interface{ Turn() <-chan struct{} }); ok {
+		return pipelined.Turn()
+	}
+	return nil
+}
+
+func isPending(turn <-chan struct{}) bool {
+	if turn == nil {
+		return false
+	}
+	select {
+	case <-turn:
+		return false
+	default:
+		return true
+	}
 }
 
 // copyBody forwards the body part by part and flushes each, unless the first part is the whole body. A truncated response
--- a/internal/route/http1/exchange.go
+++ b/internal/route/http1/exchange.go
@@ -79,15 +79,9 @@
 	return x.header
 }
 
-// AwaitTurn waits until the earlier responses of the connection have been written, and reports whether there were any.
-func (x *exchange) AwaitTurn() bool {
-	select {
-	case <-x.prevDone:
-		return false
-	default:
-		<-x.prevDone
-		return true
-	}
+// Turn returns a channel that is closed when the earlier responses of the connection have been written.
+func (x *exchange) Turn() <-chan struct{} {
+	return x.prevDone
 }
 
 // WriteHeader implements http.ResponseWriter. It waits until the earlier responses of the connection have been written.
