route/call: failed attempts count while others go on

Callers saw nothing, but a request could run on one more server than max_attempts of its route allows (BUDGET). Cause: the failure of the first attempt was recorded only after all attempts beside it had ended, while the race no longer counted it as running. A silent attempt beside it then got another retry: with servers=2, three heads were sent of which all may have run. Evidence: the new cases of TestOutcomes made an attempt 3 before this change. Each failure is now recorded in the step that ends its place in the race, under the lock under which attempts join.

--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -20,6 +20,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -50,7 +51,7 @@
 	if d.HasArg("suspect") {
 		suspectAll(c)
 	}
-	tokens, depth, size, p95, failed, leave, stall, unread := 50, 0, 0, 0, 0, 0, 0, 0
+	tokens, depth, size, p95, failed, leave, stall, unread, servers := 50, 0, 0, 0, 0, 0, 0, 0, 0
 	req := &Request{Service: "stock", Method: d.Cmd, Path: "/", Target: "/", Timeout: 5500 * time.Millisecond, ContentLength: -1}
 	scan := func(key string, into *int) {
 		if d.HasArg(key) {
@@ -71,6 +72,11 @@
 	scan("leave", &leave)
 	scan("stall", &stall)
 	scan("unread", &unread)
+	scan("servers", &servers)
+	if servers > 0 {
+		req.Route = config.NewRoute("stock")
+		req.Route.Kind, req.Route.Servers, req.Route.Objective = config.Idempotent, servers, 0 // without hedges
+	}
 	if depth > 0 {
 		req.Context = &ident.CallContext{Request: ident.RequestID{Router: 1, Seq: 1}, Depth: depth - 1, Class: ident.Lookup}
 	}
--- a/internal/route/call/race.go
+++ b/internal/route/call/race.go
@@ -22,7 +22,7 @@
 
 	mu       sync.Mutex
 	attempts []*attempt
-	running  int // attempts whose end await has not seen; no attempt joins when it is 0
+	running  int // attempts that have not failed; no attempt joins when it is 0
 }
 
 type raceResult struct {
@@ -79,13 +79,36 @@
 	a.race = race
 	race.attempts = append(race.attempts, a)
 	race.running++
-	go func() {
-		response, err := a.run()
-		race.results <- raceResult{response: response, err: err, hedge: hedge}
-	}()
+	go race.runBeside(a, hedge)
 	return true
 }
 
+// runBeside runs an attempt beside others.
+func (race *race) runBeside(a *attempt, hedge bool) {
+	response, err := a.run()
+	if err != nil {
+		race.failed(err)
+	}
+	race.results <- raceResult{response: response, err: err, hedge: hedge}
+}
+
+// failed records the failure of an attempt before another one may join: its server may have run the request.
+func (race *race) failed(err error) {
+	race.mu.Lock()
+	defer race.mu.Unlock()
+	if !errors.Is(err, errLost) {
+		race.r.recordFailure(code.Of(err))
+	}
+	race.running--
+}
+
+// made returns the number of attempts of the race.
+func (race *race) made() int {
+	race.mu.Lock()
+	defer race.mu.Unlock()
+	return len(race.attempts)
+}
+
 // mayRunBeside reports whether the request may run on one more server beside its running attempts.
 func (r *request) mayRunBeside(running int) bool {
 	r.mu.Lock()
@@ -97,29 +120,20 @@
 // await waits, after the first attempt has failed, until another one is answered or all have failed. It returns the failure of the first
 // one then.
 func (race *race) await(first error) (*Response, error) {
-	for race.left() > 0 {
-		ended := <-race.results // an attempt ends with the context of the request at the latest
-		if ended.err == nil {
-			if ended.hedge {
-				race.r.c.counters.hedgesWon.Add(1)
-			}
-			return ended.response, nil
+	race.failed(first)
+	for ended := 1; ended < race.made(); ended++ {
+		result := <-race.results // an attempt ends with the context of the request at the latest
+		if result.err != nil {
+			continue
 		}
-		if !errors.Is(ended.err, errLost) {
-			race.r.recordFailure(code.Of(ended.err))
+		if result.hedge {
+			race.r.c.counters.hedgesWon.Add(1)
 		}
+		return result.response, nil
 	}
 	return nil, first
 }
 
-// left counts the end of an attempt and returns the number of attempts that are still running.
-func (race *race) left() int {
-	race.mu.Lock()
-	defer race.mu.Unlock()
-	race.running--
-	return race.running
-}
-
 // win reports whether a is the first attempt to be answered. If so, it cancels the others.
 func (race *race) win(a *attempt) bool {
 	if !race.winner.CompareAndSwap(nil, a) {
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -43,7 +43,6 @@
 			return response, nil
 		}
 		failure := code.Of(err)
-		r.recordFailure(failure)
 		if !r.mayRetry(ctx, failure) {
 			return nil, failure
 		}
@@ -113,7 +112,11 @@
 func (r *request) try(ctx context.Context) (*Response, error) {
 	first := r.newAttempt(ctx)
 	if !r.mayRace() {
-		return first.run()
+		response, err := first.run()
+		if err != nil {
+			r.recordFailure(code.Of(err))
+		}
+		return response, err
 	}
 	race := newRace(ctx, first)
 	if delay, ok := r.hedgeDelay(); ok {
