route/call: a failed attempt beside a silent one is replaced

Callers got 504 at their deadline although a third server was free: a daemon was silent (paused, or its path dead), the one attempt made beside it was refused or not even sent, and nothing followed until the fleet suspected the silent daemon. Cause: an attempt made one other attempt in its life, whatever became of it. Now the next question without a reply makes another attempt when the previous one has failed, within the same bounds of attempts, servers and budget.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -30,7 +30,7 @@
 	offset         int64  // in the body, after the piece sent with the head
 
 	sendingBody atomic.Bool // sendBody is running
-	retried     atomic.Bool // retryBeside has made another attempt
+	retried     atomic.Bool // retryBeside has made another attempt, which has not failed
 
 	mu            sync.Mutex
 	stream        proto.ClientStream
--- a/internal/route/call/race.go
+++ b/internal/route/call/race.go
@@ -46,7 +46,7 @@
 
 // hedge makes another attempt because the answer is late.
 func (race *race) hedge() {
-	race.join(true, func() bool {
+	race.join(nil, func() bool {
 		granted := race.r.budget.TakeHedge()
 		if granted {
 			race.r.c.counters.hedges.Add(1)
@@ -55,10 +55,10 @@
 	})
 }
 
-// retry makes another attempt because a previous one may be lost. That one goes on, since its answer may only be late. It reports false if
-// no other attempt is allowed now.
-func (race *race) retry() bool {
-	return race.join(false, func() bool {
+// retry makes another attempt because a previous one, late, may be lost. That one goes on, since its answer may only be late. It reports
+// false if no other attempt is allowed now.
+func (race *race) retry(late *attempt) bool {
+	return race.join(late, func() bool {
 		granted := race.r.budget.TakeRetry()
 		if granted {
 			race.r.c.counters.retries.Add(1)
@@ -67,9 +67,9 @@
 	})
 }
 
-// join starts another attempt and reports true, unless the race has ended or the request may not run on another server. grant is asked
-// last, because it takes a token of a budget.
-func (race *race) join(hedge bool, grant func() bool) bool {
+// join starts another attempt and reports true, unless the race has ended or the request may not run on another server. late is the
+// attempt that it is a retry of, nil for a hedge. grant is asked last, because it takes a token of a budget.
+func (race *race) join(late *attempt, grant func() bool) bool {
 	race.mu.Lock()
 	defer race.mu.Unlock()
 	if race.running == 0 || race.winner.Load() != nil || !race.r.mayRunBeside(race.running) || !grant() {
@@ -79,17 +79,20 @@
 	a.race = race
 	race.attempts = append(race.attempts, a)
 	race.running++
-	go race.runBeside(a, hedge)
+	go race.runBeside(a, late)
 	return true
 }
 
-// runBeside runs an attempt beside others.
-func (race *race) runBeside(a *attempt, hedge bool) {
+// runBeside runs an attempt beside others. If it fails, late may be retried once more.
+func (race *race) runBeside(a, late *attempt) {
 	response, err := a.run()
 	if err != nil {
 		race.failed(err)
+		if late != nil && !race.r.isLastRetry(code.Of(err)) {
+			late.retried.Store(false)
+		}
 	}
-	race.results <- raceResult{response: response, err: err, hedge: hedge}
+	race.results <- raceResult{response: response, err: err, hedge: late == nil}
 }
 
 // failed records the failure of an attempt before another one may join: its server may have run the request.
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -241,10 +241,10 @@
 	}
 }
 
-// retryBeside makes one other attempt while this one goes on, if the request may be retried.
+// retryBeside makes one other attempt at a time while this one goes on, if the request may be retried.
 func (a *attempt) retryBeside() {
-	if a.race != nil && !a.retried.Load() {
-		a.retried.Store(a.race.retry())
+	if a.race != nil && a.retried.CompareAndSwap(false, true) && !a.race.retry(a) {
+		a.retried.Store(false)
 	}
 }
 
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -55,13 +55,13 @@
 
 // mayRetry applies the retry rules. The budget is checked last, because the check takes a token.
 func (r *request) mayRetry(ctx context.Context, failure *code.Error) bool {
-	if ctx.Err() != nil || isFinal(failure.Code) || errors.Is(failure, choice.ErrFull) {
+	if ctx.Err() != nil || r.isLastRetry(failure) {
 		return false
 	}
 	r.mu.Lock()
 	attempts, uncertain, possibleRuns := r.attempts, r.uncertain, r.possibleRuns
 	r.mu.Unlock()
-	if attempts == 0 || attempts >= maxAttempts || r.isOutranked(failure, attempts) || possibleRuns >= r.maxServers {
+	if attempts == 0 || attempts >= maxAttempts || possibleRuns >= r.maxServers {
 		return false
 	}
 	// An attempt with an unknown outcome may be retried only if the request is idempotent, and only at the first level of a call
@@ -72,6 +72,14 @@
 	return r.body.rewind() && (isUnsent(failure) || r.isFreeRetry(failure) || r.budget.TakeRetry())
 }
 
+// isLastRetry reports whether a failure shows that another attempt is useless, or that the request is outranked.
+func (r *request) isLastRetry(failure *code.Error) bool {
+	r.mu.Lock()
+	attempts := r.attempts
+	r.mu.Unlock()
+	return isFinal(failure.Code) || errors.Is(failure, choice.ErrFull) || r.isOutranked(failure, attempts)
+}
+
 // isFreeRetry reports whether a retry needs neither budget nor backoff because the attempt was refused by a daemon that has no
 // configuration yet, whose server is out of service because of a roll-out, or whose server reports its load. Such a refusal costs the
 // server nothing, and the report that comes with it leads the next selection to a better server.
