route/call: an ack during a resolve leaves one chain of checks

Callers saw nothing; links and daemons that are slow got twice the resolves, each of which opens a connection, for the whole life of each request whose ack was late, and one more after its response (which also marks the server unreachable when it fails). Cause: the ack schedules the checks of the stream while the check of the overdue ack waits for its reply, and that one schedules its own without stopping the other. Evidence: the test counted 7 resolves in 4 s, and 4 now. Whoever schedules now stops the check that is due.

--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -26,7 +26,8 @@
 
 // fake is a proto.CallClient whose attempts follow scripts: lists of steps separated by semicolons.
 type fake struct {
-	script func(head *proto.Head) string // returns the script of an attempt
+	script       func(head *proto.Head) string // returns the script of an attempt
+	resolveDelay time.Duration                 // until the reply to a resolve
 
 	mu        sync.Mutex
 	heads     []*proto.Head
@@ -83,6 +84,7 @@
 }
 
 func (f *fake) Resolve(_ context.Context, _ netip.AddrPort, ask *proto.Resolve) (*proto.Resolution, error) {
+	time.Sleep(f.resolveDelay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if ask.Done {
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -290,11 +290,16 @@
 	a.stream.CloseSilent()
 }
 
-// schedule runs the next check of the attempt after wait, unless the attempt is closed.
+// schedule runs the next check of the attempt after wait, unless the attempt is closed. It replaces a check that another goroutine has
+// scheduled meanwhile: an ack may arrive during a resolve.
 func (a *attempt) schedule(wait time.Duration, check func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.closed {
-		a.stallTimer = time.AfterFunc(wait, check)
+	if a.closed {
+		return
+	}
+	if a.stallTimer != nil {
+		a.stallTimer.Stop()
 	}
+	a.stallTimer = time.AfterFunc(wait, check)
 }
