route/call: no retry beside an attempt that was acked during a resolve

Callers saw nothing; a service got an additional attempt, paid from the budget, for each lookup whose ack came while the resolve that asked for it stayed without a reply. Cause: checkRun acted on the lost reply without looking whether a frame had arrived meanwhile. Evidence: the test counted 2 attempts, and 1 now, since checkRun looks again after the resolve.

--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -225,6 +225,10 @@
 		return
 	}
 	found, err := a.sendResolve(noConn)
+	if a.lastFrame.Load() != last {
+		a.checkStall()
+		return
+	}
 	switch {
 	case err != nil && !a.isServerLost(failures+1):
 		a.retryBeside()
--- a/internal/route/call/stall_test.go
+++ b/internal/route/call/stall_test.go
@@ -28,3 +28,18 @@
 		g.Expect(c.Counts().Resolves).To(gomega.Equal(resolves), "resolves after the response")
 	})
 }
+
+// Guards against another attempt beside one whose ack has arrived while the resolve that asked for it stayed without a reply.
+func TestNoRetryBesideAnAttemptThatWasAckedDuringAResolve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := &fake{resolves: []string{"error"}, resolveDelay: 200 * time.Millisecond}
+		f.script = func(*proto.Head) string { return "300ms; ack; 500ms; answer 200 hello" }
+		c := newClient(f, 3)
+		x, err := c.Do(context.Background(), &Request{Service: "stock", Method: "GET", Path: "/", Target: "/", Timeout: 8 * time.Second})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, _ = readAll(x)
+		time.Sleep(10 * time.Second)
+		g.Expect(c.Counts().Attempts).To(gomega.BeEquivalentTo(1))
+	})
+}
