route/call: the connection of a run that is ended without an ack is closed

Callers got 502, or their request was cancelled, because of another request: the loser of a race whose ack is overdue, or one whose caller left, was cancelled and its connection went back to the pool after a ping, while endRun named the same connection in a resolve, which closes it at the other end. The resolve needs a handshake first and so arrives after the ping: the next call was already on it.

--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -276,6 +276,9 @@
 		a.r.c.Choice.RecordResult(a.r.req.Service, a.sent.Server, true, failure.Code.String())
 	}
 	unacked := a.leavesUnackedRun()
+	if unacked && a.r.idempotent {
+		a.stream.CloseSilent() // no other call may use the connection: endRun closes it at the other end
+	}
 	a.abandon()
 	if unacked {
 		go a.endRun()
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -34,7 +34,8 @@
 	streams   []*fakeStream
 	resolves  []string // remaining replies to resolves; the last one is repeated
 	log       []string
-	confirmed int // confirmations of held responses
+	pooled    map[uint64]bool // connections that other calls may use
+	confirmed int             // confirmations of held responses
 }
 
 func (f *fake) logf(format string, args ...any) {
@@ -43,6 +44,16 @@
 	f.log = append(f.log, fmt.Sprintf(format, args...))
 }
 
+// pool makes a connection available to other calls, as the stream of link does on its close.
+func (f *fake) pool(conn uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.pooled == nil {
+		f.pooled = make(map[uint64]bool)
+	}
+	f.pooled[conn] = true
+}
+
 type fakeStream struct {
 	ctx          context.Context
 	f            *fake
@@ -51,6 +62,7 @@
 	ignoresClose bool // Recv still returns frames after the stream is closed
 	trickles     bool // bytes of the next frame arrive all the time
 	complete     bool // the last frame of the response was received
+	broken       bool // the connection has failed
 	closed       chan struct{}
 	once         sync.Once
 	mu           sync.Mutex
@@ -99,6 +111,9 @@
 		}
 	}
 	f.log = append(f.log, fmt.Sprintf("resolve conn %d: %s", ask.Conn, reply))
+	if f.pooled[ask.Conn] {
+		f.log = append(f.log, fmt.Sprintf("closed conn %d under another call", ask.Conn))
+	}
 	word, rest, _ := strings.Cut(reply, ":")
 	switch word {
 	case "revoked":
@@ -195,6 +210,7 @@
 			time.Sleep(wait)
 			s.ignoresClose = true
 		case "break":
+			s.broken = true
 			return nil, errBroken
 		case "trickle": // the next frame arrives byte by byte during the duration that follows
 			s.mu.Lock()
@@ -249,6 +265,9 @@
 		if !s.complete {
 			s.f.logf("closed %d", s.number)
 		}
+		if !s.broken {
+			s.f.pool(s.Conn())
+		}
 		close(s.closed)
 	})
 	return nil
