route/call: a late ack does not end a run with a body that has no retry left

Callers got 502 for an idempotent request with a body whose ack was 150 ms late and of whose resolves one had no reply, though its server was at work and nothing could follow: the budget was used up, or the route allows one server. Cause: isServerLost takes one such silence for the end of a request that cannot race, since a retry is worth more; whether one will be granted was not looked at.

--- a/internal/route/budget/budget.go
+++ b/internal/route/budget/budget.go
@@ -80,6 +80,11 @@
 	return true
 }
 
+// HasRetry reports whether there is a token for a retry now.
+func (s *Service) HasRetry() bool {
+	return s.attempts.tokens.Load() >= tokenUnits
+}
+
 // TakeHedge takes the tokens for a hedge. It reports false when the budget is exhausted. A hedge also takes a token from the
 // shared bucket, so that retries and hedges together stay within the retry share.
 func (s *Service) TakeHedge() bool {
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -261,9 +261,9 @@
 }
 
 // isServerLost reports whether the server's daemon has certainly failed after so many resolves without a reply: a busy link delays
-// resolves and replies as well. A request that is retried only after the end of its attempt does not wait for certainty.
+// resolves and replies as well. A request that may be retried, but only after the end of its attempt, does not wait for certainty.
 func (a *attempt) isServerLost(failures int) bool {
-	sequential := a.r.idempotent && a.r.depth == 0 && a.race == nil
+	sequential := a.r.idempotent && a.r.depth == 0 && a.race == nil && a.r.hasRetryLeft()
 	if failures < maxResolveTries && !sequential || a.r.pool.IsAlive(a.ctx, a.sent.Server) {
 		return false
 	}
--- a/internal/route/call/retry.go
+++ b/internal/route/call/retry.go
@@ -80,6 +80,14 @@
 	return isFinal(failure.Code) || errors.Is(failure, choice.ErrFull) || r.isOutranked(failure, attempts)
 }
 
+// hasRetryLeft reports whether the request may be retried on another server after the attempt in progress, whose outcome is unknown.
+func (r *request) hasRetryLeft() bool {
+	r.mu.Lock()
+	attempts, possibleRuns := r.attempts, r.possibleRuns
+	r.mu.Unlock()
+	return attempts < maxAttempts && possibleRuns+1 < r.maxServers && !r.body.overflowed.Load() && r.budget.HasRetry()
+}
+
 // isFreeRetry reports whether a retry needs neither budget nor backoff because the attempt was refused by a daemon that has no
 // configuration yet, whose server is out of service because of a roll-out, or whose server reports its load. Such a refusal costs the
 // server nothing, and the report that comes with it leads the next selection to a better server.
