--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -30,7 +30,7 @@
 	offset         int64  // in the body, after the piece sent with the head
 
 	sendingBody atomic.Bool // sendBody is running
-	retried     atomic.Bool // retryBeside has made another attempt
+	retried     atomic.Bool // retryBeside has made another attempt, which has not failed
 
 	mu            sync.Mutex
 	stream        proto.ClientStream
@@ -276,6 +276,9 @@
 		a.r.c.Choice.RecordResult(a.r.req.Service, a.sent.Server, true, failure.Code.String())
 	}
 	unacked := a.leavesUnackedRun()
+	if unacked && a.r.idempotent {
+		a.stream.CloseSilent() // no other call may use the connection: endRun closes it at the other end
+	}
 	a.abandon()
 	if unacked {
 		go a.endRun()
--- a/internal/route/call/race.go
+++ b/internal/route/call/race.go
@@ -22,7 +22,7 @@
 
 	mu       sync.Mutex
 	attempts []*attempt
-	running  int // attempts whose end await has not seen; no attempt joins when it is 0
+	running  int // attempts that have not failed; no attempt joins when it is 0
 }
 
 type raceResult struct {
@@ -46,7 +46,7 @@
 
 // hedge makes another attempt because the answer is late.
 func (race *race) hedge() {
-	race.join(true, func() bool {
+	race.join(nil, func() bool {
 		granted := race.r.budget.TakeHedge()
 		if granted {
 			race.r.c.counters.hedges.Add(1)
@@ -55,10 +55,10 @@
 	})
 }
 
-// retry makes another attempt because a previous one may be lost. That one goes on, since its answer may only be late. It reports false if
-// no other attempt is allowed now.
-func (race *race) retry() bool {
-	return race.join(false, func() bool {
+// retry makes another attempt because a previous one, late, may be lost. That one goes on, since its answer may only be late. It reports
+// false if no other attempt is allowed now.
+func (race *race) retry(late *attempt) bool {
+	return race.join(late, func() bool {
 		granted := race.r.budget.TakeRetry()
 		if granted {
 			race.r.c.counters.retries.Add(1)
@@ -67,9 +67,9 @@
 	})
 }
 
-// join starts another attempt and reports true, unless the race has ended or the request may not run on another server. grant is asked
-// last, because it takes a token of a budget.
-func (race *race) join(hedge bool, grant func() bool) bool {
+// join starts another attempt and reports true, unless the race has ended or the request may not run on another server. late is the
+// attempt that it is a retry of, nil for a hedge. grant is asked last, because it takes a token of a budget.
+func (race *race) join(late *attempt, grant func() bool) bool {
 	race.mu.Lock()
 	defer race.mu.Unlock()
 	if race.running == 0 || race.winner.Load() != nil || !race.r.mayRunBeside(race.running) || !grant() {
@@ -79,13 +79,39 @@
 	a.race = race
 	race.attempts = append(race.attempts, a)
 	race.running++
-	go func() {
-		response, err := a.run()
-		race.results <- raceResult{response: response, err: err, hedge: hedge}
-	}()
+	go race.runBeside(a, late)
 	return true
 }
 
+// runBeside runs an attempt beside others. If it fails, late may be retried once more.
+func (race *race) runBeside(a, late *attempt) {
+	response, err := a.run()
+	if err != nil {
+		race.failed(err)
+		if late != nil && !race.r.isLastRetry(code.Of(err)) {
+			late.retried.Store(false)
+		}
+	}
+	race.results <- raceResult{response: response, err: err, hedge: late == nil}
+}
+
+// failed records the failure of an attempt before another one may join: its server may have run the request.
+func (race *race) failed(err error) {
+	race.mu.Lock()
+	defer race.mu.Unlock()
+	if !errors.Is(err, errLost) {
+		race.r.recordFailure(code.Of(err))
+	}
+	race.running--
+}
+
+// made returns the number of attempts of the race.
+func (race *race) made() int {
+	race.mu.Lock()
+	defer race.mu.Unlock()
+	return len(race.attempts)
+}
+
 // mayRunBeside reports whether the request may run on one more server beside its running attempts.
 func (r *request) mayRunBeside(running int) bool {
 	r.mu.Lock()
@@ -97,29 +123,20 @@
 // await waits, after the first attempt has failed, until another one is answered or all have failed. It returns the failure of the first
 // one then.
 func (race *race) await(first error) (*Response, error) {
-	for race.left() > 0 {
-		ended := <-race.results // an attempt ends with the context of the request at the latest
-		if ended.err == nil {
-			if ended.hedge {
-				race.r.c.counters.hedgesWon.Add(1)
-			}
-			return ended.response, nil
+	race.failed(first)
+	for ended := 1; ended < race.made(); ended++ {
+		result := <-race.results // an attempt ends with the context of the request at the latest
+		if result.err != nil {
+			continue
 		}
-		if !errors.Is(ended.err, errLost) {
-			race.r.recordFailure(code.Of(ended.err))
+		if result.hedge {
+			race.r.c.counters.hedgesWon.Add(1)
 		}
+		return result.response, nil
 	}
 	return nil, first
 }
 
-// left counts the end of an attempt and returns the number of attempts that are still running.
-func (race *race) left() int {
-	race.mu.Lock()
-	defer race.mu.Unlock()
-	race.running--
-	return race.running
-}
-
 // win reports whether a is the first attempt to be answered. If so, it cancels the others.
 func (race *race) win(a *attempt) bool {
 	if !race.winner.CompareAndSwap(nil, a) {
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -225,6 +225,10 @@
 		return
 	}
 	found, err := a.sendResolve(noConn)
+	if a.lastFrame.Load() != last {
+		a.checkStall()
+		return
+	}
 	switch {
 	case err != nil && !a.isServerLost(failures+1):
 		a.retryBeside()
@@ -241,10 +245,10 @@
 	}
 }
 
-// retryBeside makes one other attempt while this one goes on, if the request may be retried.
+// retryBeside makes one other attempt at a time while this one goes on, if the request may be retried.
 func (a *attempt) retryBeside() {
-	if a.race != nil && !a.retried.Load() {
-		a.retried.Store(a.race.retry())
+	if a.race != nil && a.retried.CompareAndSwap(false, true) && !a.race.retry(a) {
+		a.retried.Store(false)
 	}
 }
 
@@ -257,9 +261,9 @@
 }
 
 // isServerLost reports whether the server's daemon has certainly failed after so many resolves without a reply: a busy link delays
-// resolves and replies as well. A request that is retried only after the end of its attempt does not wait for certainty.
+// resolves and replies as well. A request that may be retried, but only after the end of its attempt, does not wait for certainty.
 func (a *attempt) isServerLost(failures int) bool {
-	sequential := a.r.idempotent && a.r.depth == 0 && a.race == nil
+	sequential := a.r.idempotent && a.r.depth == 0 && a.race == nil && a.r.hasRetryLeft()
 	if failures < maxResolveTries && !sequential || a.r.pool.IsAlive(a.ctx, a.sent.Server) {
 		return false
 	}
@@ -290,11 +294,16 @@
 	a.stream.CloseSilent()
 }
 
-// schedule runs the next check of the attempt after wait, unless the attempt is closed.
+// schedule runs the next check of the attempt after wait, unless the attempt is closed. It replaces a check that another goroutine has
+// scheduled meanwhile: an ack may arrive during a resolve.
 func (a *attempt) schedule(wait time.Duration, check func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.closed {
-		a.stallTimer = time.AfterFunc(wait, check)
+	if a.closed {
+		return
+	}
+	if a.stallTimer != nil {
+		a.stallTimer.Stop()
 	}
+	a.stallTimer = time.AfterFunc(wait, check)
 }
