route, admit, link: the rest of an upload follows an early response to the server

Callers saw: a server answers an upload of unknown length, or of more than 512 KiB, before it has read the body, keeps the connection and reads on. The caller gets the 200 and sends everything; the server gets the first piece and the end of its connection. A 900 kB upload of known length is reset while its caller sends.

Cause: the complete response ended the attempt. The router cancelled the stream whose body it was still sending, the gate left the stream, the server's connection was closed with the body's read, and the router's HTTP server threw the rest away.

Now: the router completes the response towards its caller at once (FinishResponse) and goes on sending; the gate keeps the stream until the body has arrived, and the slot, the ledger entry (no response for a resolve) and the stop's count of calls until it is sent; the run's context closes the server's connection at the deadline, when the caller leaves, or when the stream is lost, in place of 1 s after the response. A body that has arrived is sent without the stream. Behind a 2xx or 3xx a rest that breaks off aborts the caller's connection, and no claim stores the response; a failed response that closes the connection ends the body as before. drpc's end of a stream whose last piece is just being received is told from a cancellation by a lock around the receive. The router's connection to the gate returns to the pool after a ping, because the peer takes the last piece at the server's pace; the call behind it had a late ack, which closed the connection and cut the upload (TestNoCallWaitsBehindAnUpload).

TestBothDirectionsAreIndependent looked for the idle connection in the moment of Close; after an upload it now returns behind a ping, so the test waits for the bubble first.

--- a/internal/admit/gate/body.go
+++ b/internal/admit/gate/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -15,9 +16,12 @@
 // that of the HTTP transport.
 type body struct {
 	stream   proto.Stream
-	piece    []byte      // received and not yet read; after readAll the whole body
-	end      bool        // piece is the last one
-	complete atomic.Bool // the last piece was received
+	piece    []byte        // received and not yet read; after readAll the whole body
+	end      bool          // piece is the last one
+	complete atomic.Bool   // the last piece was received
+	arrived  chan struct{} // closed with complete; nil when the head had the whole body
+
+	receiving sync.Mutex // held while a piece is received
 }
 
 func (b *body) begin(stream proto.Stream, head *proto.Head) {
@@ -25,6 +29,9 @@
 	b.piece = head.Body
 	b.end = head.End
 	b.complete.Store(head.End)
+	if !head.End {
+		b.arrived = make(chan struct{})
+	}
 }
 
 // Read implements io.Reader. If the stream ends before the last piece, Read returns an error, so that the transport aborts the
@@ -69,6 +76,8 @@
 }
 
 func (b *body) next() error {
+	b.receiving.Lock()
+	defer b.receiving.Unlock()
 	frame, err := b.stream.Recv()
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
@@ -82,8 +91,8 @@
 	}
 	b.piece = piece.Data
 	b.end = piece.End
-	if piece.End {
-		b.complete.Store(true)
+	if piece.End && b.complete.CompareAndSwap(false, true) {
+		close(b.arrived)
 	}
 	return nil
 }
--- a/internal/admit/gate/call.go
+++ b/internal/admit/gate/call.go
@@ -40,8 +40,11 @@
 	waiter       waiter
 	ordered      *order.Request // nil unless the call was admitted or queued by precedence
 	ack          proto.Ack
-	acked        bool // the Ack was sent by acknowledge
-	counted      bool // included in Gate.calls
+	acked        bool        // the Ack was sent by acknowledge
+	counted      bool        // included in Gate.calls
+	outlived     bool        // by the sending of its request; see endRun
+	late         atomic.Bool // the response is complete, the request is still being sent
+	early        bool        // the response was complete before the body; implies late
 	rollout      rolloutCall
 	identity     string       // instance that must run the request; set just before the run
 	streamEnd    atomic.Int64 // of a non-idempotent call whose stream ended during the run: when, as a duration since arrived; else 0
@@ -66,7 +69,7 @@
 	if refused != nil {
 		return c.refuse(refused)
 	}
-	defer g.leave(c)
+	defer c.leaveUnlessOutlived()
 	c.countReceived()
 	if c.buffersBody(service) {
 		if refused := c.bufferBody(); refused != nil {
@@ -181,7 +184,7 @@
 // run sends the request to the server and the response to the router.
 func (c *call) run(service *config.Service) error {
 	ctx, cancel := c.runContext()
-	defer cancel()
+	defer c.endRun(cancel)
 	c.attempt.Request = c.request(ctx)
 	if name := c.gate.Dialect.RequestID; name != "" {
 		c.attempt.ID = c.head.Header.Get(name)
@@ -206,7 +209,9 @@
 	defer func() { _ = response.Body.Close() }() // the body was forwarded or discarded by then, so an error has no effect
 	c.gate.Limit.End(&c.ticket, responseResult(response))
 	defer func() { c.gate.times[c.head.Class].Add(time.Since(c.arrived)) }()
-	return c.reply(ctx, response)
+	err := c.reply(ctx, response)
+	c.awaitBody(ctx)
+	return err
 }
 
 func (c *call) recordUnfinished(failed *code.Error) {
--- a/internal/admit/gate/ending.go
+++ b/internal/admit/gate/ending.go
@@ -17,13 +17,16 @@
 const disconnectDelay = 100 * time.Millisecond
 
 // runContext returns the context for running the request. It is cancelled when the stream ends: at once for an idempotent request, by
-// streamEnded for a non-idempotent one, which may wait for a resolve. A resolve may also cancel it.
+// streamEnded for a non-idempotent one, which may wait for a resolve, and for one with a body, which may outlive its stream. A resolve may
+// also cancel it.
 func (c *call) runContext() (context.Context, context.CancelFunc) {
-	if c.head.Idempotent {
+	if c.head.Idempotent && c.head.End && len(c.head.Body) == 0 {
 		return context.WithDeadline(c.stream.Context(), c.deadline)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
-	c.entry.OnUnneeded(cancel)
+	if !c.head.Idempotent {
+		c.entry.OnUnneeded(cancel)
+	}
 	stop := context.AfterFunc(c.stream.Context(), func() { c.streamEnded(ctx, cancel) })
 	return ctx, func() {
 		stop()
@@ -42,11 +45,21 @@
 	time.AfterFunc(disconnectDelay, c.release)
 }
 
-// streamEnded runs in its own goroutine when the stream of a non-idempotent request ends, also with the last frame of its response. A
-// request that the router cancelled is cancelled at once: nobody waits for its response. After a lost connection it continues for
-// resolveGrace, in which the router resolves it, unless its body is incomplete or the daemon ends, so that no router can resolve it.
+// streamEnded runs in its own goroutine when the stream of a request ends, also with the last frame of its response or its body. A
+// request that the router cancelled is cancelled at once: nobody waits for its response. After a lost connection a non-idempotent one
+// continues for resolveGrace, in which the router resolves it, unless its body is incomplete or the daemon ends, so that no router can
+// resolve it.
 func (c *call) streamEnded(ctx context.Context, cancel context.CancelFunc) {
-	if c.entry.Ended() {
+	switch {
+	case c.entry.Ended():
+		return
+	case c.late.Load():
+		if !c.body.hasArrived() {
+			cancel()
+		}
+		return
+	case c.head.Idempotent:
+		cancel()
 		return
 	}
 	c.recordStreamEnd()
--- a/internal/admit/gate/reply.go
+++ b/internal/admit/gate/reply.go
@@ -48,8 +48,10 @@
 		}
 	}
 	answer.End = true
-	c.release()
-	c.finish(answer)
+	c.releaseIfSent()
+	if !c.early {
+		c.finish(answer)
+	}
 	return c.stream.Send(answer)
 }
 
@@ -73,9 +75,11 @@
 			return c.failTruncated(ctx, err)
 		}
 		if err != nil {
-			c.release()
 			buffered.End = true
-			c.finishIf(holdable, &buffered, response)
+			c.releaseIfSent()
+			if !c.early {
+				c.finishIf(holdable, &buffered, response)
+			}
 			return c.stream.Send(&proto.Piece{Data: buffer[:n], End: true, Trailer: response.Trailer})
 		}
 		if sendErr == nil && n > 0 {
@@ -99,7 +103,7 @@
 }
 
 func (c *call) finish(answer *proto.Answer) {
-	if c.head.Idempotent {
+	if c.head.Idempotent || !c.body.complete.Load() {
 		answer = nil
 	}
 	c.entry.Answered(answer)
--- a/internal/admit/server/body.go
+++ b/internal/admit/server/body.go
@@ -15,15 +15,15 @@
 }
 
 // responseBody releases its connection once the response has been read and the request sent completely; otherwise it closes
-// the connection.
+// the connection. The end of the request's context closes the connection until then.
 type responseBody struct {
 	io.ReadCloser
 	conn         *conn
-	sent         chan error
-	stop         func() bool  // unregisters the close on the end of the request's context
-	failed       func() error // the error of the request's context
-	closes       bool         // the server closes the connection after the response
-	endsWithConn bool         // implies closes
+	attempt      *Attempt
+	stop         func() bool // unregisters the close on the end of the request's context
+	closes       bool        // the server closes the connection after the response
+	failed       bool        // by its status, the response is not one of success
+	endsWithConn bool        // implies closes
 	ended        atomic.Bool
 }
 
@@ -43,7 +43,7 @@
 // the request gets it, reading the response sees a regular end. The response is therefore complete only if the request was sent. The end
 // of the request's context closes the connection, which must not pass for its regular end either.
 func (b *responseBody) connEnd() error {
-	if err := b.failed(); err != nil {
+	if err := b.attempt.Request.Context().Err(); err != nil {
 		return errors.Wrap(err, "the response without length was not read to its end")
 	}
 	if err := b.awaitUpload(); err != nil {
@@ -61,37 +61,41 @@
 	return b.ReadCloser.Close()
 }
 
+// end ends the use of the connection. A server may read on after its response, also when it closes the connection later; only a failed
+// response that closes the connection tells that it does not.
 func (b *responseBody) end(complete bool) {
 	if !b.ended.CompareAndSwap(false, true) {
 		return
 	}
-	if !b.stop() || !complete || b.closes {
+	if !complete || b.closes && b.failed {
+		b.stop()
 		b.conn.close()
 		return
 	}
-	select {
-	case err := <-b.sent:
-		b.releaseAfter(err)
-	default:
-		go func() { b.releaseAfter(b.awaitUpload()) }()
-	}
+	b.attempt.sending.after(b.release)
 }
 
 // awaitUpload waits until the request is sent whose response has already ended, as the server may still read the body.
 func (b *responseBody) awaitUpload() error {
-	timer := time.NewTimer(lateUploadTimeout)
-	defer timer.Stop()
+	var timeout <-chan time.Time
+	if b.failed {
+		timer := time.NewTimer(lateUploadTimeout)
+		defer timer.Stop()
+		timeout = timer.C
+	}
 	select {
-	case err := <-b.sent:
-		b.sent <- err // for the next call
-		return err
-	case <-timer.C:
+	case <-b.attempt.Sent():
+		return b.attempt.SendError()
+	case <-b.attempt.Request.Context().Done():
+		return b.attempt.Request.Context().Err()
+	case <-timeout:
 		return errLateUpload
 	}
 }
 
-func (b *responseBody) releaseAfter(sent error) {
-	if sent != nil {
+// release returns the connection of a request that is sent to the idle list, or closes it.
+func (b *responseBody) release() {
+	if !b.stop() || b.closes || b.attempt.SendError() != nil {
 		b.conn.close()
 		return
 	}
--- a/internal/admit/server/client.go
+++ b/internal/admit/server/client.go
@@ -84,6 +84,8 @@
 	ShedsBeforeRun bool   // a 503 response proves that the server did not run the request
 	// Written is called once the request has been sent completely, possibly by another goroutine and after the response.
 	Written func()
+
+	sending sending
 }
 
 // Do sends the request once, without retries, and returns the response once its header has arrived.
--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -25,7 +25,7 @@
 	maxSkipped = 16
 	// maxRefusals bounds the refusals of a connection. After that many it carries no other request.
 	maxRefusals = 64
-	// lateUploadTimeout bounds the time to send the rest of a request after its response is complete.
+	// lateUploadTimeout bounds the time to send the rest of a request after a failed response that ends with its connection.
 	lateUploadTimeout = time.Second
 	// minStatus and maxStatus bound the statuses of responses, including interim ones (RFC 9110, section 15).
 	minStatus = 100
--- a/internal/admit/server/exchange.go
+++ b/internal/admit/server/exchange.go
@@ -15,29 +15,27 @@
 // exchange sends the request and reads the response header. The connection is closed when the request's context ends.
 func (k *conn) exchange(a *Attempt) (*http.Response, error) {
 	k.wroteAny.Store(false)
-	sent := make(chan error, 1)
+	a.sending.done = make(chan struct{})
 	stop := context.AfterFunc(a.Request.Context(), k.close)
 	if a.Request.Body == nil {
-		sent <- k.write(a)
+		k.send(a)
 	} else {
 		// A server may answer before it has read the whole body.
-		go func() { sent <- k.write(a) }()
+		go k.send(a)
 	}
 	response, err := k.receive(a)
 	if err != nil {
 		stop()
 		k.close()
-		select {
-		case failed := <-sent:
-			err = errors.CombineErrors(failed, err) // when sending failed, that is the cause
-		default:
+		if a.IsSent() {
+			err = errors.CombineErrors(a.SendError(), err) // when sending failed, that is the cause
 		}
 		return nil, err
 	}
 	k.keepAlive(response.Header)
 	response.Body = &responseBody{
-		ReadCloser: response.Body, conn: k, sent: sent, stop: stop, failed: a.Request.Context().Err, closes: response.Close,
-		endsWithConn: endsWithConn(response),
+		ReadCloser: response.Body, conn: k, attempt: a, stop: stop, closes: response.Close,
+		failed: response.StatusCode >= http.StatusBadRequest, endsWithConn: endsWithConn(response),
 	}
 	return response, nil
 }
--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -30,6 +30,7 @@
 	offset         int64  // in the body, after the piece sent with the head
 
 	sendingBody atomic.Bool // sendBody is running
+	rest        rest
 
 	mu            sync.Mutex
 	stream        proto.ClientStream
@@ -194,8 +195,7 @@
 			}
 			a.startStallChecks()
 			if !bodySent {
-				a.sendingBody.Store(true)
-				go a.sendBody()
+				a.startBody()
 			}
 		case *proto.Answer:
 			if !a.isAcked() && !a.recordAck() {
@@ -219,6 +219,7 @@
 // taken for the io.EOF at the end of a complete response.
 func (a *attempt) recv() (proto.Frame, error) {
 	frame, err := a.stream.Recv()
+	a.rest.lost = err != nil
 	if errors.Is(err, io.EOF) {
 		return nil, io.ErrUnexpectedEOF
 	}
@@ -315,9 +316,12 @@
 // finish closes an attempt that the server's daemon has finished as well. A stream that is complete in both directions returns its
 // connection to the connection pool; a stream whose body is still being sent is cancelled.
 func (a *attempt) finish() {
-	if !a.close() {
-		return
+	if a.close() {
+		a.end()
 	}
+}
+
+func (a *attempt) end() {
 	a.detach()
 	_ = a.stream.Close() // an error here has no consequence
 	// The context is not cancelled when nothing waits for it. The cancellation would race with the end of the stream, which drpc's
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -283,6 +283,9 @@
 	for {
 		piece, err := x.Next()
 		body = append(body, piece...)
+		if errors.Is(err, io.EOF) {
+			err = errors.CombineErrors(x.AwaitBody(), err)
+		}
 		if err != nil {
 			return string(body), err
 		}
--- a/internal/route/call/response.go
+++ b/internal/route/call/response.go
@@ -22,6 +22,7 @@
 	cancel    context.CancelFunc
 	pending   []byte // not yet returned by Next
 	done      bool
+	late      bool  // the response was complete before the request body had been sent
 	returned  int64 // bytes returned by Next
 	claimBody []byte
 	keepsBody bool // claimBody holds the body so far, which may become the claim's result
@@ -134,20 +135,30 @@
 	x.claimBody = append(x.claimBody, data...)
 }
 
-// complete finishes the attempt. A response without trailers is stored as the result of the claim, if there is one. last is the
-// last part of the body.
+// complete finishes the attempt, unless the rest of the request body is still being sent. A response without trailers is stored as the
+// result of the claim, if there is one. last is the last part of the body.
 func (x *Response) complete(last []byte) {
 	x.keepForClaim(last)
 	x.a.r.durations[x.a.r.class].Add(time.Since(x.a.r.began))
+	if x.late = x.a.closeBeforeRest(); x.late {
+		return
+	}
 	x.a.finish()
+	x.storeForClaim()
+}
+
+func (x *Response) storeForClaim() {
 	if x.keepsBody && len(x.Trailer) == 0 {
 		x.a.r.c.Claims.Finish(*x.a.r.claim, claim.Result{Status: x.Status, Header: x.Header, Body: x.claimBody})
 	}
 }
 
-// Close releases the response. An incomplete response is cancelled.
+// Close releases the response. An incomplete response, or the rest of the request body, is cancelled.
 func (x *Response) Close() {
-	if x.a != nil {
+	switch {
+	case x.late:
+		x.a.end()
+	case x.a != nil:
 		x.a.abandon()
 	}
 	x.cancel()
--- a/internal/route/call/send.go
+++ b/internal/route/call/send.go
@@ -64,11 +64,12 @@
 
 // sendBody sends the rest of the body.
 func (a *attempt) sendBody() {
+	defer close(a.rest.ended)
 	defer a.sendingBody.Store(false)
 	piece := make([]byte, proto.MaxPiece)
 	offset := a.offset
 	for a.ctx.Err() == nil {
-		n, err := a.r.body.read(a.bodyGeneration, offset, piece)
+		n, err := a.readBody(offset, piece)
 		offset += int64(n)
 		end := errors.Is(err, io.EOF)
 		if err != nil && !end {
@@ -80,9 +81,13 @@
 		if end && a.r.req.Trailer != nil {
 			next.Trailer = a.r.req.Trailer()
 		}
-		if a.stream.Send(next) != nil || end {
+		if a.stream.Send(next) != nil {
 			return // a failure of the stream is reported by Recv
 		}
+		if end {
+			a.rest.sent.Store(true)
+			return
+		}
 	}
 }
 
--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -177,6 +177,7 @@
 	}
 	defer response.Close()
 	f.writeResponse(w, r, response)
+	f.awaitBody(w, response)
 }
 
 // newRequest validates a caller's request and converts it.
--- a/internal/route/front/front_test.go
+++ b/internal/route/front/front_test.go
@@ -98,6 +98,7 @@
 	x.out <- next
 	return nil
 }
+func (x *fakeStream) Context() context.Context       { return x.ctx }
 func (x *fakeStream) CloseSend() error               { return nil }
 func (x *fakeStream) Close() error                   { return nil }
 func (x *fakeStream) Conn() uint64                   { return 1 }
--- a/internal/route/http1/exchange.go
+++ b/internal/route/http1/exchange.go
@@ -27,6 +27,7 @@
 	wroteHeader   bool           // WriteHeader was called; it may still be waiting for prevDone
 	contentLength int64          // of the response; -1 when unknown
 	written       int64          // bytes of the response body
+	finished      bool           // the response is complete
 	chunkWriter   io.WriteCloser // nil unless the response body is chunked
 }
 
@@ -160,14 +161,26 @@
 	return x.body.abort(deadline)
 }
 
-// finish completes the response. A response shorter than its Content-Length aborts the connection.
+// finish completes the response, and with it the exchange.
 func (x *exchange) finish() {
+	if x.FinishResponse() == nil && x.close {
+		x.conn.stopReading()
+	}
+}
+
+// FinishResponse completes the response while the handler goes on, so that a body that is still being read does not delay it. A response
+// shorter than its Content-Length aborts the connection.
+func (x *exchange) FinishResponse() error {
+	if x.finished {
+		return nil
+	}
+	x.finished = true
 	if !x.wroteHeader {
 		x.WriteHeader(http.StatusOK)
 	}
 	if x.contentLength > 0 && x.written < x.contentLength && x.request.Method != http.MethodHead {
 		x.abort()
-		return
+		return io.ErrUnexpectedEOF
 	}
 	if x.chunkWriter != nil {
 		_ = x.chunkWriter.Close() // errors are returned by the flush below
@@ -181,9 +194,7 @@
 		}
 		_, _ = x.conn.writer.WriteString("\r\n")
 	}
-	if x.FlushError() == nil && x.close {
-		x.conn.stopReading()
-	}
+	return x.FlushError()
 }
 
 // abort closes the connection, so that an incomplete response does not look complete.
--- a/internal/wire/link/call.go
+++ b/internal/wire/link/call.go
@@ -19,6 +19,7 @@
 	pool    *Pool
 	conn    *conn
 	started time.Time
+	upload  time.Time // deadline of a call whose body follows its head; zero for other calls
 	closed  atomic.Bool
 }
 
@@ -36,6 +37,9 @@
 	if err == nil {
 		call := &clientStream{stream: stream{raw: raw, tr: c.tr, accepts: isAdmissionFrame}, pool: p, conn: c, started: started}
 		call.sendDone.Store(head.End)
+		if !head.End {
+			call.upload = started.Add(head.Remaining)
+		}
 		return call, nil
 	}
 	// drpc would send a head that is still in its buffer together with the cancellation. After the connection is closed,
@@ -89,14 +93,18 @@
 }
 
 // Close implements proto.Stream. If the call is complete, its connection returns to the pool at once: the peer sends its
-// half-close in the same write as its last frame. Any other call is cancelled in the background, so that its caller does
-// not wait.
+// half-close in the same write as its last frame. After an upload, it returns once the peer has received that, too. Any other
+// call is cancelled in the background, so that its caller does not wait.
 func (c *clientStream) Close() error {
 	if c.closed.Swap(true) {
 		return nil
 	}
 	if c.complete() {
-		c.pool.release(c.conn)
+		if c.upload.IsZero() {
+			c.pool.release(c.conn)
+		} else {
+			go c.pool.releaseReceived(c.conn, c.upload)
+		}
 		return nil
 	}
 	c.pool.updatePeer(c.conn.to, func(found *peer) { found.counts.Cancelled++ })
--- a/internal/wire/link/stream_test.go
+++ b/internal/wire/link/stream_test.go
@@ -163,6 +163,7 @@
 		p.Expect(err).To(MatchError(io.EOF))
 		synctest.Wait()
 		p.Expect(stream.Close()).To(Succeed())
+		synctest.Wait() // for the ping after an upload
 		p.Expect(p.peer().Idle).To(Equal(1))
 		reply, err := p.pool.Exchange(t.Context(), daemonAddr, &proto.Exchange{InForce: 4})
 		p.Expect(err).NotTo(HaveOccurred())
