roll/stage: TestRollouts lists its counts by phase

It listed them in the order of a Go map, so that two lines of testdata/rollouts:91 changed places in 9 of 48 runs. The phases are sorted; the expected output and what is compared with it stay as they are. 48 runs: none failed.

--- a/internal/roll/stage/stage_test.go
+++ b/internal/roll/stage/stage_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,8 +53,8 @@
 			}
 		}
 		t.Logf("%s: exposure at most %.2f of the bound, %d bad responses, latest end %s", d.Pos, most, bad, latest)
-		for p, n := range phases {
-			out = fmt.Sprintf("%s: %d\n", p, n) + out
+		for _, p := range slices.Backward(slices.Sorted(maps.Keys(phases))) {
+			out = fmt.Sprintf("%s: %d\n", p, phases[p]) + out
 		}
 		return out
 	})
