--- a/internal/admit/gate/body.go
+++ b/internal/admit/gate/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -15,10 +16,13 @@
 // that of the HTTP transport.
 type body struct {
 	stream   proto.Stream
-	piece    []byte       // received and not yet read; after readAll the whole body
-	end      bool         // piece is the last one
-	complete atomic.Bool  // the last piece was received
-	received atomic.Int64 // bytes
+	piece    []byte        // received and not yet read; after readAll the whole body
+	end      bool          // piece is the last one
+	complete atomic.Bool   // the last piece was received
+	arrived  chan struct{} // closed with complete; nil when the head had the whole body
+	received atomic.Int64  // bytes
+
+	receiving sync.Mutex // held while a piece is received
 }
 
 func (b *body) begin(stream proto.Stream, head *proto.Head) {
@@ -27,6 +31,9 @@
 	b.end = head.End
 	b.complete.Store(head.End)
 	b.received.Store(int64(len(head.Body)))
+	if !head.End {
+		b.arrived = make(chan struct{})
+	}
 }
 
 // Read implements io.Reader. If the stream ends before the last piece, Read returns an error, so that the transport aborts the
@@ -71,6 +78,8 @@
 }
 
 func (b *body) next() error {
+	b.receiving.Lock()
+	defer b.receiving.Unlock()
 	frame, err := b.stream.Recv()
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
@@ -85,8 +94,8 @@
 	b.piece = piece.Data
 	b.received.Add(int64(len(piece.Data)))
 	b.end = piece.End
-	if piece.End {
-		b.complete.Store(true)
+	if piece.End && b.complete.CompareAndSwap(false, true) {
+		close(b.arrived)
 	}
 	return nil
 }
