route/call, wire/link: a resolve that was not sent is no silence of the daemon

Callers got 502 for runs that went on: a router sends at most 16 resolves to a daemon at once, and since attempts without an ack stay open and ask again, more than 16 of them on one slow daemon reach that limit. Each resolve above it failed at once, and counted as one without a reply: with a suspected daemon the stream was given up after 0.2 s and three resolves of which none had left, and the daemon was marked unreachable. The limit has a code of its own now, and it counts neither as a failure nor against the server. A request that is retried only after the end of its attempt is retried as before.

--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -130,6 +130,8 @@
 		return &proto.Resolution{State: proto.StateFinished, Failure: &proto.Failure{Code: code.Cancelled, Outcome: code.NotRun}}, nil
 	case "cancelled":
 		return &proto.Resolution{State: proto.StateFinished, Failure: &proto.Failure{Code: code.Cancelled}}, nil
+	case "busy":
+		return nil, code.Unknownf(code.Overloaded, "too many resolves")
 	default:
 		return nil, code.NotRunf(code.PeerUnreachable, "no reply")
 	}
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -116,7 +116,7 @@
 	switch {
 	case err == nil:
 		a.r.c.Choice.MarkReachable(a.r.req.Service, a.sent.Server)
-	case a.ctx.Err() == nil:
+	case a.ctx.Err() == nil && !isUnasked(err):
 		a.r.c.Choice.MarkUnreachable(a.r.req.Service, a.sent.Server)
 	}
 	return found, err
@@ -229,10 +229,13 @@
 		a.checkStall()
 		return
 	}
+	if err != nil && !isUnasked(err) {
+		failures++
+	}
 	switch {
-	case err != nil && !a.isServerLost(failures+1):
+	case err != nil && !a.isServerLost(failures):
 		a.retryBeside()
-		a.schedule(a.resolveDelay(failures+1), func() { a.checkRun(last, failures+1) })
+		a.schedule(a.resolveDelay(failures), func() { a.checkRun(last, failures) })
 	case err != nil:
 		a.giveUp(last, &proto.Resolution{State: proto.StateUnknown})
 	case found.State == proto.StateRunning:
@@ -245,6 +248,11 @@
 	}
 }
 
+// isUnasked reports whether a resolve was not sent because too many to the same daemon are in progress. That tells nothing of the daemon.
+func isUnasked(err error) bool {
+	return err != nil && code.Of(err).Code == code.Overloaded
+}
+
 // retryBeside makes one other attempt at a time while this one goes on, if the request may be retried.
 func (a *attempt) retryBeside() {
 	if a.race != nil && a.retried.CompareAndSwap(false, true) && !a.race.retry(a) {
--- a/internal/wire/link/call.go
+++ b/internal/wire/link/call.go
@@ -147,7 +147,7 @@
 	defer shard.mu.Unlock()
 	found := shard.peerLocked(to)
 	if found.resolving >= p.MaxResolves {
-		return code.NotRunf(code.PeerUnreachable, "%d resolves to %v are already in progress", found.resolving, to)
+		return code.NotRunf(code.Overloaded, "%d resolves to %v are already in progress", found.resolving, to)
 	}
 	found.resolving++
 	return nil
