route/front: a pipelined stream begins with its turn

Cause: after the wait, the next frame was read before the header, for as long as it took. Change: the read goes on in the background; once the turn has come it is waited for 5 ms, since a response that has broken off shows it at once, and its result is forwarded after the header otherwise.

Evidence: TestPipelinedStreamBeginsWithItsTurn fails before (an error of the daemon after the timeout of 2 s in place of the piece); TestPipelinedResponsesFailAlone holds.

--- a/internal/route/front/front_test.go
+++ b/internal/route/front/front_test.go
@@ -58,6 +58,8 @@
 	case "/two":
 		x.out <- &proto.Answer{Status: 200, Header: header, ContentLength: -1, Body: []byte("part")}
 		x.out <- &proto.Piece{Data: []byte("rest"), End: true}
+	case "/slow":
+		x.out <- &proto.Answer{Status: 200, Header: header, ContentLength: -1, Body: []byte("part")}
 	case "/early":
 		x.out <- &proto.Answer{Status: 200, Header: header, ContentLength: -1}
 		close(x.out)
@@ -369,3 +371,28 @@
 		g.Expect(fmt.Sprint(answers)).To(gomega.Equal(want))
 	}
 }
+
+// Guards against a stream whose header waits for its second piece because it had to wait for an earlier response.
+func TestPipelinedStreamBeginsWithItsTurn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	backend := &fakeBackend{release: make(chan struct{})}
+	_, base, _ := start(t, backend)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", base)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /stock/gated HTTP/1.1\r\nHost: h\r\n\r\nGET /stock/slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	time.AfterFunc(100*time.Millisecond, func() { close(backend.release) })
+	g.Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
+	reader := bufio.NewReader(conn)
+	first, err := http.ReadResponse(reader, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.Copy(io.Discard, first.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	second, err := http.ReadResponse(reader, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	piece := make([]byte, len("part"))
+	_, err = io.ReadFull(second.Body, piece)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(piece)).To(gomega.Equal("part"))
+}
--- a/internal/route/front/response.go
+++ b/internal/route/front/response.go
@@ -17,10 +17,10 @@
 func (f *Front) writeResponse(w http.ResponseWriter, r *http.Request, response *call.Response) {
 	// Wait for the first part of the body before sending the header, so that an early failure can still be reported
 	// as an error response.
-	held, piece, err := hold(response, turnOf(w))
-	if err != nil && !errors.Is(err, io.EOF) {
+	held := hold(response, turnOf(w))
+	if held.failed() {
 		f.truncated.Add(1)
-		f.writeError(w, err)
+		f.writeError(w, held.err)
 		return
 	}
 	header := w.Header()
@@ -34,77 +34,33 @@
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	w.WriteHeader(response.Status)
-	if _, writeErr := w.Write(held); writeErr != nil {
-		panic(http.ErrAbortHandler) // the caller has disconnected
-	}
-	f.copyBody(w, response, piece, err)
+	f.copyBody(w, response, held)
 	for name, values := range response.Trailer {
 		header[http.TrailerPrefix+name] = values
 	}
 }
 
-// isWhole reports whether the first piece is the whole body.
-func isWhole(response *call.Response, piece []byte) bool {
-	return response.ContentLength >= 0 && int64(len(piece)) == response.ContentLength
-}
-
-// maxHeldBytes limits what is held of a response that waits for its turn, up to two frames.
-const maxHeldBytes = 64 << 10
-
-// hold reads the first piece of a response and, while earlier responses of its connection are awaited, what follows. A response that is
-// held whole can't break off any more; another one is read once again after the wait, because a failure that shows before the header takes
-// no other response with it.
-func hold(response *call.Response, turn <-chan struct{}) (held, piece []byte, err error) {
-	piece, err = response.Next()
-	for err == nil && !isWhole(response, piece) && len(held) <= maxHeldBytes && isPending(turn) {
-		held = append(held, piece...)
-		piece, err = response.Next()
-	}
-	if err == nil && len(held) > 0 && isPending(turn) {
-		<-turn
-		held = append(held, piece...)
-		piece, err = response.Next()
-	}
-	return held, piece, err
-}
-
-// turnOf returns the channel that is closed when the earlier responses of the connection have been written; nil if there can't be any.
-func turnOf(w http.ResponseWriter) <-chan struct{} {
-	if pipelined, ok := w.(interface{ Turn() <-chan struct{} }); ok {
-		return pipelined.Turn()
-	}
-	return nil
-}
-
-func isPending(turn <-chan struct{}) bool {
-	if turn == nil {
-		return false
-	}
-	select {
-	case <-turn:
-		return false
-	default:
-		return true
-	}
-}
-
 // copyBody forwards the body part by part and flushes each, unless the first part is the whole body. A truncated response
 // aborts the caller's connection, because a regular end of the body would make it look complete.
-func (f *Front) copyBody(w http.ResponseWriter, response *call.Response, piece []byte, err error) {
+func (f *Front) copyBody(w http.ResponseWriter, response *call.Response, held *heldBody) {
 	control := http.NewResponseController(w)
-	complete := isWhole(response, piece)
-	for err == nil {
-		if _, writeErr := w.Write(piece); writeErr != nil {
-			panic(http.ErrAbortHandler) // the caller has disconnected
+	complete := held.isWhole(response)
+	for piece, err := held.data, held.err; ; piece, err = held.next(response) {
+		if len(piece) > 0 {
+			if _, writeErr := w.Write(piece); writeErr != nil {
+				panic(http.ErrAbortHandler) // the caller has disconnected
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			f.truncated.Add(1)
+			panic(http.ErrAbortHandler)
 		}
 		if !complete {
 			_ = control.Flush()
 		}
-		piece, err = response.Next()
-	}
-	if !errors.Is(err, io.EOF) {
-		f.truncated.Add(1)
-		panic(http.ErrAbortHandler)
 	}
 }
 
