route/call, route/choice: a suspicion does not end a run

Cause: a suspicion is no independent evidence. Change: a run without replies is given up only if its daemon is no member any longer. Where a retry is allowed it runs beside the silent attempt anyway; others end at their deadline.

The cases with 'suspect' are now cases of a daemon that is gone, with the same outcomes; a suspected member is one of those that the case without replies covers.

--- a/internal/route/call/attempt_test.go
+++ b/internal/route/call/attempt_test.go
@@ -94,7 +94,8 @@
 	})
 }
 
-// Guards against giving up a running attempt because resolves are delayed on a busy link, although the suspected daemon's reports arrive.
+// Guards against giving up a running attempt because resolves are delayed on a busy link and the fleet takes the daemon for ended, although
+// its reports still arrive.
 func TestDaemonThatReportsIsAskedAgain(t *testing.T) {
 	for _, reports := range []bool{false, true} {
 		synctest.Test(t, func(*testing.T) {
@@ -110,12 +111,13 @@
 			for range 500 {
 				c.Budgets.Service("stock").RecordRequest(0.1, 0)
 			}
-			suspectAll(c)
+			servers := c.Choice.Members.Service("stock")
+			endAll(c, 500*time.Millisecond)
 			ctx, cancel := context.WithCancel(context.Background())
 			if reports {
 				go func() {
 					for ; ctx.Err() == nil; time.Sleep(25 * time.Millisecond) {
-						for _, record := range c.Choice.Members.Service("stock") {
+						for _, record := range servers {
 							c.Pool.Service("stock").AddReport(proto.Report{Server: record.Address, Limit: 1})
 						}
 					}
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -21,6 +21,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/conf/config"
+	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -49,7 +50,12 @@
 	}
 	c := newClient(f, 3)
 	if d.HasArg("suspect") {
-		suspectAll(c)
+		for i := range c.Choice.Members.(records) {
+			c.Choice.Members.(records)[i].State = member.Suspect
+		}
+	}
+	if d.HasArg("gone") {
+		endAll(c, 100*time.Millisecond)
 	}
 	tokens, depth, size, p95, failed, leave, stall, unread, servers := 50, 0, 0, 0, 0, 0, 0, 0, 0
 	req := &Request{Service: "stock", Method: d.Cmd, Path: "/", Target: "/", Timeout: 5500 * time.Millisecond, ContentLength: -1}
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -315,12 +315,22 @@
 	}
 }
 
-// suspectAll makes the fleet suspect the daemons of all servers.
-func suspectAll(c *Client) {
-	list := c.Choice.Members.(records)
-	for i := range list {
-		list[i].State = member.Suspect
+// membersUntil are the members of a fleet that takes all of them for ended from a time on.
+type membersUntil struct {
+	records
+	end time.Time
+}
+
+func (m membersUntil) Service(service string) []member.Record {
+	if time.Now().After(m.end) {
+		return nil
 	}
+	return m.records.Service(service)
+}
+
+// endAll makes the fleet take all daemons for ended after a time.
+func endAll(c *Client, after time.Duration) {
+	c.Choice.Members = membersUntil{records: c.Choice.Members.(records), end: time.Now().Add(after)}
 }
 
 // readAll reads a response to its end.
--- a/internal/route/call/resolve.go
+++ b/internal/route/call/resolve.go
@@ -275,7 +275,7 @@
 	if failures < maxResolveTries && !sequential || a.r.pool.IsAlive(a.ctx, a.sent.Server) {
 		return false
 	}
-	return sequential || a.r.c.Choice.IsSuspect(a.r.req.Service, a.sent.Server)
+	return sequential || a.r.c.Choice.IsGone(a.r.req.Service, a.sent.Server)
 }
 
 // giveUp closes the stream of an attempt that the server no longer runs, unless its next frame has arrived since last or is arriving.
--- a/internal/route/choice/choice.go
+++ b/internal/route/choice/choice.go
@@ -78,11 +78,12 @@
 	return c.candidates(service, conf).servers
 }
 
-// IsSuspect reports whether the fleet takes the daemon beside a server for failed.
-func (c *Chooser) IsSuspect(service string, server netip.AddrPort) bool {
+// IsGone reports whether the fleet takes the daemon beside a server for ended. A suspicion is not enough: a busy link delays the exchanges
+// of the membership as well.
+func (c *Chooser) IsGone(service string, server netip.AddrPort) bool {
 	for _, r := range c.Members.Service(service) {
 		if r.Address == server {
-			return r.State == member.Suspect || r.State == member.Gone
+			return r.State == member.Gone
 		}
 	}
 	return true
