route/http1: only idle connections are read once more at the end of their time

Nothing was lost by it, but a connection with requests in service needs no second read: a request behind them that is not read is sent again by its caller.

--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -179,10 +179,11 @@
 	return true
 }
 
-// awaitFirstByte waits for a request until the read deadline. It returns os.ErrDeadlineExceeded only if nothing has arrived.
+// awaitFirstByte waits for a request until the read deadline. On an idle connection it returns os.ErrDeadlineExceeded only if nothing has
+// arrived. Behind other requests, one that is not read is sent again by its caller.
 func (c *conn) awaitFirstByte() error {
 	_, err := c.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isIdle() {
 		_ = c.net.SetReadDeadline(time.Now().Add(arrivedTimeout))
 		_, err = c.reader.Peek(1)
 	}
@@ -211,6 +212,12 @@
 	}
 }
 
+func (c *conn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending == 0
+}
+
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
