conf, fleet, platform: the operators' own version of a configuration

A revision orders what a store tells; nothing on a daemon told which of the operators' configurations it held, so that a change that stayed out of force looked like one that had been replaced by an older row.

Older daemons skip the new fields of the messages. No decision follows from it yet.

--- a/internal/cli/daemon/metrics.go
+++ b/internal/cli/daemon/metrics.go
@@ -150,6 +150,7 @@
 	parts.Set.Gauge("members", func() float64 { return float64(parts.Members.Live()) })
 	parts.Set.Gauge("isolated", func() float64 { return gaugeValue(parts.Node.Isolated()) })
 	parts.Set.Gauge("configuration_revision", func() float64 { return float64(parts.Holder.Revision()) })
+	parts.Set.Gauge("configuration_serial", func() float64 { return float64(parts.Holder.Serial()) })
 	parts.Set.Gauge("configuration_head_revision", func() float64 {
 		revision, _ := parts.Node.HeadSeen()
 		return float64(revision)
--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -47,6 +47,7 @@
 // Config is one revision of the merged configuration. It is not modified after it has been published.
 type Config struct {
 	Revision uint64
+	Serial   uint64                         // that the operators give it; 0 when they give none
 	Services map[string]*Service            // by name
 	Zones    map[string]ZoneState           // a zone without an entry is in
 	Servers  map[netip.AddrPort]ServerState // by the inner address of the server's daemon; a server without an entry is in
--- a/internal/conf/config/holder.go
+++ b/internal/conf/config/holder.go
@@ -36,6 +36,14 @@
 	return 0
 }
 
+// Serial returns the serial in force, or 0 before the first Set.
+func (h *Holder) Serial() uint64 {
+	if c := h.Get(); c != nil {
+		return c.Serial
+	}
+	return 0
+}
+
 // Set puts next in force and notifies the subscribers in the order of their subscription. It refuses a revision that is not
 // higher than the current one, so that a daemon never returns to an earlier configuration.
 func (h *Holder) Set(next *Config) error {
--- a/internal/conf/files/apply.go
+++ b/internal/conf/files/apply.go
@@ -12,7 +12,7 @@
 	if change.Revision != set.Revision+1 {
 		return Set{}, code.NotRunf(code.StaleRevision, "change of revision %d does not follow revision %d", change.Revision, set.Revision)
 	}
-	return Set{Revision: change.Revision, Files: Replace(set.Files, change.Put, change.Remove)}, nil
+	return Set{Revision: change.Revision, Serial: set.Serial, Files: Replace(set.Files, change.Put, change.Remove)}, nil
 }
 
 // Replace returns the current files without those named in remove, then with those in put added or replaced. The result is
--- a/internal/conf/files/files.go
+++ b/internal/conf/files/files.go
@@ -32,5 +32,6 @@
 // Set is the whole folder at one revision.
 type Set struct {
 	Revision uint64
+	Serial   uint64 // that the operators give their configuration; a later one has a higher serial. 0 when they give none
 	Files    []File // sorted by name; names are unique
 }
--- a/internal/conf/files/merge.go
+++ b/internal/conf/files/merge.go
@@ -89,7 +89,7 @@
 	slices.SortStableFunc(sorted, func(a, b File) int { return cmp.Compare(a.Name, b.Name) })
 	merged := &Merged{Keys: make(map[ID]Entry, len(sorted)), Files: make(map[string][]ID, len(sorted))}
 	b := newBuilder()
-	b.config.Revision = set.Revision
+	b.config.Revision, b.config.Serial = set.Revision, set.Serial
 	parsed := make(map[string]parsedFile, len(sorted))
 	var problems []Problem
 	for _, file := range sorted {
--- a/internal/fleet/gossip/changes.go
+++ b/internal/fleet/gossip/changes.go
@@ -67,7 +67,7 @@
 }
 
 func applyChange(set files.Set, change files.Change) files.Set {
-	next := files.Set{Revision: change.Revision, Files: slices.Clone(set.Files)}
+	next := files.Set{Revision: change.Revision, Serial: set.Serial, Files: slices.Clone(set.Files)}
 	for _, name := range change.Remove {
 		if at, found := findFile(next.Files, name); found {
 			next.Files = slices.Delete(next.Files, at, at+1)
--- a/internal/fleet/gossip/force_test.go
+++ b/internal/fleet/gossip/force_test.go
@@ -25,8 +25,8 @@
 		g.Expect(node.AcceptSet(folder(5, 1))).To(Succeed())
 		node.mergeRevisions(&proto.Exchange{From: node.Table.Self(), Changes: []files.Change{change(6, 1)}})
 		g.Expect(lines).To(HaveLen(2))
-		g.Expect(lines[0]).To(ContainSubstring(`"revision"=5 "before"=0 "from"="platform" "platform-silence"="4s"`))
-		g.Expect(lines[1]).To(ContainSubstring(`"revision"=6 "before"=5 "from"="` + address(1).String()))
+		g.Expect(lines[0]).To(ContainSubstring(`"revision"=5 "before"=0 "serial"=5 "from"="platform" "platform-silence"="4s"`))
+		g.Expect(lines[1]).To(ContainSubstring(`"revision"=6 "before"=5 "serial"=5 "from"="` + address(1).String()))
 		g.Expect(strings.Join(lines, "\n")).NotTo(ContainSubstring("revision-refused"))
 	})
 }
--- a/internal/fleet/gossip/node_test.go
+++ b/internal/fleet/gossip/node_test.go
@@ -65,7 +65,7 @@
 			if len(set.Files) > 0 && set.Files[0].Content == "broken" {
 				return nil, fmt.Errorf("broken file")
 			}
-			return &config.Config{Revision: set.Revision, Budgets: config.DefaultBudgets()}, nil
+			return &config.Config{Revision: set.Revision, Serial: set.Serial, Budgets: config.DefaultBudgets()}, nil
 		},
 	}
 	node.Table.SetSelf(node.Self)
--- a/internal/fleet/gossip/part.go
+++ b/internal/fleet/gossip/part.go
@@ -92,7 +92,7 @@
 // part returns the first files of the folder that a peer lacks which holds files with the given digests.
 func (r *revisions) part(set files.Set, digests, held []uint64) *proto.FolderPart {
 	known := digestSet(held)
-	part := &proto.FolderPart{Revision: set.Revision, Digests: digests}
+	part := &proto.FolderPart{Revision: set.Revision, Serial: set.Serial, Digests: digests}
 	size := 0
 	for i, file := range set.Files {
 		if known[digests[i]] {
@@ -212,7 +212,7 @@
 	for i, digest := range r.digests {
 		held[digest] = i
 	}
-	set := files.Set{Revision: part.Revision, Files: make([]files.File, 0, len(part.Digests))}
+	set := files.Set{Revision: part.Revision, Serial: part.Serial, Files: make([]files.File, 0, len(part.Digests))}
 	for _, digest := range part.Digests {
 		file, found := r.received.byDigest[digest]
 		if i, isHeld := held[digest]; isHeld {
--- a/internal/fleet/gossip/part_test.go
+++ b/internal/fleet/gossip/part_test.go
@@ -20,7 +20,7 @@
 
 // folder returns a folder whose contents cannot be compressed, so that each file fills a quarter of a message.
 func folder(revision uint64, names ...int) files.Set {
-	set := files.Set{Revision: revision}
+	set := files.Set{Revision: revision, Serial: revision}
 	for _, name := range names {
 		random := rand.New(rand.NewPCG(uint64(name), 1))
 		content := make([]byte, maxMessageBytes/4)
--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
+	"marigoldwinch.example/marigoldwinch/internal/conf/config"
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
@@ -162,18 +163,18 @@
 	if err := n.Holder.Set(next); err != nil {
 		return err
 	}
-	n.logInForce(sender, set.Revision, before)
+	n.logInForce(sender, next, before)
 	return nil
 }
 
 // logInForce logs from whom a revision came, and for how long the platform and the peers have been silent.
-func (n *Node) logInForce(sender netip.AddrPort, revision, before uint64) {
+func (n *Node) logInForce(sender netip.AddrPort, inForce *config.Config, before uint64) {
 	from := "platform"
 	if sender != fromPlatform {
 		from = sender.String()
 	}
 	_, headAge := n.HeadSeen()
-	n.Log.Info("revision-in-force", "revision", revision, "before", before, "from", from,
+	n.Log.Info("revision-in-force", "revision", inForce.Revision, "before", before, "serial", inForce.Serial, "from", from,
 		"platform-silence", n.PlatformSilence(), "peer-silence", n.PeerSilence(), "head-age", headAge)
 }
 
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -173,11 +173,14 @@
 	m.WantDepartures, m.KeptDepartures = rapid.Bool().Draw(t, "want-departures"), rapid.Bool().Draw(t, "kept-departures")
 	m.AllDepartures = rapid.Bool().Draw(t, "all-departures")
 	if rapid.Bool().Draw(t, "has-snapshot") {
-		m.Snapshot = &files.Set{Revision: rapid.Uint64().Draw(t, "revision"), Files: fileLists.Draw(t, "files")}
+		m.Snapshot = &files.Set{
+			Revision: rapid.Uint64().Draw(t, "revision"), Serial: rapid.Uint64().Draw(t, "serial"), Files: fileLists.Draw(t, "files"),
+		}
 	}
 	if rapid.Bool().Draw(t, "has-part") {
 		m.Part = &FolderPart{
-			Revision: rapid.Uint64().Draw(t, "part-revision"), Digests: digests.Draw(t, "file-digests"), Files: packedLists.Draw(t, "part-files"),
+			Revision: rapid.Uint64().Draw(t, "part-revision"), Serial: rapid.Uint64().Draw(t, "part-serial"),
+			Digests: digests.Draw(t, "file-digests"), Files: packedLists.Draw(t, "part-files"),
 		}
 	}
 	return m
--- a/internal/wire/proto/fleet.go
+++ b/internal/wire/proto/fleet.go
@@ -107,7 +107,7 @@
 	for i := range m.Files {
 		buf = putNested(buf, 2, &m.Files[i], appendFile)
 	}
-	return buf
+	return putUint(buf, 3, m.Serial)
 }
 
 func readSet(r *reader, m *files.Set) {
@@ -116,6 +116,8 @@
 		m.Revision = r.unsigned()
 	case 2:
 		m.Files = readElement(r, m.Files, maxFiles, readFile)
+	case 3:
+		m.Serial = r.unsigned()
 	}
 }
 
@@ -125,7 +127,7 @@
 	for i := range m.Files {
 		buf = putNested(buf, 3, &m.Files[i], appendPackedFile)
 	}
-	return buf
+	return putUint(buf, 4, m.Serial)
 }
 
 func readPart(r *reader, m *FolderPart) {
@@ -136,6 +138,8 @@
 		m.Digests = r.digests(files.MaxFiles)
 	case 3:
 		m.Files = readElement(r, m.Files, maxFiles, readPackedFile)
+	case 4:
+		m.Serial = r.unsigned()
 	}
 }
 
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -210,6 +210,7 @@
 // FolderPart is a part of the configuration folder, so that a large folder takes a slow link only for a short time at once.
 type FolderPart struct {
 	Revision uint64
+	Serial   uint64
 	Digests  []uint64     // of all files of the folder, in the order of their names
 	Files    []PackedFile // some of those that the receiver lacks; at least one if it lacks any
 }
