conf/config: a store that is back from a copy brings back no replaced configuration

Callers of all daemons were served by an older configuration, 404 on added routes included, from the moment at which the store came back from a copy until the operators had written theirs again; each process went back behind what it had used before.

The first folder of a new era has a higher revision than any before, also when its content is the copy's. The operators' own version, which only rises, was not looked at.

The holder keeps a configuration with a higher serial in force, and takes only the orders beside it (zones, servers, roll-outs) of one with a lower serial, whoever sent it; configuration-replaced-before tells it. A serial of 0 (none given, or an older daemon's) decides nothing. Since the holder decides for what the platform and peers send alike, no daemon in force can go back.

TestReplacedConfigurationStaysReplaced failed before.

--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"maps"
 	"net/netip"
 	"path"
 	"time"
@@ -139,6 +140,21 @@
 	return err == nil && matched
 }
 
+// IsBefore reports whether the serials tell that operators have replaced c by a configuration up to other.
+func (c *Config) IsBefore(other *Config) bool {
+	return c.Serial != 0 && c.Serial < other.Serial
+}
+
+// withOrdersOf returns the configuration at the revision of next, with what operators order there beside their configuration: the states of
+// zones and servers, and the roll-outs of known services.
+func (c *Config) withOrdersOf(next *Config) *Config {
+	combined := *c
+	combined.Revision, combined.Zones, combined.Servers = next.Revision, next.Zones, next.Servers
+	combined.Rollouts = maps.Clone(next.Rollouts)
+	maps.DeleteFunc(combined.Rollouts, func(service string, _ *Rollout) bool { return c.Services[service] == nil })
+	return &combined
+}
+
 // ZoneOut reports whether operators have taken the zone out of service.
 func (c *Config) ZoneOut(zone string) bool {
 	return c.Zones[zone] == ZoneOut
--- a/internal/conf/config/holder.go
+++ b/internal/conf/config/holder.go
@@ -45,13 +45,18 @@
 }
 
 // Set puts next in force and notifies the subscribers in the order of their subscription. It refuses a revision that is not
-// higher than the current one, so that a daemon never returns to an earlier configuration.
+// higher than the current one, so that a daemon never returns to an earlier configuration. Neither does it with a higher revision whose
+// serial is lower: a platform that has come back from a copy shows what its operators have replaced since. Of such a configuration only
+// the orders take effect.
 func (h *Holder) Set(next *Config) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if current := h.current.Load(); current != nil && next.Revision <= current.Revision {
 		return code.NotRunf(code.StaleRevision, "revision %d is not above %d", next.Revision, current.Revision)
 	}
+	if current := h.current.Load(); current != nil && next.IsBefore(current) {
+		next = current.withOrdersOf(next)
+	}
 	h.current.Store(next)
 	for _, notify := range h.subscribers {
 		notify(next)
--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -163,7 +163,11 @@
 	if err := n.Holder.Set(next); err != nil {
 		return err
 	}
-	n.logInForce(sender, next, before)
+	inForce := n.Holder.Get()
+	n.logInForce(sender, inForce, before)
+	if next.IsBefore(inForce) {
+		n.Log.Info("configuration-replaced-before", "revision", next.Revision, "serial", next.Serial, "in-force", inForce.Serial)
+	}
 	return nil
 }
 
