admit/server, route: an answer with a malformed field name is no answer

http.ReadResponse and the trailers of http accept a blank in a name, and closed the gap for requests only. All sections that a server sends (final and interim headers, trailers, health responses) are now checked as RFC 9110 wants names and values; the attempt fails with an unknown outcome, so that idempotent requests go to another server and others get 502. A router checks what a daemon hands over, as one of an older version does not; the front writes no line with an invalid name or value, whatever it is given (also from a stored response). Requests use the same check.

Tests that failed before: TestInvalidResponses (heads, interim heads, trailers), TestOutcomes (older daemons), TestInvalidFieldsAreNotWritten, TestInvalidAnswersFailAtOnce (whole daemons, 200 in place of 502).

--- a/internal/admit/server/body.go
+++ b/internal/admit/server/body.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 )
 
 // endsWithConn reports whether only the end of the connection shows the end of the response.
@@ -18,6 +20,7 @@
 // the connection. The end of the request's context closes the connection until then.
 type responseBody struct {
 	io.ReadCloser
+	response     *http.Response // its trailer is complete at the end of the body
 	conn         *conn
 	attempt      *Attempt
 	stop         func() bool // unregisters the close on the end of the request's context
@@ -33,12 +36,23 @@
 	if b.endsWithConn && errors.Is(err, io.EOF) {
 		err = b.connEnd()
 	}
+	if errors.Is(err, io.EOF) {
+		err = b.checkTrailer()
+	}
 	if err != nil {
 		b.end(errors.Is(err, io.EOF))
 	}
 	return n, err
 }
 
+// checkTrailer returns io.EOF if the body may end with the trailer that was received.
+func (b *responseBody) checkTrailer() error {
+	if err := hdrs.CheckFields(b.response.Trailer); err != nil {
+		return errors.Wrap(err, "trailer of the server's response")
+	}
+	return io.EOF
+}
+
 // connEnd returns io.EOF if the end of the connection is that of a complete response. A reset is reported only once: when the sending of
 // the request gets it, reading the response sees a regular end. The response is therefore complete only if the request was sent. The end
 // of the request's context closes the connection, which must not pass for its regular end either.
@@ -56,7 +70,7 @@
 func (b *responseBody) Close() error {
 	if !b.ended.Load() {
 		n, err := b.ReadCloser.Read(make([]byte, 1))
-		b.end(n == 0 && errors.Is(err, io.EOF))
+		b.end(n == 0 && errors.Is(err, io.EOF) && hdrs.CheckFields(b.response.Trailer) == nil)
 	}
 	return b.ReadCloser.Close()
 }
--- a/internal/admit/server/exchange.go
+++ b/internal/admit/server/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 )
 
 // exchange sends the request and reads the response header. The connection is closed when the request's context ends.
@@ -34,7 +36,7 @@
 	}
 	k.keepAlive(response.Header)
 	response.Body = &responseBody{
-		ReadCloser: response.Body, conn: k, attempt: a, stop: stop, closes: response.Close,
+		ReadCloser: response.Body, response: response, conn: k, attempt: a, stop: stop, closes: response.Close,
 		failed: response.StatusCode >= http.StatusBadRequest, endsWithConn: endsWithConn(response),
 	}
 	return response, nil
@@ -122,6 +124,9 @@
 		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 			return nil, errors.Newf("invalid status %03d of the server's response", response.StatusCode)
 		}
+		if err := hdrs.CheckFields(response.Header); err != nil {
+			return nil, errors.Wrap(err, "header of the server's response")
+		}
 		k.noteRefusal(response)
 		switch {
 		case response.StatusCode == http.StatusSwitchingProtocols:
--- a/internal/admit/server/fuzz_test.go
+++ b/internal/admit/server/fuzz_test.go
@@ -63,6 +63,8 @@
 		f.Add([]byte(start + reply("1", "ok")))
 		f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\n" + start + "ok"))
 	}
+	f.Add([]byte(reply("1", "ok", "X-A : z")))
+	f.Add([]byte(headStart + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX T: z\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		g := NewWithT(t)
 		c := answeringClient(raw)
@@ -91,6 +93,12 @@
 			g.Expect(id).To(Equal("1"))
 		}
 		g.Expect(response.Header.Values("X-Id")).NotTo(BeEmpty())
+		for name := range response.Header {
+			g.Expect(name).NotTo(ContainSubstring(" "))
+		}
+		for name := range response.Trailer {
+			g.Expect(name).NotTo(ContainSubstring(" "))
+		}
 		g.Expect(bytes.Contains(raw, body) || len(response.TransferEncoding) > 0).To(BeTrue(), "bytes that the server did not send")
 		if response.ContentLength > 0 {
 			g.Expect(body).To(HaveLen(int(response.ContentLength)))
--- a/internal/cli/daemon/reset_test.go
+++ b/internal/cli/daemon/reset_test.go
@@ -31,6 +31,8 @@
 	"HTTP/1.1 700 Late\r\nContent-Length: 2\r\n\r\nno",
 	"HTTP/1.1 999 Last\r\n\r\nno",
 	"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nno",
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Other : x\r\n\r\nno",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
 	"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 }
 
--- a/internal/route/call/attempt.go
+++ b/internal/route/call/attempt.go
@@ -13,6 +13,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/base/ident"
 	"marigoldwinch.example/marigoldwinch/internal/route/pool"
+	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -89,7 +90,7 @@
 	a.mu.Unlock()
 	answer, err := a.awaitAnswer(head.End)
 	if err == nil {
-		err = checkStatus(answer.Status)
+		err = checkAnswer(answer)
 	}
 	if err != nil {
 		return nil, a.fail(code.Of(err))
@@ -107,11 +108,14 @@
 	return newResponse(a, answer), nil
 }
 
-// checkStatus returns an error for a status that no final response may have (RFC 9110, section 15). Daemons of versions that did not check
-// the responses of their servers pass such a status on.
-func checkStatus(status int) error {
-	if status < http.StatusOK || status > 599 {
-		return code.Unknownf(code.ServerUnreachable, "the response has the invalid status %03d", status)
+// checkAnswer returns an error for a status that no final response may have (RFC 9110, section 15), or an invalid field. Daemons of
+// versions that did not check the responses of their servers pass both on.
+func checkAnswer(answer *proto.Answer) error {
+	if answer.Status < http.StatusOK || answer.Status > 599 {
+		return code.Unknownf(code.ServerUnreachable, "the response has the invalid status %03d", answer.Status)
+	}
+	if err := hdrs.CheckFields(answer.Header); err != nil {
+		return code.Unknownf(code.ServerUnreachable, "the response has a malformed header").WithCause(err)
 	}
 	return nil
 }
--- a/internal/route/call/fake_test.go
+++ b/internal/route/call/fake_test.go
@@ -191,6 +191,12 @@
 			return &proto.Ack{Verdict: proto.Refused, Code: code.LowPrecedence, RetryAfter: time.Second}, nil
 		case "answer":
 			return answer(rest, true), nil
+		case "answer-with-blank": // in the name of a field
+			blank := answer(rest, true)
+			blank.Header["Content-Length "] = []string{"1"}
+			return blank, nil
+		case "end-with-blank":
+			return &proto.Piece{Data: []byte(rest), End: true, Trailer: http.Header{"X Sum": {"1"}}}, nil
 		case "start":
 			return answer(rest, false), nil
 		case "piece":
--- a/internal/route/call/response.go
+++ b/internal/route/call/response.go
@@ -8,6 +8,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/base/code"
 	"marigoldwinch.example/marigoldwinch/internal/route/claim"
+	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
@@ -81,6 +82,9 @@
 		x.keepForClaim(piece.Data)
 		return piece.Data, nil
 	}
+	if err := hdrs.CheckFields(piece.Trailer); err != nil {
+		return nil, x.truncate(code.Unknownf(code.ResponseTruncated, "the response has a malformed trailer").WithCause(err))
+	}
 	x.done = true
 	x.Trailer = piece.Trailer
 	x.complete(piece.Data)
--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"marigoldwinch.example/marigoldwinch/internal/wire/hdrs"
 )
 
 // maxDiscardBytes is the maximum number of bytes to discard of a body that the handler has not read, or after the last request. After
@@ -31,10 +33,7 @@
 // headerSlack is added to the header limit, as in net/http.
 const headerSlack = 4 << 10
 
-var (
-	errHeaderTooLarge = errors.New("request header exceeds the size limit")
-	errHeaderName     = errors.New("space in a header name")
-)
+var errHeaderTooLarge = errors.New("request header exceeds the size limit")
 
 // conn is a caller's connection. Its reader goroutine starts a goroutine for each request.
 type conn struct {
@@ -151,7 +150,7 @@
 		request, err := http.ReadRequest(c.reader)
 		c.headerReader.remaining = -1
 		if err == nil {
-			err = checkNames(request.Header)
+			err = hdrs.CheckFields(request.Header)
 		}
 		if err != nil {
 			return c.rejectMalformed(err)
@@ -273,17 +272,6 @@
 	return false
 }
 
-// checkNames returns an error if a header name contains a space, the only invalid byte that http.ReadRequest accepts there. A server could
-// take such a header, which is not compared with any name here, for the one without the space.
-func checkNames(header http.Header) error {
-	for name := range header {
-		if strings.Contains(name, " ") {
-			return errHeaderName
-		}
-	}
-	return nil
-}
-
 // safeCause returns the text of a parse error without the part of the request that it quotes, which may contain a caller's key.
 func safeCause(err error) string {
 	text := err.Error()
--- a/internal/route/http1/exchange.go
+++ b/internal/route/http1/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // exchange is a request with its response. It is the handler's http.ResponseWriter.
@@ -110,9 +111,7 @@
 		if strings.HasPrefix(name, http.TrailerPrefix) {
 			continue
 		}
-		for _, value := range values {
-			_, _ = w.WriteString(name + ": " + value + "\r\n")
-		}
+		x.conn.writeField(name, values)
 	}
 	if x.close {
 		_, _ = w.WriteString("Connection: close\r\n")
@@ -124,6 +123,15 @@
 	_, _ = w.WriteString("\r\n")
 }
 
+// writeField writes the lines of a field, as net/http does without those that would not be valid.
+func (c *conn) writeField(name string, values []string) {
+	for _, value := range values {
+		if httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(value) {
+			_, _ = c.writer.WriteString(name + ": " + value + "\r\n") // errors are returned by the writer's next flush
+		}
+	}
+}
+
 // Write implements http.ResponseWriter.
 func (x *exchange) Write(p []byte) (int, error) {
 	if !x.wroteHeader {
@@ -190,11 +198,8 @@
 	if x.chunkWriter != nil {
 		_ = x.chunkWriter.Close() // errors are returned by the flush below
 		for name, values := range x.header {
-			trailer, found := strings.CutPrefix(name, http.TrailerPrefix)
-			for _, value := range values {
-				if found {
-					_, _ = x.conn.writer.WriteString(trailer + ": " + value + "\r\n")
-				}
+			if trailer, found := strings.CutPrefix(name, http.TrailerPrefix); found {
+				x.conn.writeField(trailer, values)
 			}
 		}
 		_, _ = x.conn.writer.WriteString("\r\n")
--- a/internal/route/http1/server_test.go
+++ b/internal/route/http1/server_test.go
@@ -189,6 +189,22 @@
 	r.Expect(r.readResponse(reader)).To(Or(Equal("200 part broken last"), Equal("200 part broken"), Equal("no response")))
 }
 
+// Guards against a line of a response that callers could read as another field, or as several.
+func TestInvalidFieldsAreNotWritten(t *testing.T) {
+	r := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		header := w.Header()
+		header["Content-Length "], header["X-Split"], header["X-Kept"] = []string{"1"}, []string{"a\r\nX-Other: b"}, []string{"c"}
+		header[http.TrailerPrefix+"X Sum"], header[http.TrailerPrefix+"X-Sum"] = []string{"1"}, []string{"2"}
+		_, _ = io.WriteString(w, "ok")
+	})
+	_, reader := r.connect(t, get("/"))
+	response, err := http.ReadResponse(reader, nil)
+	r.Expect(err).NotTo(HaveOccurred())
+	r.Expect(io.ReadAll(response.Body)).To(BeEquivalentTo("ok"))
+	r.Expect(response.Header).To(Equal(http.Header{"X-Kept": {"c"}}))
+	r.Expect(response.Trailer).To(Equal(http.Header{"X-Sum": {"2"}}))
+}
+
 // Guards against malformed requests that get no specific error status, and against callers that occupy a connection without
 // sending a request.
 func TestMalformedAndSlowCallers(t *testing.T) {
