fleet/watch: a change at the version that equals the held revision is taken up

A store that loses writes without telling a new era is followed by giving its folder the revision after the held one. Its own versions catch up with these revisions later. A read as of the very revision that is held then counted as one without news, whatever its folder.

Without eras, such a folder now gets the next revision too, if it differs and nothing has been accepted since the read began. Where the store has lost nothing, a read as of the held revision has the held folder.

TestSourceThatLostWrites failed before.

--- a/internal/fleet/watch/source.go
+++ b/internal/fleet/watch/source.go
@@ -83,7 +83,10 @@
 	case len(set.Files) == 0:
 		w.emptyReadAt = time.Now()
 	case asOf < held && epoch.Era(asOf) == epoch.Era(held):
-		w.acceptFallen(set, asOf)
+		w.acceptFallen(set, asOf, w.Node.HeldRevision())
+	case asOf == held && epoch.Era(asOf) == 0 && w.Node.HeldRevision() == held:
+		w.Node.ObserveHead(set.Revision)
+		w.acceptFallen(set, asOf, held) // not accepted if a peer sends a later change meanwhile
 	default:
 		w.acceptFromSource(set, asOf)
 	}
@@ -181,16 +184,15 @@
 	w.acceptSet(set)
 }
 
-// acceptFallen accepts the folder of a source that is not as far as the revision that was held before the read: it has lost writes without
-// telling a new era, and its revisions are below the held one until it has made as many writes again. All daemons that read the same
-// folder give it the same revision.
-func (w *Watch) acceptFallen(set files.Set, asOf uint64) {
-	held := w.Node.FileSet()
-	if slices.Equal(set.Files, held.Files) {
+// acceptFallen accepts the folder of a source that is not beyond the revision that was held before the read, if it is another one: the
+// source has lost writes without telling a new era, and its revisions are not above the held one until it has made as many writes again.
+// All daemons that read the same folder give it the same revision.
+func (w *Watch) acceptFallen(set files.Set, asOf, held uint64) {
+	if slices.Equal(set.Files, w.Node.FileSet().Files) {
 		return
 	}
-	w.Log.Info("source-fallen", "held", held.Revision, "read", set.Revision, "as-of", asOf)
-	set.Revision = held.Revision + 1
+	w.Log.Info("source-fallen", "held", held, "read", set.Revision, "as-of", asOf)
+	set.Revision = held + 1
 	w.acceptSet(set)
 }
 
--- a/internal/fleet/watch/source_test.go
+++ b/internal/fleet/watch/source_test.go
@@ -103,6 +103,18 @@
 	return s.set, s.asOf, nil
 }
 
+// beforeAnswer is a source whose answer comes after an event.
+type beforeAnswer struct {
+	answeredSource
+	event func()
+}
+
+// Next implements Source.
+func (s beforeAnswer) Next(ctx context.Context, wait, limit time.Duration) (files.Set, uint64, error) {
+	s.event()
+	return s.answeredSource.Next(ctx, wait, limit)
+}
+
 // Guards against a configuration that stays out of force after the source has lost writes, and against a late answer from before.
 func TestSourceThatLostWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -123,6 +135,13 @@
 		g.Expect(read(old, 120, 120)).To(Equal(files.Set{Revision: 120, Files: old}))
 		g.Expect(read(latest, 100, 110)).To(Equal(files.Set{Revision: 121, Files: latest}))
 		g.Expect(read(latest, 100, 111).Revision).To(Equal(uint64(121)), "an unchanged folder must not raise the revision")
+		g.Expect(read(old, 121, 121)).To(Equal(files.Set{Revision: 122, Files: old}), "a change at the version that equals the held revision")
+		w.Source = beforeAnswer{answeredSource{set: files.Set{Revision: 122, Files: latest}, asOf: 122}, func() {
+			g.Expect(w.Node.AcceptSet(files.Set{Revision: 123, Files: latest})).To(Succeed())
+			g.Expect(w.Node.AcceptSet(files.Set{Revision: 124, Files: old})).To(Succeed())
+		}}
+		w.followSource(t.Context(), &turn{}, noPeerHeard)
+		g.Expect(w.Node.FileSet()).To(Equal(files.Set{Revision: 124, Files: old}), "a change that peers sent during the read")
 		restored := epoch.Revision(1, 7)
 		g.Expect(read(old, restored, restored)).To(Equal(files.Set{Revision: restored, Files: old}))
 		g.Expect(read(latest, 130, 130)).To(Equal(files.Set{Revision: restored, Files: old}), "an answer of the earlier era")
