route/call: the answer of a run whose daemon has restarted may still be in transit

Traced with the logs that the soak can keep now (PROC_LOGS): the server's daemon was stopping; the run ended, its answer was sent, and 0.22 s later the process was replaced, as planned, while the link carried bytes up to 0.9 s late. The router asked about the silent stream and got the reply of the new process, which knows nothing of the run. That was taken for proof that no answer would come, after 0.1 s.

Such a reply to an attempt that was acked now waits 1 s for the answer, as an answer of which no copy is held does already; where a retry may be made beside it, it is made at once, and where only after the end of the attempt, nothing changes.

--- a/internal/bench/proc/proc_suite_test.go
+++ b/internal/bench/proc/proc_suite_test.go
@@ -71,7 +71,21 @@
 }
 
 func newFleet(content string, places []proc.Placement) *proc.Fleet {
-	return &proc.Fleet{Binary: binary, Dir: GinkgoT().TempDir(), Configuration: content, Placements: places, ServiceTime: serviceTime}
+	return &proc.Fleet{Binary: binary, Dir: logDirectory(), Configuration: content, Placements: places, ServiceTime: serviceTime}
+}
+
+// logsVariable names a directory that keeps the logs and settings of the fleets.
+const logsVariable = "PROC_LOGS"
+
+func logDirectory() string {
+	named := os.Getenv(logsVariable)
+	if named == "" {
+		return GinkgoT().TempDir()
+	}
+	Expect(os.MkdirAll(named, 0o755)).To(Succeed())
+	dir, err := os.MkdirTemp(named, "fleet-")
+	Expect(err).NotTo(HaveOccurred())
+	return dir
 }
 
 func startNew(ctx context.Context, fleet *proc.Fleet) {
--- a/internal/route/call/stall.go
+++ b/internal/route/call/stall.go
@@ -61,14 +61,14 @@
 		a.retryBeside()
 		a.schedule(a.resolveDelay(failures), func() { a.checkRun(last, failures) })
 	case err != nil:
-		a.giveUp(last, &proto.Resolution{State: proto.StateUnknown})
+		a.giveUp(last, &proto.Resolution{State: proto.StateUnknown}, answerGrace)
 	case found.State == proto.StateRunning:
 		if !a.isAcked() && time.Since(a.began) >= a.stallTimeout() {
 			a.retryBeside() // the connection may have gone silent after the head
 		}
 		a.schedule(a.stallTimeout(), a.checkStall)
 	default:
-		a.giveUp(last, found)
+		a.giveUp(last, found, a.answerGrace(found))
 	}
 }
 
@@ -95,17 +95,23 @@
 // isServerLost reports whether the server's daemon has certainly failed after so many resolves without a reply: a busy link delays
 // resolves and replies as well. A request that may be retried, but only after the end of its attempt, does not wait for certainty.
 func (a *attempt) isServerLost(failures int) bool {
-	sequential := a.r.idempotent && a.r.depth == 0 && a.race == nil && a.r.hasRetryLeft()
+	sequential := a.isRetriedAfterEnd()
 	if failures < maxResolveTries && !sequential || a.r.pool.IsAlive(a.ctx, a.sent.Server) {
 		return false
 	}
 	return sequential || a.r.c.Choice.IsGone(a.r.req.Service, a.sent.Server)
 }
 
-// giveUp closes the stream of an attempt that the server no longer runs, unless its next frame has arrived since last or is arriving.
-func (a *attempt) giveUp(last int64, found *proto.Resolution) {
+// isRetriedAfterEnd reports whether a retry may be made, but only after the end of this attempt.
+func (a *attempt) isRetriedAfterEnd() bool {
+	return a.r.idempotent && a.r.depth == 0 && a.race == nil && a.r.hasRetryLeft()
+}
+
+// giveUp closes the stream of an attempt that the server no longer runs, unless its next frame has arrived since last or arrives within the
+// grace.
+func (a *attempt) giveUp(last int64, found *proto.Resolution, grace time.Duration) {
 	received := a.stream.Received()
-	if !clock.Sleep(a.ctx, a.answerGrace(found)) {
+	if !clock.Sleep(a.ctx, grace) {
 		return
 	}
 	if a.lastFrame.Load() != last || a.unread.Load() || a.stream.Received() != received {
@@ -129,10 +135,13 @@
 // answerGrace returns how long the answer of a run that has ended may be in transit. Another attempt is made meanwhile where only the
 // answer itself would help the caller.
 func (a *attempt) answerGrace(found *proto.Resolution) time.Duration {
+	isHeld := found.Answer != nil || found.Failure != nil
+	// A daemon that has started again does not know what the process before it has answered.
+	hasRestarted := found.State == proto.StateUnknown && a.isAcked() && !a.isRetriedAfterEnd()
 	switch {
 	case found.State == proto.StateRevoked && !a.isAcked():
 		return 0
-	case found.State != proto.StateFinished || found.Answer != nil || found.Failure != nil:
+	case isHeld || found.State != proto.StateFinished && !hasRestarted:
 		return answerGrace
 	}
 	a.retryBeside()
