--- a/internal/bench/proc/stops_caller_test.go
+++ b/internal/bench/proc/stops_caller_test.go
@@ -35,6 +35,7 @@
 	timeout time.Duration
 	sent    time.Time // its last byte
 	ended   time.Time // with its answer, or with its connection
+	size    int       // of its answer, in bytes
 	status  int       // 0 without a complete answer
 	outcome string    // that the daemon states in an answer of its own
 	detail  string
@@ -229,6 +230,7 @@
 	if rand.IntN(3) == 0 {
 		size = rand.IntN(80_000)
 	}
+	a.size = size
 	if rand.IntN(2) == 0 {
 		length = "&length=yes"
 	}
--- a/internal/bench/proc/stops_test.go
+++ b/internal/bench/proc/stops_test.go
@@ -150,6 +150,8 @@
 		return func() func() { return func() {} }
 	}
 	return func() func() {
+		now := time.Now().Format(time.TimeOnly + ".000")
+		GinkgoWriter.Printf("%s %s: trouble %d of the link, %d bytes/s, %v\n", now, node.Daemon.Name, kind, rate, delay)
 		switch kind {
 		case 0, 1:
 			node.DaemonRelay.Limit(rate)
@@ -215,8 +217,8 @@
 		if fault == "" {
 			continue
 		}
-		text := fmt.Sprintf("%s %s: %s: %s of %v, behind %v, sent %v before: %s",
-			a.ended.Format(time.TimeOnly+".000"), s.sinceTerm(a), fault, a.id, a.work, a.behind, a.ended.Sub(a.sent), a.detail)
+		text := fmt.Sprintf("%s %s: %s: %s of %v and %d bytes, behind %v, sent %v before: %s",
+			a.ended.Format(time.TimeOnly+".000"), s.sinceTerm(a), fault, a.id, a.work, a.size, a.behind, a.ended.Sub(a.sent), a.detail)
 		for _, v := range s.history.visits[a.id] {
 			text += fmt.Sprintf("\n    at %s %v after the request, %v long, finished %v",
 				v.node.Daemon.Name, v.began.Sub(a.sent), v.ended.Sub(v.began), v.finished)
