conf/lint, cli/cmds: config check names probable mistakes and what would change

Defaults are no findings. Not found, as a configuration does not tell how many calls there are: a cap below what checks need.

--- a/internal/cli/cmds/check.go
+++ b/internal/cli/cmds/check.go
@@ -1,54 +1,44 @@
 package cmds
 
 import (
-	"fmt"
-
 	"github.com/spf13/cobra"
 
-	"marigoldwinch.example/marigoldwinch/internal/conf/files"
+	"marigoldwinch.example/marigoldwinch/internal/base/code"
 )
 
-type checkedJSON struct {
-	Files      int      `json:"files"`
-	Services   int      `json:"services"`
-	Overridden []string `json:"overridden"`
-}
-
 func newCheck() *cobra.Command {
-	var out output
+	var p platformFlags
+	var strict bool
 	cmd := &cobra.Command{
-		Use:   "check DIR",
-		Short: "Check a configuration folder without the platform",
-		Args:  cobra.ExactArgs(1),
+		Use:   "check DIR|FILE.json",
+		Short: "Check a configuration before it is sent, without the platform or against what is in force",
+		Long: "Check a configuration folder, or the operators' record of a hosted platform. Entries that are probably mistakes are\n" +
+			"named but are no errors, unless --strict is given. With --platform-table it tells what would change, and for whom.",
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := out.checkFormat(); err != nil {
+			if err := p.checkFormat(); err != nil {
 				return err
 			}
-			found, err := files.ReadFolder(args[0])
+			checked, err := check(args[0])
 			if err != nil {
 				return err
 			}
-			merged, err := files.Merge(files.Set{Files: found})
-			if err != nil {
+			if p.table != "" {
+				if err := checked.compare(cmd, &p); err != nil {
+					return err
+				}
+			}
+			encoded, text := checked.describe()
+			if err := p.write(cmd.OutOrStdout(), encoded, text); err != nil {
 				return err
 			}
-			checked, text := summarize(merged, found)
-			return out.write(cmd.OutOrStdout(), checked, text)
+			if strict && len(encoded.Findings) > 0 {
+				return code.NotRunf(code.InvalidConfig, "%d findings", len(encoded.Findings))
+			}
+			return nil
 		},
 	}
-	out.addFlags(cmd)
+	p.addReadFlags(cmd)
+	cmd.Flags().BoolVar(&strict, "strict", false, "fail if an entry is probably a mistake")
 	return cmd
 }
-
-// summarize describes a valid folder. It also lists the files without effect, which config add would reject.
-func summarize(merged *files.Merged, found []files.File) (summary checkedJSON, text string) {
-	summary = checkedJSON{Files: len(found), Services: len(merged.Config.Services), Overridden: []string{}}
-	text = fmt.Sprintf("valid: %d files, %d services\n", summary.Files, summary.Services)
-	for _, file := range found {
-		if other, overridden := merged.OverriddenBy(file.Name); overridden {
-			summary.Overridden = append(summary.Overridden, file.Name)
-			text += fmt.Sprintf("no effect: every key of %s is overridden, %s by %s\n", file.Name, other.ID, other.File)
-		}
-	}
-	return summary, text
-}
--- a/internal/conf/change/plan.go
+++ b/internal/conf/change/plan.go
@@ -67,7 +67,7 @@
 			return nil, code.NotRunf(code.ChangeOverridden, detail, file.Name, other.ID, other.File)
 		}
 	}
-	p.effects = effects(before, after)
+	p.effects = Effects(before, after)
 	return p, nil
 }
 
@@ -141,7 +141,8 @@
 	})
 }
 
-func effects(before, after *files.Merged) []Effect {
+// Effects returns the keys whose values differ, sorted.
+func Effects(before, after *files.Merged) []Effect {
 	var list []Effect
 	for _, id := range sortedKeys(before, after) {
 		old, updated := valueOf(before, id), valueOf(after, id)
