admit/server: a field with a blank before its name is no field

Folded text without that form is taken as before (TestCutAnswersNeverLookComplete). TestInvalidResponses has four such answers, also behind 4 KiB and behind a response to an earlier request; each passed for an answer before. A field without a name was an error before; the test has it too.

--- a/internal/admit/server/conn.go
+++ b/internal/admit/server/conn.go
@@ -62,6 +62,7 @@
 type headerLimit struct {
 	reader    io.Reader
 	remaining int // bytes; unlimited when negative
+	scan      headScan
 }
 
 // Read implements io.Reader.
@@ -73,6 +74,9 @@
 		p = p[:l.remaining]
 	}
 	n, err := l.reader.Read(p)
+	if l.remaining >= 0 {
+		l.scan.add(p[:n])
+	}
 	if l.remaining > 0 {
 		l.remaining = max(0, l.remaining-n-headerLineCost*bytes.Count(p[:n], []byte{'\n'}))
 	}
--- a/internal/admit/server/exchange.go
+++ b/internal/admit/server/exchange.go
@@ -115,7 +115,7 @@
 func (k *conn) receive(a *Attempt) (*http.Response, error) {
 	discarded := int64(0)
 	for range maxSkipped {
-		k.header.remaining = maxHeader
+		k.header.begin(k.reader)
 		response, err := http.ReadResponse(k.reader, a.Request)
 		k.header.remaining = -1
 		if err != nil {
@@ -124,8 +124,8 @@
 		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 			return nil, errors.Newf("invalid status %03d of the server's response", response.StatusCode)
 		}
-		if err := hdrs.CheckFields(response.Header); err != nil {
-			return nil, errors.Wrap(err, "header of the server's response")
+		if err := k.checkHeader(response.Header); err != nil {
+			return nil, err
 		}
 		k.noteRefusal(response)
 		switch {
@@ -150,6 +150,14 @@
 	return nil, errManyResponses
 }
 
+// checkHeader returns an error for a header with a line that is no field.
+func (k *conn) checkHeader(header http.Header) error {
+	if k.header.scan.malformed {
+		return errHeaderLine
+	}
+	return errors.Wrap(hdrs.CheckFields(header), "header of the server's response")
+}
+
 // answers reports whether the response has the attempt's id and no other. Two ids belong to two heads, the first of which broke off.
 func (k *conn) answers(response *http.Response, a *Attempt) bool {
 	ids := response.Header.Values(k.client.Dialect.RequestID)
--- a/internal/admit/server/response_test.go
+++ b/internal/admit/server/response_test.go
@@ -98,14 +98,19 @@
 		"no id":     "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nxEND",
 		"truncated": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nabcEND",
 
-		"blank in a name":         reply("1", "x", "X Y: z"),
-		"blank behind a name":     reply("1", "x", "X-A : z"),
-		"blank behind a length":   reply("1", "xy", "Content-Length : 1"),
-		"blank behind a coding":   reply("1", "1\r\nx\r\n0\r\n\r\n", "Transfer-Encoding : chunked"),
-		"tab behind a name":       reply("1", "x", "X-A\t: z"),
-		"control byte in a name":  reply("1", "x", "X\x01Y: z"),
-		"blank in an interim one": "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n" + reply("1", "x"),
-		"blank in a trailer":      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-T : y\r\n\r\n",
+		"blank in a name":          reply("1", "x", "X Y: z"),
+		"blank behind a name":      reply("1", "x", "X-A : z"),
+		"blank behind a length":    reply("1", "xy", "Content-Length : 1"),
+		"blank behind a coding":    reply("1", "1\r\nx\r\n0\r\n\r\n", "Transfer-Encoding : chunked"),
+		"tab behind a name":        reply("1", "x", "X-A\t: z"),
+		"control byte in a name":   reply("1", "x", "X\x01Y: z"),
+		"blank in an interim one":  "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n" + reply("1", "x"),
+		"blank before a name":      reply("1", "xy", "X-A: z", " Content-Length: 1"),
+		"tab before a name":        reply("1", "xy", "X-A: z", "\tX-B: z"),
+		"no name":                  reply("1", "x", ": z"),
+		"blank behind 4 KiB":       reply("1", "x", "X-A: "+strings.Repeat("a", 5000), " X-B: z"),
+		"blank behind a stray one": reply("0", "x") + reply("1", "x", "X-A: z", " X-B: z"),
+		"blank in a trailer":       "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-T : y\r\n\r\n",
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
