--- a/internal/wire/hdrs/dialect.go
+++ b/internal/wire/hdrs/dialect.go
@@ -64,6 +64,9 @@
 // NormalPace is the pace of a server whose instance runs at normal speed.
 const NormalPace = 100
 
+// maxLoad bounds the numbers of a load. A larger one cannot be meant, and would not fit into the reports that daemons send each other.
+const maxLoad = 1_000_000
+
 // ParseLoad parses the Load header of a response. It returns false if the header is missing or invalid.
 func (d Dialect) ParseLoad(header http.Header) (Load, bool) {
 	if d.Load == "" {
@@ -81,7 +84,7 @@
 			break
 		}
 		value, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || value < 0 {
+		if err != nil || value < 0 || value > maxLoad {
 			return Load{}, false
 		}
 		*values[count] = value
