--- a/internal/admin/rest/config.go
+++ b/internal/admin/rest/config.go
@@ -15,6 +15,7 @@
 const (
 	logLimit    = 100 // maximum number of changes in one response
 	revisionKey = "revision"
+	serialKey   = "serial" // number that operators give their configuration
 )
 
 // ConfigAPI serves the configuration endpoints.
@@ -31,6 +32,7 @@
 //	GET  /config/latest           latest accepted revision, read from the platform
 //	GET  /config/log              latest changes, read from the platform
 //	GET  /config/behind?revision= daemons that do not have the revision in force; queries every daemon
+//	GET  /config/behind?serial=   the same for the number that operators give their configuration
 //	POST /config/changes          makes a change with the fields operator, base, dry-run, put, remove
 func (a *ConfigAPI) register(group *gin.RouterGroup) {
 	group.GET("", a.show)
@@ -95,20 +97,42 @@
 }
 
 func (a *ConfigAPI) behind(c *gin.Context) {
-	revision, err := strconv.ParseUint(c.Query(revisionKey), 10, 64)
+	awaited, err := parseAwaited(c)
 	if err != nil {
-		writeError(c, code.NotRunf(code.BadRequest, "revision %q is not a whole number of at least 0", c.Query(revisionKey)))
+		writeError(c, err)
 		return
 	}
 	list := []gin.H{}
-	for _, daemon := range a.Node.LaggingMembers(c.Request.Context(), revision) {
-		entry := gin.H{"address": daemon.Record.Address, "zone": daemon.Record.Zone, "in-force": daemon.InForce}
+	for _, daemon := range a.Node.LaggingMembers(c.Request.Context(), awaited) {
+		entry := gin.H{
+			"address": daemon.Record.Address, "zone": daemon.Record.Zone, "in-force": daemon.InForce, "serial-in-force": daemon.Serial,
+		}
 		if daemon.Err != nil {
 			entry["error"] = daemon.Err.Error()
 		}
 		list = append(list, entry)
 	}
-	c.JSON(http.StatusOK, gin.H{revisionKey: revision, "behind": list})
+	c.JSON(http.StatusOK, gin.H{revisionKey: awaited.Revision, serialKey: awaited.Serial, "behind": list})
+}
+
+// parseAwaited reads the revision or serial that a request names.
+func parseAwaited(c *gin.Context) (gossip.Awaited, error) {
+	var awaited gossip.Awaited
+	for key, target := range map[string]*uint64{revisionKey: &awaited.Revision, serialKey: &awaited.Serial} {
+		text, given := c.GetQuery(key)
+		if !given {
+			continue
+		}
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return awaited, code.NotRunf(code.BadRequest, "%s %q is not a whole number of at least 0", key, text)
+		}
+		*target = number
+	}
+	if awaited == (gossip.Awaited{}) && c.Query(revisionKey) == "" {
+		return awaited, code.NotRunf(code.BadRequest, "want a %s or a %s", revisionKey, serialKey)
+	}
+	return awaited, nil
 }
 
 // changeBody is the JSON body of a change request.
--- a/internal/fleet/gossip/node_test.go
+++ b/internal/fleet/gossip/node_test.go
@@ -218,3 +218,20 @@
 		g.Expect(revisions.shouldRequest(5)).To(BeTrue())
 	})
 }
+
+// Guards against a wait for the operators' own version that ends while a daemon has an earlier one in force.
+func TestMembersBehindASerialAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		network := directNetwork{}
+		first, second := network.add(1, 2), network.add(2, 2)
+		g.Expect(first.AcceptSet(folder(9, 1))).To(Succeed())
+		g.Expect(second.AcceptSet(files.Set{Revision: 9, Serial: 8})).To(Succeed())
+		run(t, first, second)
+		synctest.Wait()
+		lagging := first.LaggingMembers(t.Context(), Awaited{Serial: 9})
+		g.Expect(lagging).To(HaveLen(1))
+		g.Expect(lagging[0]).To(And(HaveField("Serial", uint64(8)), HaveField("Record.Address", address(2)), HaveField("Err", BeNil())))
+		g.Expect(first.LaggingMembers(t.Context(), Awaited{Serial: 8})).To(BeEmpty())
+	})
+}
--- a/internal/fleet/gossip/serve.go
+++ b/internal/fleet/gossip/serve.go
@@ -86,5 +86,5 @@
 }
 
 func (n *Node) status() *proto.Status {
-	return &proto.Status{From: n.Table.Self(), InForce: n.Holder.Revision()}
+	return &proto.Status{From: n.Table.Self(), InForce: n.Holder.Revision(), Serial: n.Holder.Serial()}
 }
--- a/internal/fleet/gossip/wait.go
+++ b/internal/fleet/gossip/wait.go
@@ -10,6 +10,7 @@
 
 	"marigoldwinch.example/marigoldwinch/internal/base/clock"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
 const (
@@ -17,16 +18,23 @@
 	statusInterval = 500 * time.Millisecond // between rounds of Wait
 )
 
-// LaggingMember is a member whose revision in force is below the required one or unknown.
+// Awaited is a configuration that members should have in force, or a later one. What is 0 is not looked at.
+type Awaited struct {
+	Revision uint64
+	Serial   uint64 // that the operators gave it
+}
+
+// LaggingMember is a member whose configuration in force is before the awaited one or unknown.
 type LaggingMember struct {
 	Record  member.Record
-	InForce uint64 // 0 when the member did not answer
+	InForce uint64 // revision; 0 when the member did not answer
+	Serial  uint64 // in force; 0 also at a member of a version that does not tell it
 	Err     error  // of the status request, or nil
 }
 
-// LaggingMembers asks every known member that is not gone for its revision in force. It returns those that are below the given
-// revision or did not answer, sorted by address.
-func (n *Node) LaggingMembers(ctx context.Context, revision uint64) []LaggingMember {
+// LaggingMembers asks every known member that is not gone for its configuration in force. It returns those that are behind the awaited one
+// or did not answer, sorted by address.
+func (n *Node) LaggingMembers(ctx context.Context, awaited Awaited) []LaggingMember {
 	var mu sync.Mutex
 	var lagging []LaggingMember
 	var group errgroup.Group
@@ -36,13 +44,13 @@
 			continue
 		}
 		group.Go(func() error {
-			inForce, err := n.askStatus(ctx, r)
-			if err == nil && inForce >= revision {
+			status, err := n.askStatus(ctx, r)
+			if err == nil && status.InForce >= awaited.Revision && status.Serial >= awaited.Serial {
 				return nil
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			lagging = append(lagging, LaggingMember{Record: r, InForce: inForce, Err: err})
+			lagging = append(lagging, LaggingMember{Record: r, InForce: status.InForce, Serial: status.Serial, Err: err})
 			return nil
 		})
 	}
@@ -51,26 +59,27 @@
 	return lagging
 }
 
-func (n *Node) askStatus(ctx context.Context, r member.Record) (uint64, error) {
+// askStatus returns the status of a member, which is never nil.
+func (n *Node) askStatus(ctx context.Context, r member.Record) (*proto.Status, error) {
 	if r.Address == n.Self.Address {
-		return n.Holder.Revision(), nil
+		return n.status(), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.Timeout)
 	defer cancel()
 	reply, err := n.Client.Status(ctx, r.Address, n.status())
 	if err != nil {
-		return 0, err
+		return &proto.Status{}, err
 	}
-	return reply.InForce, nil
+	return reply, nil
 }
 
-// Wait returns when every known member that is not gone has the revision in force. When ctx ends first, it returns the lagging
+// Wait returns when every known member that is not gone has the awaited configuration in force. When ctx ends first, it returns the lagging
 // members of the last complete round, if any, because an interrupted round would also list members that had no time to answer.
-func (n *Node) Wait(ctx context.Context, revision uint64) ([]LaggingMember, error) {
+func (n *Node) Wait(ctx context.Context, awaited Awaited) ([]LaggingMember, error) {
 	n.init()
 	var last []LaggingMember
 	for {
-		lagging := n.LaggingMembers(ctx, revision)
+		lagging := n.LaggingMembers(ctx, awaited)
 		if len(lagging) == 0 {
 			return nil, nil
 		}
--- a/internal/fleet/watch/fault_test.go
+++ b/internal/fleet/watch/fault_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 )
@@ -268,13 +269,13 @@
 		time.Sleep(2 * time.Second)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		lagging, err := f.get(3).node.Wait(ctx, revision)
+		lagging, err := f.get(3).node.Wait(ctx, gossip.Awaited{Revision: revision})
 		g.Expect(err).To(MatchError(context.DeadlineExceeded))
 		g.Expect(lagging).To(HaveLen(1))
 		g.Expect(lagging[0].Record.Address).To(Equal(address(7)))
 		f.resume(7)
 		time.Sleep(20 * time.Second)
-		lagging, err = f.get(3).node.Wait(context.Background(), revision)
+		lagging, err = f.get(3).node.Wait(context.Background(), gossip.Awaited{Revision: revision})
 		g.Expect(lagging, err).To(BeEmpty())
 	})
 }
--- a/internal/wire/proto/codec_test.go
+++ b/internal/wire/proto/codec_test.go
@@ -133,7 +133,7 @@
 		},
 		&Probe{Service: texts.Draw(t, "service")},
 		&ProbeReply{Code: codes.Draw(t, "code"), RetryAfter: durations.Draw(t, "next"), Report: reports.Draw(t, "report")},
-		&Status{From: records.Draw(t, "from"), InForce: number},
+		&Status{From: records.Draw(t, "from"), InForce: number, Serial: rapid.Uint64().Draw(t, "serial")},
 		&PermitRequest{
 			Organisation: texts.Draw(t, "organisation"), Wanted: positive.Draw(t, "wanted"), Returned: positive.Draw(t, "returned"),
 			Revision: number, Rate: float64(positive.Draw(t, "rate")) / rateUnits, Burst: positive.Draw(t, "burst"),
--- a/internal/wire/proto/fleet.go
+++ b/internal/wire/proto/fleet.go
@@ -43,7 +43,8 @@
 
 func appendStatus(buf []byte, m *Status) []byte {
 	buf = putNested(buf, 1, &m.From, appendRecord)
-	return putUint(buf, 2, m.InForce)
+	buf = putUint(buf, 2, m.InForce)
+	return putUint(buf, 3, m.Serial)
 }
 
 func readStatus(r *reader, m *Status) {
@@ -52,6 +53,8 @@
 		readNested(r, &m.From, readRecord)
 	case 2:
 		m.InForce = r.unsigned()
+	case 3:
+		m.Serial = r.unsigned()
 	}
 }
 
--- a/internal/wire/proto/proto.go
+++ b/internal/wire/proto/proto.go
@@ -221,10 +221,11 @@
 	Content []byte
 }
 
-// Status asks a daemon for its configuration revision. The reply has the same type.
+// Status asks a daemon for its configuration in force. The reply has the same type.
 type Status struct {
 	From    member.Record
-	InForce uint64
+	InForce uint64 // revision
+	Serial  uint64
 }
 
 // PermitRequest asks the owner of an organisation for permits. Without an organisation it only checks that the daemon replies.
