Rename what a newcomer would stumble over

configuration-outdated (log event), Config.IsReplacedBy, checkResult and waitTarget (cmds), allowsNoRetry (conf/lint), headScan.readFold. No change of behaviour.

--- a/internal/admit/server/head.go
+++ b/internal/admit/server/head.go
@@ -48,7 +48,7 @@
 	case atLineStart:
 		s.startLine(b)
 	case beforeWord, inWord:
-		s.unfold(b)
+		s.readFold(b)
 	case afterReturn:
 		s.position = inLine
 	}
@@ -72,8 +72,8 @@
 	}
 }
 
-// unfold looks at a byte of the blanks and the word that a line begins with.
-func (s *headScan) unfold(b byte) {
+// readFold looks at a byte of the blanks that a line begins with, and of the word behind them.
+func (s *headScan) readFold(b byte) {
 	switch {
 	case b == ':' && s.position == inWord:
 		s.malformed = true
--- a/internal/cli/cmds/check.go
+++ b/internal/cli/cmds/check.go
@@ -19,16 +19,16 @@
 			if err := p.checkFormat(); err != nil {
 				return err
 			}
-			checked, err := check(args[0])
+			result, err := check(args[0])
 			if err != nil {
 				return err
 			}
 			if p.table != "" {
-				if err := checked.compare(cmd, &p); err != nil {
+				if err := result.compare(cmd, &p); err != nil {
 					return err
 				}
 			}
-			encoded, text := checked.describe()
+			encoded, text := result.describe()
 			if err := p.write(cmd.OutOrStdout(), encoded, text); err != nil {
 				return err
 			}
--- a/internal/cli/cmds/checked.go
+++ b/internal/cli/cmds/checked.go
@@ -45,8 +45,8 @@
 	After  string `json:"after"`
 }
 
-// checked is a valid configuration with what was found in it.
-type checked struct {
+// checkResult is a valid configuration with what was found in it.
+type checkResult struct {
 	files    []files.File
 	merged   *files.Merged
 	findings []lint.Finding
@@ -55,8 +55,8 @@
 }
 
 // check reads and merges a configuration.
-func check(path string) (*checked, error) {
-	c := &checked{hosted: filepath.Ext(path) == hostedExtension}
+func check(path string) (*checkResult, error) {
+	c := &checkResult{hosted: filepath.Ext(path) == hostedExtension}
 	var err error
 	if c.hosted {
 		err = c.readHosted(path)
@@ -74,7 +74,7 @@
 }
 
 // readHosted translates the operators' record. Its odd entries, which daemons would leave out, are findings.
-func (c *checked) readHosted(path string) error {
+func (c *checkResult) readHosted(path string) error {
 	file, err := os.Open(path)
 	if err != nil {
 		return code.NotRunf(code.BadRequest, "open file").WithCause(err)
@@ -96,7 +96,7 @@
 }
 
 // compare reads the configuration in force.
-func (c *checked) compare(cmd *cobra.Command, p *platformFlags) error {
+func (c *checkResult) compare(cmd *cobra.Command, p *platformFlags) error {
 	set, err := c.inForce(cmd, p)
 	if err != nil {
 		return err
@@ -105,7 +105,7 @@
 	return err
 }
 
-func (c *checked) inForce(cmd *cobra.Command, p *platformFlags) (files.Set, error) {
+func (c *checkResult) inForce(cmd *cobra.Command, p *platformFlags) (files.Set, error) {
 	writer, err := p.writer(cmd.ErrOrStderr(), false)
 	if err != nil {
 		return files.Set{}, err
@@ -119,7 +119,7 @@
 }
 
 // describe lists the files without effect, which config add would reject, the findings, and what would change.
-func (c *checked) describe() (encoded checkedJSON, text string) {
+func (c *checkResult) describe() (encoded checkedJSON, text string) {
 	encoded = checkedJSON{
 		Files: len(c.files), Services: len(c.merged.Config.Services), Overridden: []string{}, Findings: []findingJSON{},
 	}
@@ -147,21 +147,21 @@
 	return encoded, lines.String()
 }
 
-func (c *checked) changes() []differenceJSON {
+func (c *checkResult) changes() []differenceJSON {
 	list := []differenceJSON{}
 	for _, effect := range change.Effects(c.against, c.merged) {
 		if section := effect.Key.Section; c.hosted && (section == files.ZoneSection || section == files.RolloutSection) {
 			continue // ordered beside the record
 		}
 		list = append(list, differenceJSON{
-			For: c.concerned(effect.Key), Key: effect.Key.String(), Before: c.value(c.against, effect.Key), After: c.value(c.merged, effect.Key),
+			For: c.audience(effect.Key), Key: effect.Key.String(), Before: c.value(c.against, effect.Key), After: c.value(c.merged, effect.Key),
 		})
 	}
 	return list
 }
 
 // value returns the value of a key as it is in force, with the default of one that is not set.
-func (c *checked) value(merged *files.Merged, id files.ID) string {
+func (c *checkResult) value(merged *files.Merged, id files.ID) string {
 	if entry, found := merged.Keys[id]; found {
 		return fmt.Sprintf("%q", entry.Value)
 	}
@@ -173,8 +173,8 @@
 	return "nothing"
 }
 
-// concerned tells whom a key concerns.
-func (c *checked) concerned(id files.ID) string {
+// audience tells whom a key concerns.
+func (c *checkResult) audience(id files.ID) string {
 	switch id.Section {
 	case files.ServiceSection, files.RolloutSection:
 		return "requests to " + id.Name
--- a/internal/cli/cmds/wait.go
+++ b/internal/cli/cmds/wait.go
@@ -37,7 +37,7 @@
 			if revision > 0 && serial > 0 {
 				return usagef("--revision and --serial exclude each other")
 			}
-			awaited := awaited{key: "serial", number: serial}
+			awaited := waitTarget{key: "serial", number: serial}
 			if serial == 0 {
 				awaited.key, awaited.number = "revision", revision
 			}
@@ -62,14 +62,14 @@
 	return cmd
 }
 
-// awaited is the revision or the serial that daemons should have in force.
-type awaited struct {
+// waitTarget is the revision or the serial that daemons should have in force.
+type waitTarget struct {
 	key    string
 	number uint64
 }
 
 // String returns the name and the number.
-func (w awaited) String() string {
+func (w waitTarget) String() string {
 	return fmt.Sprintf("%s %d", w.key, w.number)
 }
 
@@ -84,7 +84,7 @@
 }
 
 // wait polls the daemon until no daemon lacks the configuration. When ctx ends, it returns the last list and an error.
-func (a *adminFlags) wait(ctx context.Context, address string, awaited awaited) (response any, text string, err error) {
+func (a *adminFlags) wait(ctx context.Context, address string, awaited waitTarget) (response any, text string, err error) {
 	for {
 		next, err := a.get(ctx, address, "/config/behind?"+awaited.key+"="+strconv.FormatUint(awaited.number, 10))
 		if err != nil && response == nil {
--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -140,8 +140,8 @@
 	return err == nil && matched
 }
 
-// IsBefore reports whether the serials tell that operators have replaced c by a configuration up to other.
-func (c *Config) IsBefore(other *Config) bool {
+// IsReplacedBy reports whether the serials tell that operators have replaced c by other or by a configuration before it.
+func (c *Config) IsReplacedBy(other *Config) bool {
 	return c.Serial != 0 && c.Serial < other.Serial
 }
 
--- a/internal/conf/config/holder.go
+++ b/internal/conf/config/holder.go
@@ -54,7 +54,7 @@
 	if current := h.current.Load(); current != nil && next.Revision <= current.Revision {
 		return code.NotRunf(code.StaleRevision, "revision %d is not above %d", next.Revision, current.Revision)
 	}
-	if current := h.current.Load(); current != nil && next.IsBefore(current) {
+	if current := h.current.Load(); current != nil && next.IsReplacedBy(current) {
 		next = current.withOrdersOf(next)
 	}
 	h.current.Store(next)
--- a/internal/conf/lint/route.go
+++ b/internal/conf/lint/route.go
@@ -34,15 +34,15 @@
 		} else {
 			first[place] = name
 		}
-		c.checkPlace(route)
+		c.checkHostAndPrefix(route)
 		c.checkParts(route)
 		c.checkLimits(route)
 		c.addRank(route.Priority, routeID(name, keyPriority))
 	}
 }
 
-// checkPlace finds hosts and prefixes that no request can have.
-func (c *checker) checkPlace(route *config.Route) {
+// checkHostAndPrefix finds hosts and prefixes that no request can have.
+func (c *checker) checkHostAndPrefix(route *config.Route) {
 	if route.Host != strings.ToLower(route.Host) {
 		c.add(NeverMatches, routeID(route.Name, keyHost), "callers send the host in lower-case letters")
 	}
@@ -69,7 +69,7 @@
 	if route.Objective > route.Timeout && (c.isSet(routeID(route.Name, keyObjective)) || c.isSet(routeID(route.Name, keyTimeout))) {
 		c.add(Contradiction, routeID(route.Name, keyTimeout), "the timeout of %s is under the objective of %s", route.Timeout, route.Objective)
 	}
-	if route.Kind == config.Once && c.isSet(routeID(route.Name, keyServers)) && route.Servers > 1 && c.servesOnlyUnproven(route) {
+	if route.Kind == config.Once && c.isSet(routeID(route.Name, keyServers)) && route.Servers > 1 && c.allowsNoRetry(route) {
 		c.add(NoEffect, routeID(route.Name, keyServers), "no service of the route allows additional attempts")
 	}
 	if !route.Public && len(c.conf.Organisations) == 0 {
@@ -77,8 +77,8 @@
 	}
 }
 
-// servesOnlyUnproven reports whether no service of the route allows additional attempts.
-func (c *checker) servesOnlyUnproven(route *config.Route) bool {
+// allowsNoRetry reports whether no service of the route allows additional attempts.
+func (c *checker) allowsNoRetry(route *config.Route) bool {
 	for _, part := range route.Parts {
 		if service := c.conf.Services[part.Service]; service != nil && service.RetryShare > 0 {
 			return false
--- a/internal/fleet/gossip/revision.go
+++ b/internal/fleet/gossip/revision.go
@@ -165,8 +165,8 @@
 	}
 	inForce := n.Holder.Get()
 	n.logInForce(sender, inForce, before)
-	if next.IsBefore(inForce) {
-		n.Log.Info("configuration-replaced-before", "revision", next.Revision, "serial", next.Serial, "in-force", inForce.Serial)
+	if next.IsReplacedBy(inForce) {
+		n.Log.Info("configuration-outdated", "revision", next.Revision, "serial", next.Serial, "in-force", inForce.Serial)
 	}
 	return nil
 }
