--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -28,9 +28,6 @@
 	Store                 *Store
 	Machines              []*Machine
 	Rec                   *Recorder
-	Tenants               []map[string]any                     // of the configuration; may be nil
-	Values                map[string]string                    // further fields for the template; may be nil
-	Patch                 func(m *Machine, text string) string // changes rendered settings; may be nil
 	version               int
 }
 
@@ -95,9 +92,6 @@
 		"port_range.0": strconv.Itoa(m.PortRange[0]), "port_range.1": strconv.Itoa(m.PortRange[1]),
 		"app_addr": m.App, "platform.address": f.Store.Addr, "bootstrap": "false", "limits.memory_mb": "284",
 	}
-	for name, value := range f.Values {
-		values[name] = value
-	}
 	text := section.ReplaceAllStringFunc(string(raw), func(found string) string {
 		parts := section.FindStringSubmatch(found)
 		if values[parts[1]] == "" {
@@ -106,9 +100,6 @@
 		return parts[2]
 	})
 	text = placeholder.ReplaceAllStringFunc(text, func(found string) string { return values[placeholder.FindStringSubmatch(found)[1]] })
-	if f.Patch != nil {
-		text = f.Patch(m, text)
-	}
 	m.settings = filepath.Join(f.Dir, m.Name+".conf")
 	return os.WriteFile(m.settings, []byte(text), 0o600)
 }
@@ -180,14 +171,10 @@
 // WriteConfig writes the operator's configuration with the next version.
 func (f *Fleet) WriteConfig(routes, services []map[string]any) {
 	f.version += 3
-	config := map[string]any{
+	f.Store.Put("op", "config", map[string]any{
 		"version": fmt.Sprintf("r%d", f.version), "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 8 << 20, "header_timeout": "5s", "idle_timeout": "10s"},
-	}
-	if f.Tenants != nil {
-		config["tenants"] = f.Tenants
-	}
-	f.Store.Put("op", "config", config)
+	})
 	f.Rec.Note("configuration r%d acknowledged by the store", f.version)
 }
 
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -101,6 +101,16 @@
 
 // CheckIn sends one check-in, and reports whether it was acknowledged.
 func (s *Server) CheckIn() bool {
+	return s.SendCheckIn(s.NextCheckIn())
+}
+
+// SendCheckIn sends a check-in, perhaps late, and reports whether it was acknowledged.
+func (s *Server) SendCheckIn(body []byte) bool {
+	return s.post("/api/Instances.Heartbeat/"+s.ID, body)
+}
+
+// NextCheckIn returns the body of the next check-in.
+func (s *Server) NextCheckIn() []byte {
 	state := "ready"
 	if s.draining.Load() {
 		state = "draining"
@@ -109,7 +119,7 @@
 		"service": s.Service, "address": s.Addr, "zone": s.Zone, "version": "v1", "slots": s.Slots, "state": state,
 		"cold_remaining": "0ms", "sequence": s.sequence.Add(1), "born": s.born.UnixMilli(),
 	})
-	return s.post("/api/Instances.Heartbeat/"+s.ID, body)
+	return body
 }
 
 // Leave tells that the server leaves, and reports whether it was acknowledged.
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -24,6 +26,30 @@
 	began   time.Time
 	lateFor time.Duration
 	server  *http.Server
+	era     uint64 // told in all answers; rises when the store has come back from a copy
+}
+
+// Copy is the content of the store at a moment.
+type Copy struct {
+	rows map[rowKey]storeRow
+	feed []storeRow
+	ver  uint64
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: maps.Clone(s.rows), feed: slices.Clone(s.feed), ver: s.ver}
+}
+
+// Restore puts a copy in place of the content, with the next era.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.feed, s.ver = c.rows, c.feed, c.ver
+	s.era++
+	s.cond.Broadcast()
 }
 
 type rowKey struct{ table, part, key string }
@@ -47,7 +73,7 @@
 
 // StartStore serves a store on the address.
 func StartStore(addr string) (*Store, error) {
-	s := &Store{Addr: addr, rows: map[rowKey]storeRow{}, began: time.Now()}
+	s := &Store{Addr: addr, rows: map[rowKey]storeRow{}, began: time.Now(), era: 1}
 	s.cond = sync.NewCond(&s.mu)
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -123,6 +149,9 @@
 	body["now"] = time.Since(s.began).Milliseconds()
 	data, _ := json.Marshal(body)
 	w.Header().Set("Content-Type", "application/json")
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	s.mu.Unlock()
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
@@ -226,15 +255,21 @@
 	stop := time.AfterFunc(time.Until(end), func() { s.mu.Lock(); s.cond.Broadcast(); s.mu.Unlock() })
 	defer stop.Stop()
 	s.mu.Lock()
+	era := s.era
 	var changed []storeRow
 	for {
+		if after > s.ver {
+			s.mu.Unlock()
+			s.answer(w, http.StatusGone, map[string]any{})
+			return
+		}
 		changed = []storeRow{}
 		for _, row := range s.feed {
 			if row.Ver > after && row.Table == q.Get("table") {
 				changed = append(changed, row)
 			}
 		}
-		if len(changed) > 0 || !time.Now().Before(end) || s.mode != "" {
+		if len(changed) > 0 || !time.Now().Before(end) || s.mode != "" || s.era != era {
 			break
 		}
 		s.cond.Wait()
