--- a/review/standin-3/reuse.go
+++ b/review/standin-3/reuse.go
@@ -8,7 +8,7 @@
 
 func init() { cases["reuse"] = playReuse }
 
-// startBase starts three machines of alpha and two of beta with sound servers.
+// startBase starts two machines of alpha and two of beta with sound servers.
 func startBase(f *Fleet) error {
 	f.WriteConfig([]map[string]any{
 		Route("a", "/a/", "alpha", "safe", 1500, 1), Route("b", "/b/", "beta", "safe", 1500, 1), Route("o", "/o/", "alpha", "unsafe", 1500, 1),
