--- a/review/standin-3/restore.go
+++ b/review/standin-3/restore.go
@@ -12,7 +12,7 @@
 
 const (
 	contact = 3 * time.Second
-	stay    = 17 * time.Second // drain, and the 15 s of scale_in with how = "stay"
+	stay    = 15 * time.Second // as scale_in with how = "stay" on the site
 )
 
 // playRestore lets a server leave. Then the store is away for a moment and comes back from a copy some seconds old, while all daemons are killed
