--- a/review/standin-3/reuse.go
+++ b/review/standin-3/reuse.go
@@ -8,12 +8,17 @@
 
 func init() { cases["reuse"] = playReuse }
 
-// startBase starts two machines of alpha and two of beta with sound servers.
-func startBase(f *Fleet) error {
-	f.WriteConfig([]map[string]any{
+// baseConfig returns the routes and services of the operator's configuration.
+func baseConfig() (routes, services []map[string]any) {
+	return []map[string]any{
 		Route("a", "/a/", "alpha", "safe", 1500, 1), Route("b", "/b/", "beta", "safe", 1500, 1), Route("o", "/o/", "alpha", "unsafe", 1500, 1),
 		Route("u", "/u/", "beta", "upload", 2500, 1),
-	}, []map[string]any{Service("alpha"), Service("beta")})
+	}, []map[string]any{Service("alpha"), Service("beta")}
+}
+
+// startBase starts two machines of alpha and two of beta with sound servers.
+func startBase(f *Fleet) error {
+	f.WriteConfig(baseConfig())
 	for i, place := range [][2]string{{"alpha", "z1"}, {"alpha", "z2"}, {"beta", "z1"}, {"beta", "z2"}} {
 		m := f.Add(place[0], place[1])
 		m.Server = &Server{ID: fmt.Sprintf("i-%s-%d", place[0], i), Service: place[0], Zone: place[1], Addr: m.App, Control: m.Control, Slots: 12, Queue: 24, Rec: f.Rec}
