--- a/review/standin-3/pipeline.go
+++ b/review/standin-3/pipeline.go
@@ -13,10 +13,11 @@
 const (
 	garbleEvery = 20 // one answer in so many is wrong: x = .05
 	lostSlack   = 3  // requests
+	garbleFor   = 5 * time.Second
 )
 
-// playPipeline has one of the two servers of alpha send some answers without a length, and reset their connections on the way. Clients send
-// requests for the sound servers of beta behind those that get such an answer.
+// playPipeline has the two servers of alpha, half of all, send some answers without a length, and reset their connections on the way, for as
+// long as the largest dose on the site lasts. Clients send requests for the sound servers of beta behind those that get such an answer.
 func playPipeline(f *Fleet, trouble bool) ([]string, error) {
 	if err := startBase(f); err != nil {
 		return nil, err
@@ -30,17 +31,19 @@
 		}
 		m.Server.BodySize = func(string) int { return 2000 }
 	}
+	end := f.Rec.Now() + garbleFor
 	if trouble {
 		var answers atomic.Int64
-		f.Machines[0].Server.Faults = func(string, string) string {
-			if answers.Add(1)%garbleEvery == 0 {
+		faults := func(string, string) string {
+			if answers.Add(1)%garbleEvery == 0 && f.Rec.Now() < end {
 				return "unframed-cut"
 			}
 			return ""
 		}
+		f.Machines[0].Server.Faults, f.Machines[1].Server.Faults = faults, faults
 	}
 	sound := map[string]bool{}
-	for _, m := range f.Machines[1:] {
+	for _, m := range f.Machines[2:] {
 		sound[m.Server.ID] = true
 	}
 	var wg sync.WaitGroup
@@ -50,7 +53,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			for range 200 {
+			for f.Rec.Now() < end {
 				c, err := Dial(f.Machines[i%4], f.Rec)
 				if err != nil {
 					continue
