admit/status, fleet/watch: an id from a health response is no proof of the service

Cause: status.Server took the id that a health response tells for the identity that requests name. A health response tells no service. The check-ins of the new server, which do, were refused without a trace.

Now an id gets work once a check-in for the daemon's service has named it, and requests name that id only.

--- a/internal/admit/status/dump.go
+++ b/internal/admit/status/dump.go
@@ -5,6 +5,7 @@
 // Dump is the state of the server in the state dump.
 type Dump struct {
 	ID       string
+	Verified string // the last server that is known to run the daemon's service
 	Release  string
 	Slots    int
 	Checked  bool
@@ -22,7 +23,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Dump{
-		ID: s.id, Release: s.release, Slots: s.slots, Checked: s.checkedIn, Draining: s.draining, Left: s.left, Healthy: !s.unhealthy,
+		ID: s.id, Verified: s.verified, Release: s.release, Slots: s.slots, Checked: s.checkedIn, Draining: s.draining, Left: s.left,
+		Healthy: !s.unhealthy,
 		ColdFor: max(0, time.Until(s.coldUntil)), WarmAge: time.Since(s.warmProvenAt), Pace: s.load.Pace, LastSent: len(s.sent),
 	}
 }
--- a/internal/admit/status/status.go
+++ b/internal/admit/status/status.go
@@ -66,11 +66,13 @@
 	Service    string
 	ColdRate   func() float64  // requests per second that the server can take when cold; 0 when unknown
 	OnLoad     func(hdrs.Load) // called with each load that the server reports; may be nil
+	OnVerified func(id string) // called when a server other than the last one is known to run Service; may be nil
 	PollHealth func()          // requests a health poll ahead of schedule; does not block
 	Log        logr.Logger
 
 	mu           sync.Mutex
-	id           string // empty before the first check-in or health response
+	id           string // of the server that answers at the address; empty before the first check-in or health response
+	verified     string // of the last server that is known to run Service, which need not be the present one; empty if none is
 	born         time.Time
 	sequence     uint64
 	release      string // of the present lifetime, by its last check-in
@@ -92,23 +94,34 @@
 // CheckIn updates the state from a check-in. It rejects one of an earlier lifetime, and ignores one that arrives after a later
 // one of the same lifetime.
 func (s *Server) CheckIn(c CheckIn) error {
+	verified, err := s.applyCheckIn(c)
+	if verified && s.OnVerified != nil {
+		s.OnVerified(c.ID)
+	}
+	return err
+}
+
+// applyCheckIn reports whether the check-in has verified another server than the last one.
+func (s *Server) applyCheckIn(c CheckIn) (verified bool, err error) {
 	if c.ID == "" || c.Service != s.Service {
-		return code.NotRunf(code.WrongServer, "check-in of %q for service %q: this daemon's server runs service %s", c.ID, c.Service, s.Service)
+		return false, code.NotRunf(code.WrongServer, "check-in of %q for service %q: this daemon's server runs service %s",
+			c.ID, c.Service, s.Service)
 	}
 	if err := c.check(); err != nil {
-		return err
+		return false, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newer := c.Born.After(s.born) || s.born.IsZero()
 	switch {
 	case c.ID != s.id && !newer && !s.born.IsZero(), c.Born.Before(s.born):
-		return code.NotRunf(code.WrongServer, "check-in of %q from an earlier lifetime", c.ID)
+		return false, code.NotRunf(code.WrongServer, "check-in of %q from an earlier lifetime", c.ID)
 	case c.ID != s.id || newer && s.checkedIn:
 		s.startLifetime(c.ID)
 	case s.checkedIn && c.Sequence <= s.sequence:
-		return nil
+		return false, nil
 	}
+	verified = s.verify(c.ID)
 	s.checkedIn, s.heardAt = true, time.Now()
 	s.checkHistory(c.Born)
 	s.born = c.Born
@@ -121,7 +134,7 @@
 	if c.ColdFor > 0 {
 		s.markCold(time.Now().Add(c.ColdFor), "check-in")
 	}
-	return nil
+	return verified, nil
 }
 
 // startLifetime resets the state for a new lifetime.
@@ -234,13 +247,6 @@
 	}
 }
 
-// Identity returns the identity that the server must have to run a request, or the empty string while unknown.
-func (s *Server) Identity() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.id
-}
-
 // Release returns the release of the server's software, or the empty string before the first check-in of its lifetime.
 func (s *Server) Release() string {
 	s.mu.Lock()
@@ -294,6 +300,8 @@
 		return code.NotRunf(code.ServerLeaving, "server %s is draining", s.id)
 	case s.unhealthy && !s.checkedIn:
 		return code.NotRunf(code.ServerLeaving, "server %s is not healthy and has not checked in", s.id)
+	case s.id != s.verified:
+		return code.NotRunf(code.NoServer, "server %s has not checked in for service %s", s.id, s.Service)
 	case s.unhealthy && !s.awaiting.IsZero():
 		return code.NotRunf(code.ServerLeaving, "server %s is not healthy, and may have left before the daemon's start", s.id)
 	case !s.polled && !s.awaiting.IsZero():
--- a/internal/admit/status/status_test.go
+++ b/internal/admit/status/status_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +28,8 @@
 					return checkIn(t, s, d, start) + state(s)
 				case "leave":
 					s.Leave(d.CmdArgs[0].Key)
+				case "verified":
+					s.RestoreVerified(d.CmdArgs[0].Key)
 				case "restore":
 					s.Restore(text(t, d, "id"), start.Add(duration(t, d, "born")))
 				case "await-history":
@@ -108,7 +109,8 @@
 	if failure := s.Refusing(); failure != nil {
 		refused = failure.Code.String()
 	}
-	return fmt.Sprintf("%s: %s, departing %v, cold %v\n", strings.TrimSpace(s.Identity()+" "), refused, s.Departing(), s.Cold())
+	id, _, _ := s.Departure()
+	return fmt.Sprintf("%s: %s, departing %v, cold %v\n", id, refused, s.Departing(), s.Cold())
 }
 
 func text(t *testing.T, d *datadriven.TestData, name string) string {
--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -210,7 +210,9 @@
 	}
 	if parts.Status != nil {
 		w.OnDepartureRestored = func(d watch.Departure) { parts.Status.Restore(d.Server, d.Born) }
+		w.OnServerRestored = parts.Status.RestoreVerified
 		w.OnHistoryKnown = parts.Status.HistoryKnown
+		parts.Status.OnVerified = w.KeepServer
 		parts.Node.OnDeparture = w.RecallDeparture
 		parts.Node.OnRecalled = parts.Status.HistoryKnown
 	}
--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -53,18 +53,20 @@
 	}
 	w.counters.announcements.Add(1)
 	era := w.era()
-	self, left := w.Table.Self(), w.currentDeparture()
-	value := announcement{Record: self, At: w.Now(), Departure: left}.encode()
+	self, left, server := w.Table.Self(), w.currentDeparture(), w.currentServer()
+	value := announcement{Record: self, At: w.Now(), Departure: left, Server: server}.encode()
 	err := w.Store.Commit(ctx, table.Txn{Puts: []table.Put{{Key: rowKey(self.Address), Value: value}}})
 	w.recordOutcome(err)
 	if err == nil {
 		w.markDeparturePersisted(left, cmp.Or(era, w.era()))
+		w.markServerWritten(server)
 	}
 	return err
 }
 
 // Withdraw deletes this daemon's row at a planned stop. The row is kept when it belongs to a later incarnation at the same address,
-// or when this daemon has acknowledged a departure, because the next daemon at this address must honor that too. A departure that is not in
+// or when this daemon has acknowledged a departure, because the next daemon at this address must honor that too, and when it names a server
+// for the next daemon. A departure that is not in
 // the row is written now, as soon as the store answers: it could not be written before, or the store has lost it since.
 func (w *Watch) Withdraw(ctx context.Context) error {
 	for {
@@ -89,7 +91,7 @@
 		return nil
 	case leaves && err == nil && held.Departure.same(departure):
 		return nil
-	case leaves:
+	case leaves, w.currentServer() != "":
 		return w.announce(ctx)
 	case absent:
 		return nil
--- a/internal/fleet/watch/departure.go
+++ b/internal/fleet/watch/departure.go
@@ -145,6 +145,7 @@
 		w.Log.Error(err, "announcement-unreadable", "key", row.Key)
 		a = announcement{}
 	}
+	w.restoreServer(a)
 	w.restoreDeparture(a.Departure)
 }
 
--- a/internal/fleet/watch/era.go
+++ b/internal/fleet/watch/era.go
@@ -45,16 +45,25 @@
 }
 
 // awaitRefresh waits until this daemon's row is due: after the given time, or at a random moment within StartSpread after the store has
-// come back from an older copy. It reports false when ctx has ended.
+// come back from an older copy or another server runs beside the daemon. It reports false when ctx has ended.
 func (w *Watch) awaitRefresh(ctx context.Context, refresh time.Duration) bool {
 	timer := time.NewTimer(refresh)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	case <-w.eras.risen:
-		return clock.Sleep(ctx, uniform(w.StartSpread))
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			return true
+		case <-w.eras.risen:
+			return clock.Sleep(ctx, uniform(w.StartSpread))
+		case <-w.server.changed:
+			if !clock.Sleep(ctx, uniform(w.StartSpread)) {
+				return false
+			}
+			if !w.rowNamesServer() {
+				return true
+			}
+		}
 	}
 }
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -49,6 +50,8 @@
 	encoded             atomic.Bool      // exchanges pass through their codec
 	clockStep           time.Duration    // of the clocks of daemons that start from now on
 	onDepartureRestored func(i int, d Departure)
+	onServerRestored    func(i int, id string)
+	service             string // of all daemons; empty for one of 20 services each
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -84,7 +87,7 @@
 func (f *fleet) record(i int) member.Record {
 	return member.Record{
 		Address: address(i), Front: netip.AddrPortFrom(address(i).Addr(), 80),
-		Service: fmt.Sprintf("service-%d", i%20), Zone: fmt.Sprintf("zone-%d", i%f.zones), Region: "region-1",
+		Service: cmp.Or(f.service, fmt.Sprintf("service-%d", i%20)), Zone: fmt.Sprintf("zone-%d", i%f.zones), Region: "region-1",
 		Incarnation: ident.Incarnation(time.Now().Add(f.clockStep).UnixNano()), State: f.initial, Version: 1,
 	}
 }
@@ -109,6 +112,9 @@
 		d.watch.OnDepartureRestored = func(left Departure) { f.onDepartureRestored(i, left) }
 		d.node.OnDeparture = d.watch.RecallDeparture
 	}
+	if f.onServerRestored != nil {
+		d.watch.OnServerRestored = func(id string) { f.onServerRestored(i, id) }
+	}
 	if f.source != nil {
 		d.watch.Source = &sourceReader{source: f.source, fleet: f, self: self.Address}
 	}
--- a/internal/fleet/watch/row.go
+++ b/internal/fleet/watch/row.go
@@ -29,6 +29,7 @@
 	fieldAt
 	fieldDeparted
 	fieldDepartedBorn
+	fieldServer
 )
 
 // announcement is the value of a daemon's row in the table.
@@ -36,6 +37,7 @@
 	Record    member.Record
 	At        time.Time // wall clock of the daemon that wrote it, in milliseconds
 	Departure Departure // zero unless this daemon's server is leaving
+	Server    string    // id of the last server known to run the service of Record; empty if none is
 }
 
 // Departure identifies the run of a server whose departure its daemon has acknowledged.
@@ -67,6 +69,9 @@
 	b = appendNumber(b, fieldState, uint64(r.State))
 	b = appendNumber(b, fieldVersion, r.Version)
 	b = appendNumber(b, fieldAt, uint64(a.At.UnixMilli()))
+	if a.Server != "" {
+		b = appendText(b, fieldServer, a.Server)
+	}
 	if a.Departure.Server == "" {
 		return b
 	}
@@ -133,7 +138,7 @@
 // field reads the value of one field and returns its length.
 func (a *announcement) field(field protowire.Number, kind protowire.Type, b []byte) (int, error) {
 	switch {
-	case kind == protowire.BytesType && (field <= fieldRegion || field == fieldDeparted):
+	case kind == protowire.BytesType && (field <= fieldRegion || field == fieldDeparted || field == fieldServer):
 		text, n := protowire.ConsumeString(b)
 		if n < 0 {
 			return 0, protowire.ParseError(n)
@@ -170,6 +175,8 @@
 		a.Record.Region = text
 	case fieldDeparted:
 		a.Departure.Server = text
+	case fieldServer:
+		a.Server = text
 	}
 	return err
 }
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -64,6 +64,8 @@
 	// OnDepartureRestored is called with the departure that an earlier daemon at this address acknowledged, again if peers or the row
 	// then tell one of a later lifetime. It may be nil; the first announcement then does not wait for the row of the earlier daemon.
 	OnDepartureRestored func(d Departure)
+	// OnServerRestored is called with the id of the server that an earlier daemon at this address knew to run the service; may be nil.
+	OnServerRestored func(id string)
 	// OnHistoryKnown is called when the row of the earlier daemon has been read or does not exist; may be nil.
 	OnHistoryKnown func()
 
@@ -80,6 +82,7 @@
 	readyOnce       sync.Once
 	roles           roles
 	departures      departures
+	server          rowServer
 	eras            eras
 	handovers       handovers
 	firstRead       chan struct{} // closed after the first attempt to read a page of members or when a peer has sent them
@@ -122,6 +125,7 @@
 	w.firstRead = make(chan struct{})
 	w.departures.unwritten = make(chan struct{}, 1)
 	w.eras.risen = make(chan struct{}, 1)
+	w.server.changed = make(chan struct{}, 1)
 	if w.StartSpread == 0 {
 		w.StartSpread = DefaultStartSpread
 	}
