admit/status: a departure binds the lifetimes that began before it, also when their start is not known

Cause: a new process knows its server from a health response, which tells no start. A Leave before the next check-in was kept without a start, and the first check-in of the next lifetime was taken for one of the lifetime that had left. The row and the peers told the next process the same.

Now a departure is kept by id with the latest start that it covers: that of the lifetime if a check-in has told it, else the time of the acknowledgement. A check-in with a later start begins a lifetime that has not left, and one from before the departure changes nothing. Rows and messages stay as they are, so that older daemons restore such a departure rightly too.

The same cause on related paths: a wrong health response with another id, or a late check-in of an earlier server, made the departure of the present one forgotten; a Leave of a server that the daemon had not noticed yet had no effect.

--- a/internal/admit/status/dump.go
+++ b/internal/admit/status/dump.go
@@ -23,8 +23,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Dump{
-		ID: s.id, Verified: s.verified, Release: s.release, Slots: s.slots, Checked: s.checkedIn, Draining: s.draining, Left: s.left,
-		Healthy: !s.unhealthy,
+		ID: s.id, Verified: s.verified, Release: s.release, Slots: s.slots, Checked: s.checkedIn, Draining: s.draining,
+		Left: s.hasLeft(s.id, s.born), Healthy: !s.unhealthy,
 		ColdFor: max(0, time.Until(s.coldUntil)), WarmAge: time.Since(s.warmProvenAt), Pace: s.load.Pace, LastSent: len(s.sent),
 	}
 }
--- a/internal/admit/status/status.go
+++ b/internal/admit/status/status.go
@@ -80,12 +80,12 @@
 	checkedIn    bool      // the server has checked in during this lifetime
 	heardAt      time.Time // last check-in that was accepted
 	draining     bool
-	left         bool
-	unhealthy    bool      // the last health response reported an unhealthy server
-	polled       bool      // a health response of this lifetime has arrived
-	awaiting     time.Time // start of this process, while it may lack a departure that an earlier one acknowledged; else zero
-	coldUntil    time.Time // zero when warm
-	warmProvenAt time.Time // when the last poll that found the server warm was sent; zero without proof
+	departed     map[string]time.Time // by id, the latest start of a lifetime whose departure is known; zero if it is not known
+	unhealthy    bool                 // the last health response reported an unhealthy server
+	polled       bool                 // a health response of this lifetime has arrived
+	awaiting     time.Time            // start of this process, while it may lack a departure that an earlier one acknowledged; else zero
+	coldUntil    time.Time            // zero when warm
+	warmProvenAt time.Time            // when the last poll that found the server warm was sent; zero without proof
 	load         hdrs.Load
 	loadAt       time.Time
 	sent         []time.Time // when the requests of the last second were sent, oldest first
@@ -112,11 +112,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	newer := c.Born.After(s.born) || s.born.IsZero()
+	if err := s.checkLifetime(c); err != nil {
+		return false, err
+	}
 	switch {
-	case c.ID != s.id && !newer && !s.born.IsZero(), c.Born.Before(s.born):
-		return false, code.NotRunf(code.WrongServer, "check-in of %q from an earlier lifetime", c.ID)
-	case c.ID != s.id || newer && s.checkedIn:
+	case s.beginsLifetime(c):
 		s.startLifetime(c.ID)
 	case s.checkedIn && c.Sequence <= s.sequence:
 		return false, nil
@@ -137,51 +137,33 @@
 	return verified, nil
 }
 
+// checkLifetime returns an error if the check-in is of an earlier lifetime than the present one.
+func (s *Server) checkLifetime(c CheckIn) error {
+	another := c.ID != s.id
+	switch {
+	case c.Born.Before(s.born), another && !s.born.IsZero() && !c.Born.After(s.born):
+		return code.NotRunf(code.WrongServer, "check-in of %q from an earlier lifetime", c.ID)
+	case another && s.id != "" && s.hasLeft(c.ID, c.Born):
+		return code.NotRunf(code.WrongServer, "check-in of %q, which has left, while %q is at the address", c.ID, s.id)
+	}
+	return nil
+}
+
+// beginsLifetime reports whether the check-in is the first one of a lifetime that is not the present one.
+func (s *Server) beginsLifetime(c CheckIn) bool {
+	later := c.Born.After(s.born) || s.born.IsZero()
+	return c.ID != s.id || later && s.checkedIn || s.hasLeft(c.ID, s.born) && !s.hasLeft(c.ID, c.Born)
+}
+
 // startLifetime resets the state for a new lifetime.
 func (s *Server) startLifetime(id string) {
 	s.Log.Info("server-lifetime", "server", id, "before", s.id)
 	s.id, s.sequence, s.born = id, 0, time.Time{}
-	s.checkedIn, s.draining, s.left, s.unhealthy, s.polled = false, false, false, false, false
+	s.checkedIn, s.draining, s.unhealthy, s.polled = false, false, false, false
 	s.coldUntil, s.warmProvenAt = time.Time{}, time.Time{}
 	s.release = ""
 }
 
-// Leave records that the server with the id has left or is about to leave. Any id but the present one is of a server that no
-// longer runs, and is ignored.
-func (s *Server) Leave(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.id == "" {
-		s.startLifetime(id)
-	}
-	if id == s.id && !s.left {
-		s.left = true
-		s.Log.Info("server-left", "server", id)
-	}
-}
-
-// Restore records that an earlier process of this daemon has acknowledged the departure of a lifetime. A later lifetime with
-// the same id is distinguished by the start time in its check-in.
-func (s *Server) Restore(id string, born time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.id != "" && s.id != id || s.checkedIn && s.born.After(born) {
-		return
-	}
-	if s.id == "" {
-		s.startLifetime(id)
-	}
-	s.born, s.checkedIn, s.left = born, !born.IsZero(), true
-	s.Log.Info("server-left", "server", id, "reason", "restored")
-}
-
-// Departure returns the current lifetime, and whether it is leaving or has left.
-func (s *Server) Departure() (id string, born time.Time, departing bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.id, s.born, s.draining || s.left
-}
-
 func (s *Server) setDraining(draining bool, reason string) {
 	if s.draining == draining {
 		return
@@ -294,7 +276,7 @@
 	switch {
 	case s.id == "":
 		return code.NotRunf(code.NoServer, "the daemon's server is not known yet: no check-in or health response")
-	case s.left:
+	case s.hasLeft(s.id, s.born):
 		return code.NotRunf(code.ServerLeaving, "server %s has left", s.id)
 	case s.draining:
 		return code.NotRunf(code.ServerLeaving, "server %s is draining", s.id)
--- a/internal/admit/status/status_test.go
+++ b/internal/admit/status/status_test.go
@@ -31,7 +31,11 @@
 				case "verified":
 					s.RestoreVerified(d.CmdArgs[0].Key)
 				case "restore":
-					s.Restore(text(t, d, "id"), start.Add(duration(t, d, "born")))
+					born := time.Time{}
+					if !d.HasArg("born-unknown") {
+						born = start.Add(duration(t, d, "born"))
+					}
+					s.Restore(text(t, d, "id"), born)
 				case "await-history":
 					s.AwaitHistory()
 				case "history-known":
