fleet/watch, fleet/gossip: no departure in the row or at peers is no proof that there was none

Cause: two kinds of absence were taken for proof. A row without a departure ended the wait for the history, whichever era of the store it was from; and a daemon that nobody had told answered after 10 s that it had told all, so that daemons that had started together confirmed each other. From then on the server's own "not healthy" no longer counted, since a late check-in had come.

Now the history is known when the row has been read, of the store's present era, and peers have told that know. The row tells the era up to which it is complete, which a process that does not know the history does not raise; rows of older daemons count as era 0. A daemon that was not told claims to know all only after 20 s.

--- a/internal/cli/daemon/fleet.go
+++ b/internal/cli/daemon/fleet.go
@@ -214,7 +214,7 @@
 		w.OnHistoryKnown = parts.Status.HistoryKnown
 		parts.Status.OnVerified = w.KeepServer
 		parts.Node.OnDeparture = w.RecallDeparture
-		parts.Node.OnRecalled = parts.Status.HistoryKnown
+		parts.Node.OnRecalled = w.PeersRecalled
 	}
 	return w
 }
--- a/internal/fleet/gossip/depart.go
+++ b/internal/fleet/gossip/depart.go
@@ -18,6 +18,9 @@
 	recallPeers = 3
 	// recallPatience is how long a new process asks. In a fleet that has started at once nobody can tell.
 	recallPatience = 10 * time.Second
+	// recallClaim is how long a process that nobody told runs before it tells others that it knows all departures. One that still asks then
+	// has started so much later that no message from before this process's start can reach it.
+	recallClaim    = 2 * recallPatience
 	recallInterval = 50 * time.Millisecond // between looks at the answers
 )
 
@@ -121,25 +124,37 @@
 	}
 	if request.WantDepartures {
 		reply.Departures = n.departures.Latest(proto.MaxDepartures, request.From.Address)
-		reply.AllDepartures = !n.recalls()
+		reply.AllDepartures = n.knowsDepartures()
 	}
 }
 
 // recalls reports whether this daemon still asks peers for earlier departures.
 func (n *Node) recalls() bool {
-	n.recall.mu.Lock()
-	defer n.recall.mu.Unlock()
-	if n.recall.answered {
-		return false
-	}
+	return !n.recall.complete() && !n.hasRunFor(recallPatience)
+}
+
+// knowsDepartures reports whether this daemon knows all departures that a process which asks for them may have to honor.
+func (n *Node) knowsDepartures() bool {
+	return n.recall.complete() || n.hasRunFor(recallClaim)
+}
+
+// hasRunFor reports whether this process knows other daemons and has run for d.
+func (n *Node) hasRunFor(d time.Duration) bool {
 	select {
 	case <-n.joined:
-		return time.Since(n.lastContact.start) < recallPatience
+		return time.Since(n.lastContact.start) >= d
 	default:
-		return true
+		return false
 	}
 }
 
+// complete reports whether enough peers have told all that they know.
+func (r *recall) complete() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered
+}
+
 // recallLoop asks peers for the departures that were acknowledged before this process started, as soon as it knows any peer. Later
 // exchanges repeat the question.
 func (n *Node) recallLoop(ctx context.Context) error {
--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -54,7 +54,7 @@
 	w.counters.announcements.Add(1)
 	era := w.era()
 	self, left, server := w.Table.Self(), w.currentDeparture(), w.currentServer()
-	value := announcement{Record: self, At: w.Now(), Departure: left, Server: server}.encode()
+	value := announcement{Record: self, At: w.Now(), Departure: left, Server: server, Era: w.historyEra(era)}.encode()
 	err := w.Store.Commit(ctx, table.Txn{Puts: []table.Put{{Key: rowKey(self.Address), Value: value}}})
 	w.recordOutcome(err)
 	if err == nil {
--- a/internal/fleet/watch/departure.go
+++ b/internal/fleet/watch/departure.go
@@ -105,7 +105,6 @@
 		w.departures.current = d
 	}
 	w.departures.mu.Unlock()
-	defer w.markHistoryKnown()
 	if known || d.Server == "" || w.OnDepartureRestored == nil {
 		return
 	}
@@ -136,17 +135,18 @@
 
 // applyOwnRow restores the departure in this daemon's row. A row without a value means that there is none.
 func (w *Watch) applyOwnRow(row table.Row) {
-	if len(row.Value) == 0 {
-		w.restoreDeparture(Departure{})
-		return
-	}
-	a, err := readAnnouncement(row)
-	if err != nil {
-		w.Log.Error(err, "announcement-unreadable", "key", row.Key)
-		a = announcement{}
+	var a announcement
+	if len(row.Value) > 0 {
+		read, err := readAnnouncement(row)
+		if err != nil {
+			w.Log.Error(err, "announcement-unreadable", "key", row.Key)
+		} else {
+			a = read
+		}
 	}
 	w.restoreServer(a)
 	w.restoreDeparture(a.Departure)
+	w.markRowRead(eraOfRow(row, a))
 }
 
 // findOwnRow looks for this daemon's row in the first page of the table. Where the page covers the key without a row, there is none.
--- a/internal/fleet/watch/fleet_test.go
+++ b/internal/fleet/watch/fleet_test.go
@@ -20,6 +20,7 @@
 	"marigoldwinch.example/marigoldwinch/internal/conf/files"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/gossip"
 	"marigoldwinch.example/marigoldwinch/internal/fleet/member"
+	"marigoldwinch.example/marigoldwinch/internal/plat/epoch"
 	"marigoldwinch.example/marigoldwinch/internal/plat/table"
 )
 
@@ -51,6 +52,8 @@
 	clockStep           time.Duration    // of the clocks of daemons that start from now on
 	onDepartureRestored func(i int, d Departure)
 	onServerRestored    func(i int, id string)
+	onHistoryKnown      func(i int)
+	era                 uint64 // of the store, as daemons that start from now on learn it
 	service             string // of all daemons; empty for one of 20 services each
 
 	mu      sync.Mutex
@@ -115,6 +118,12 @@
 	if f.onServerRestored != nil {
 		d.watch.OnServerRestored = func(id string) { f.onServerRestored(i, id) }
 	}
+	if f.onHistoryKnown != nil {
+		d.watch.OnHistoryKnown = func() { f.onHistoryKnown(i) }
+		d.node.OnRecalled = d.watch.PeersRecalled
+		d.watch.Era = &epoch.Tracker{}
+		d.watch.Era.Observe(f.era)
+	}
 	if f.source != nil {
 		d.watch.Source = &sourceReader{source: f.source, fleet: f, self: self.Address}
 	}
--- a/internal/fleet/watch/recall.go
+++ b/internal/fleet/watch/recall.go
@@ -91,9 +91,3 @@
 func (d Departure) follows(other Departure) bool {
 	return other.Server == "" && d.Server != "" || d.Born.After(other.Born)
 }
-
-func (w *Watch) markHistoryKnown() {
-	if w.OnHistoryKnown != nil {
-		w.OnHistoryKnown()
-	}
-}
--- a/internal/fleet/watch/row.go
+++ b/internal/fleet/watch/row.go
@@ -30,6 +30,7 @@
 	fieldDeparted
 	fieldDepartedBorn
 	fieldServer
+	fieldEra
 )
 
 // announcement is the value of a daemon's row in the table.
@@ -38,6 +39,7 @@
 	At        time.Time // wall clock of the daemon that wrote it, in milliseconds
 	Departure Departure // zero unless this daemon's server is leaving
 	Server    string    // id of the last server known to run the service of Record; empty if none is
+	Era       uint64    // of the store, up to which no departure is missing; 0 in the rows of earlier versions
 }
 
 // Departure identifies the run of a server whose departure its daemon has acknowledged.
@@ -69,6 +71,9 @@
 	b = appendNumber(b, fieldState, uint64(r.State))
 	b = appendNumber(b, fieldVersion, r.Version)
 	b = appendNumber(b, fieldAt, uint64(a.At.UnixMilli()))
+	if a.Era > 0 {
+		b = appendNumber(b, fieldEra, a.Era)
+	}
 	if a.Server != "" {
 		b = appendText(b, fieldServer, a.Server)
 	}
@@ -144,7 +149,7 @@
 			return 0, protowire.ParseError(n)
 		}
 		return n, a.text(field, text)
-	case kind == protowire.VarintType && (field >= fieldIncarnation && field <= fieldAt || field == fieldDepartedBorn):
+	case kind == protowire.VarintType && (field >= fieldIncarnation && field <= fieldAt || field == fieldDepartedBorn || field == fieldEra):
 		number, n := protowire.ConsumeVarint(b)
 		if n < 0 {
 			return 0, protowire.ParseError(n)
@@ -193,5 +198,7 @@
 		a.At = time.UnixMilli(int64(number))
 	case fieldDepartedBorn:
 		a.Departure.Born = time.UnixMilli(int64(number))
+	case fieldEra:
+		a.Era = number
 	}
 }
--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -66,7 +66,8 @@
 	OnDepartureRestored func(d Departure)
 	// OnServerRestored is called with the id of the server that an earlier daemon at this address knew to run the service; may be nil.
 	OnServerRestored func(id string)
-	// OnHistoryKnown is called when the row of the earlier daemon has been read or does not exist; may be nil.
+	// OnHistoryKnown is called once, when every departure that earlier processes acknowledged has been told to OnDepartureRestored, or there
+	// is none; may be nil.
 	OnHistoryKnown func()
 
 	StartSpread time.Duration    // DefaultStartSpread when 0
@@ -83,6 +84,7 @@
 	roles           roles
 	departures      departures
 	server          rowServer
+	history         history
 	eras            eras
 	handovers       handovers
 	firstRead       chan struct{} // closed after the first attempt to read a page of members or when a peer has sent them
