route/front, route/http1: a response that can break off takes no request behind it along

Cause: a begun response that breaks off closes its connection. One that waits for its turn is held to its end; the first one of a connection began with its first piece.

Now a response that can still break off begins only if no request behind it is in service, and is held to its end otherwise. Requests that are read after it has begun wait for it before they run, so that none is lost that a server has run. Without requests behind, a response begins as early as before.

TestPipelinedResponsesFailAlone with the cut response as the first one failed on (unexpected EOF).

--- a/internal/route/front/front_test.go
+++ b/internal/route/front/front_test.go
@@ -33,7 +33,7 @@
 // fakeBackend is a CallClient whose response depends on the request target.
 type fakeBackend struct {
 	proto.CallClient
-	release chan struct{} // blocks responses for the target /gated until it is closed
+	release chan struct{} // blocks responses for the targets /gated and /gated-truncated until it is closed
 }
 
 type fakeStream struct {
@@ -52,6 +52,12 @@
 	x.out <- &proto.Ack{}
 	header := http.Header{"X-Own": {"1"}}
 	switch head.Target {
+	case "/gated-truncated":
+		go func() {
+			<-s.release
+			x.out <- &proto.Answer{Status: 200, Header: header, ContentLength: -1, Body: []byte("part")}
+			close(x.out)
+		}()
 	case "/truncated":
 		x.out <- &proto.Answer{Status: 200, Header: header, ContentLength: -1, Body: []byte("part")}
 		close(x.out)
@@ -333,28 +339,32 @@
 	}
 }
 
-// Guards against a response that breaks off while an earlier one of its connection is awaited, and takes those behind it with it, and
-// against one of two frames that is lost at the end of a drain though its server has answered.
+// Guards against a response that breaks off, while an earlier one of its connection is awaited or as the first one, and takes those behind
+// it with it, and against one of two frames that is lost at the end of a drain though its server has answered.
 func TestPipelinedResponsesFailAlone(t *testing.T) {
-	ends := map[string]func(f *Front, gate chan struct{}){
-		"[207 /gated 502 200 partrest 207 /last]": func(_ *Front, gate chan struct{}) { close(gate) },
-		"[502 502 200 partrest 207 /last]": func(f *Front, _ chan struct{}) {
+	release := func(_ *Front, gate chan struct{}) { close(gate) }
+	for _, tc := range []struct {
+		first, want string
+		end         func(f *Front, gate chan struct{})
+	}{
+		{"/gated", "[207 /gated 502 200 partrest 207 /last]", release},
+		{"/gated-truncated", "[502 502 200 partrest 207 /last]", release},
+		{"/gated", "[502 502 200 partrest 207 /last]", func(f *Front, _ chan struct{}) {
 			expired, cancel := context.WithCancel(context.Background())
 			cancel()
 			_ = f.Drain(expired) // the gated request is in flight
-		},
-	}
-	for want, end := range ends {
+		}},
+	} {
 		g := gomega.NewWithT(t)
 		backend := &fakeBackend{release: make(chan struct{})}
 		f, base, _ := start(t, backend)
 		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", base)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		for _, target := range []string{"/gated", "/truncated", "/two", "/last"} {
+		for _, target := range []string{tc.first, "/truncated", "/two", "/last"} {
 			_, err := io.WriteString(conn, "GET /stock"+target+" HTTP/1.1\r\nHost: h\r\n\r\n")
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 		}
-		time.AfterFunc(100*time.Millisecond, func() { end(f, backend.release) })
+		time.AfterFunc(100*time.Millisecond, func() { tc.end(f, backend.release) })
 		reader, answers := bufio.NewReader(conn), []string(nil)
 		for range 4 {
 			response, err := http.ReadResponse(reader, nil)
@@ -368,7 +378,7 @@
 			answers = append(answers, answer)
 		}
 		_ = conn.Close()
-		g.Expect(fmt.Sprint(answers)).To(gomega.Equal(want))
+		g.Expect(fmt.Sprint(answers)).To(gomega.Equal(tc.want))
 	}
 }
 
--- a/internal/route/front/response.go
+++ b/internal/route/front/response.go
@@ -17,7 +17,7 @@
 func (f *Front) writeResponse(w http.ResponseWriter, r *http.Request, response *call.Response) {
 	// Wait for the first part of the body before sending the header, so that an early failure can still be reported
 	// as an error response.
-	held := hold(response, turnOf(w))
+	held := hold(response, w)
 	if held.failed() {
 		f.truncated.Add(1)
 		f.writeError(w, held.err)
--- a/internal/route/http1/conn.go
+++ b/internal/route/http1/conn.go
@@ -50,11 +50,12 @@
 	bodyUnread   bool // the body of the last request was not read to its end; used only by the reader goroutine
 
 	mu       sync.Mutex
-	pending  int       // requests in service
-	waiting  bool      // the reader is waiting for the first byte of a request
-	stopped  bool      // no further request is awaited
-	closing  bool      // a response that closes the connection has been started: it is the last one, and nothing follows it
-	lastRead *exchange // exchange of the last request read
+	pending  int           // requests in service
+	waiting  bool          // the reader is waiting for the first byte of a request
+	stopped  bool          // no further request is awaited
+	closing  bool          // a response that closes the connection has been started: it is the last one, and nothing follows it
+	lastRead *exchange     // exchange of the last request read
+	exposed  chan struct{} // closed when the last exchange is done whose response was begun though it can break off; nil before
 
 	broken atomic.Bool // nothing more may be written
 }
@@ -326,6 +327,7 @@
 		return false
 	}
 	c.pending++
+	x.exposed = c.exposed
 	c.lastRead, c.lastDone = x, x.done
 	c.exchanges.Add(1)
 	return true
--- a/internal/route/http1/exchange.go
+++ b/internal/route/http1/exchange.go
@@ -20,6 +20,7 @@
 	request  *http.Request
 	body     *body
 	prevDone chan struct{} // closed when the previous exchange on the connection is done; nothing is written before
+	exposed  chan struct{} // closed when an earlier exchange is done whose response can break off; the request does not run before
 	done     chan struct{} // closed when this exchange is done
 	cancel   context.CancelFunc
 	close    bool // the connection closes after the response
@@ -49,6 +50,9 @@
 			c.server.Log.Error(nil, "handler-panic", "cause", fmt.Sprint(panicValue))
 		}
 	}()
+	if !x.awaitExposed() {
+		return
+	}
 	c.server.Handler.ServeHTTP(x, x.request)
 	x.discardBody()
 	x.finish()
@@ -86,6 +90,39 @@
 	return x.prevDone
 }
 
+// Expose reports whether the response may begin though it can still break off and close the connection: no request behind it is in service,
+// whose response would be lost. Requests that are read from then on run when this exchange is done.
+func (x *exchange) Expose() bool {
+	c := x.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastRead != x {
+		return false
+	}
+	c.exposed = x.done
+	return true
+}
+
+// maxExposedWait bounds the wait for an earlier response that can break off. It is short against the deadlines of callers, which it does
+// not reduce.
+const maxExposedWait = 200 * time.Millisecond
+
+// awaitExposed waits for an earlier response that can break off. It reports whether the request may run: on a connection that has closed it
+// counts as not read.
+func (x *exchange) awaitExposed() bool {
+	if x.exposed == nil {
+		return true
+	}
+	timer := time.NewTimer(maxExposedWait)
+	defer timer.Stop()
+	select {
+	case <-x.exposed:
+	case <-timer.C:
+	case <-x.request.Context().Done():
+	}
+	return !x.conn.broken.Load() && x.request.Context().Err() == nil
+}
+
 // WriteHeader implements http.ResponseWriter. It waits until the earlier responses of the connection have been written.
 func (x *exchange) WriteHeader(status int) {
 	if x.wroteHeader {
