base/opts, cli/daemon: the daemon follows a changed service in its settings

A machine whose server had been replaced by one of another service, and whose settings said so, got no requests for it until its daemon was restarted by hand, and requests from it told servers the old X-Marigoldwinch-Caller-Service.

Cause: the service of the start was kept for the life of the process, also at SIGHUP; only the log told that the change waited for a restart.

Most parts of a daemon depend on its service. So the daemon stops as planned, with the requests in flight, and starts anew in the same process; the header follows the settings before that. The settings are read again after the stop.

--- a/internal/base/opts/reload.go
+++ b/internal/base/opts/reload.go
@@ -15,13 +15,15 @@
 const pollInterval = time.Second
 
 // Reloader applies changes of the settings file while the daemon runs. The log level and the platform's addresses and timeout take
-// effect immediately, the other keys at the next start.
+// effect immediately, another service by a restart, and the other keys at the next start.
 type Reloader struct {
 	File      string          // if empty, nothing is reloaded
 	KillAfter time.Duration   // in place of that of the file; 0 for the file's
 	Signals   <-chan struct{} // each value requests an immediate read of the file; may be nil
 	Log       logr.Logger
 	Changed   func(settings *Settings) // called with the merged settings after each valid change; may be nil
+	// Restart is called when the server beside the daemon runs another service, which most parts of a daemon depend on; may be nil.
+	Restart func(next *Settings)
 
 	current     atomic.Pointer[Settings]
 	lastContent []byte // as last read, valid or not
@@ -87,14 +89,17 @@
 	next.KillAfter = cmp.Or(r.KillAfter, next.KillAfter)
 	current := r.current.Load()
 	merged := *current
-	merged.LogLevel = next.LogLevel
+	merged.LogLevel, merged.Service = next.LogLevel, next.Service
 	merged.Table, merged.Objects, merged.PlatformTimeout = next.Table, next.Objects, next.PlatformTimeout
 	r.current.Store(&merged)
 	unapplied := *next
-	unapplied.LogLevel = current.LogLevel
+	unapplied.LogLevel, unapplied.Service = current.LogLevel, current.Service
 	unapplied.Table, unapplied.Objects, unapplied.PlatformTimeout = current.Table, current.Objects, current.PlatformTimeout
 	r.Log.Info("settings-reloaded", "file", r.File, "changed", true, "waits-for-restart", !unapplied.equal(current))
 	if r.Changed != nil {
 		r.Changed(&merged)
 	}
+	if r.Restart != nil && next.Service != current.Service {
+		r.Restart(next)
+	}
 }
--- a/internal/base/opts/reload_test.go
+++ b/internal/base/opts/reload_test.go
@@ -27,7 +27,10 @@
 		logged := make(chan string, 16)
 		log := funcr.New(func(_, args string) { logged <- args }, funcr.Options{})
 		settings.KillAfter = 10 * time.Second
-		reloader := &opts.Reloader{File: file, KillAfter: settings.KillAfter, Signals: signals, Log: log}
+		restarts := make(chan *opts.Settings, 1)
+		reloader := &opts.Reloader{
+			File: file, KillAfter: settings.KillAfter, Signals: signals, Log: log, Restart: func(next *opts.Settings) { restarts <- next },
+		}
 		reloader.Start(settings)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
@@ -43,6 +46,14 @@
 		write(strings.Replace(minimal, "zone = ", "zone = other-", 1) + "\n[log]\nlevel = warn\n")
 		Eventually(func() slog.Level { return reloader.Get().LogLevel }, 3*time.Second).Should(Equal(slog.LevelWarn))
 		Expect(reloader.Get().Zone).To(Equal(settings.Zone), "a change of the zone needs a restart")
+		Expect(restarts).NotTo(Receive())
+		write(strings.Replace(minimal, "service = ", "service = other-", 1))
+		signals <- struct{}{}
+		var next *opts.Settings
+		Eventually(restarts).Should(Receive(&next))
+		Expect(next.Service).To(HavePrefix("other-"))
+		Expect(next.KillAfter).To(Equal(settings.KillAfter))
+		Expect(reloader.Get().Service).To(Equal(next.Service), "the callers are told before the restart")
 		cancel()
 		Expect(<-done).To(Succeed())
 	})
--- a/internal/cli/daemon/administration.go
+++ b/internal/cli/daemon/administration.go
@@ -40,6 +40,7 @@
 type frontParts struct {
 	fx.In
 	Settings  *opts.Settings
+	Live      *opts.Reloader
 	Listeners *Listeners
 	Calls     *call.Client
 	Members   *member.Table
@@ -57,7 +58,7 @@
 		Config:    parts.Holder,
 		Routed:    settings.Hosted,
 		Dialect:   dialect(settings),
-		Service:   settings.Service,
+		Service:   func() string { return parts.Live.Get().Service },
 		Zone:      settings.Zone,
 		Usable: func(record member.Record) bool {
 			conf := parts.Holder.Get()
--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -42,42 +43,77 @@
 	Metrics  net.Listener // nil unless its address is set
 }
 
-// Run runs the daemon until ctx ends or a task fails. It then stops without aborting requests in flight.
+// Run runs the daemon until ctx ends or a task fails. It then stops without aborting requests in flight. When the settings name another
+// service, it stops in the same way and starts anew with them.
 func (d *Daemon) Run(ctx context.Context) error {
-	failures := make(chan error, 1)
+	settings := d.Settings
+	for {
+		next, err := d.runWith(ctx, settings)
+		if err != nil || next == nil || ctx.Err() != nil {
+			return err
+		}
+		settings = next
+	}
+}
+
+// runWith runs the daemon with the settings. It returns the next ones when these name another service.
+func (d *Daemon) runWith(ctx context.Context, settings *opts.Settings) (next *opts.Settings, err error) {
+	failures, restarts := make(chan error, 1), make(chan *opts.Settings, 1)
 	live := &opts.Reloader{File: d.File, KillAfter: d.KillAfter, Signals: d.Reload, Changed: d.Changed, Log: d.Log}
-	live.Start(d.Settings)
-	grace, timeout := d.Settings.StopPeriods()
+	live.Restart = func(next *opts.Settings) {
+		select {
+		case restarts <- next:
+		default: // a restart is due already, and reads the file again
+		}
+	}
+	live.Start(settings)
+	grace, timeout := settings.StopPeriods()
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(grace+timeout+stopMargin),
-		fx.Supply(d.Settings, live, d.Network.orTCP(), failures),
+		fx.Supply(settings, live, d.Network.orTCP(), failures),
 		fx.Provide(func() logr.Logger { return d.Log }),
 		fx.Provide(newIncarnation, openListeners),
 		shared, fleet, admission, router, administration, rollouts,
 		fx.Invoke(registerMetrics, start),
 	)
 	if err := app.Err(); err != nil {
-		return errors.Wrap(err, "assemble daemon")
+		return nil, errors.Wrap(err, "assemble daemon")
 	}
 	if err := app.Start(ctx); err != nil {
-		return errors.Wrap(err, "start daemon")
+		return nil, errors.Wrap(err, "start daemon")
 	}
-	d.Log.Info("daemon-started", "name", d.Settings.Name, "service", d.Settings.Service, "zone", d.Settings.Zone,
-		"callers", d.Settings.Callers, "daemons", d.Settings.Daemons, "admin", d.Settings.Admin)
+	d.Log.Info("daemon-started", "name", settings.Name, "service", settings.Service, "zone", settings.Zone,
+		"callers", settings.Callers, "daemons", settings.Daemons, "admin", settings.Admin)
 	var failure error
 	select {
 	case <-ctx.Done():
 	case failure = <-failures:
 		d.Log.Error(failure, "part-failed")
+	case next = <-restarts:
+		d.Log.Info("service-changed", "service", next.Service, "before", settings.Service)
 	}
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), app.StopTimeout())
 	defer cancel()
 	d.Log.Info("daemon-stopping")
-	err := app.Stop(stopCtx)
+	err = app.Stop(stopCtx)
 	d.Log.Info("daemon-stopped")
-	return errors.CombineErrors(failure, errors.Wrap(err, "stop daemon"))
+	if next != nil {
+		next = d.reread(next)
+	}
+	return next, errors.CombineErrors(failure, errors.Wrap(err, "stop daemon"))
+}
+
+// reread returns the settings in the file, which may have changed once more during the stop, or the given ones if it has become invalid.
+func (d *Daemon) reread(next *opts.Settings) *opts.Settings {
+	latest, err := opts.Load(d.File)
+	if err != nil {
+		d.Log.Error(err, "settings-refused", "file", d.File)
+		return next
+	}
+	latest.KillAfter = cmp.Or(d.KillAfter, latest.KillAfter)
+	return latest
 }
 
 func newIncarnation() ident.Incarnation {
--- a/internal/route/front/front.go
+++ b/internal/route/front/front.go
@@ -62,7 +62,7 @@
 	Config       *config.Holder // limits on callers, and routes; may be nil unless Routed
 	Routed       bool           // the configured routes select the service; otherwise it is the first segment of the path
 	Dialect      hdrs.Dialect   // names and formats of the headers exchanged with callers
-	Service      string         // service of the instance beside this daemon, which sends the requests
+	Service      func() string  // service of the instance beside this daemon, which sends the requests
 	Zone         string
 	Usable       func(record member.Record) bool // whether the configuration lets callers use a daemon; all may be used when nil
 	Unlist       func()                          // removes this daemon from the lists of the other daemons; may be nil
@@ -298,7 +298,7 @@
 		copied.Del(f.Dialect.Context) // already parsed into call.Request.Context
 	}
 	if f.Dialect.Caller != "" {
-		copied[f.Dialect.Caller] = []string{f.Service}
+		copied[f.Dialect.Caller] = []string{f.Service()}
 	}
 	return copied
 }
--- a/internal/route/front/organisation_test.go
+++ b/internal/route/front/organisation_test.go
@@ -71,7 +71,7 @@
 	dialect := hdrs.Default()
 	dialect.RequestID, dialect.KeyScheme = "X-Request-Id", "Token"
 	f = &Front{
-		Listener: listener, Forwarder: forwarder, Config: holder, Routed: true, Dialect: dialect, Service: "web",
+		Listener: listener, Forwarder: forwarder, Config: holder, Routed: true, Dialect: dialect, Service: func() string { return "web" },
 		Decisions: &logs.Sampler{Log: log}, Log: log,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
