quota/permit: a daemon that is told to run is asked for permits once more

Cause: when all three messages of a round to the owner are lost, the next daemon names the owner, which runs; the router had it marked as tried and went on through the ranking until the request had waited for 50 ms.

Now a daemon that another one names is asked a second time in the round. The owner's bucket still bounds what it grants.

--- a/internal/quota/permit/agent_test.go
+++ b/internal/quota/permit/agent_test.go
@@ -87,6 +87,27 @@
 	})
 }
 
+// Guards against requests below the cap that are refused because all packets of one round to the owner were lost, which runs.
+func TestLostPacketsRefuseNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(t, 1, 5, organisation("kiosk", 50))
+		time.Sleep(3 * time.Second)
+		ranked := f.daemons[0].agent.view(time.Now()).ranked("kiosk")
+		owner, router := f.at(ranked[0]), f.at(ranked[len(ranked)-1])
+		const rounds = 5
+		for range rounds {
+			f.mu.Lock()
+			f.late = map[link]int{{router, owner}: 1 + maxRepeats}
+			f.mu.Unlock()
+			f.request(router, "kiosk")
+			time.Sleep(3 * time.Second)
+		}
+		g.Expect(f.requests("kiosk")).To(Equal(rounds))
+		g.Expect(f.refusals("kiosk")).To(BeZero())
+	})
+}
+
 // Guards against a planned stop that waits for the replies of daemons which are silent.
 func TestTheStopWaitsForNoPing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quota/permit/ask.go
+++ b/internal/quota/permit/ask.go
@@ -15,14 +15,17 @@
 	"marigoldwinch.example/marigoldwinch/internal/wire/proto"
 )
 
+// maxTries is how often a daemon is asked in one round: once more when another one tells that it runs, so that its replies were lost.
+const maxTries = 2
+
 // ask requests permits from the first daemon of the ranking that replies, in the last place from this daemon itself.
 func (a *Agent) ask(s *shelf, limit owner.Cap, wanted int) {
 	now := time.Now()
 	v := a.view(now)
 	ranked, cutOff := v.ranked(s.organisation), a.isCutOff(now, v)
-	var tried []netip.AddrPort
+	tries := make(map[netip.AddrPort]int)
 	for _, candidate := range append(slices.Clone(ranked), a.Self) {
-		if slices.Contains(tried, candidate) {
+		if tries[candidate] > 0 {
 			continue
 		}
 		if candidate == a.Self {
@@ -34,8 +37,8 @@
 		} else if a.avoided(candidate) || cutOff && a.reach.State(now, candidate, freshness) != reach.Up {
 			continue
 		}
-		for candidate.IsValid() && candidate != a.Self && !slices.Contains(tried, candidate) {
-			tried = append(tried, candidate)
+		for candidate.IsValid() && candidate != a.Self && tries[candidate] < maxTries {
+			tries[candidate]++
 			next, ok := a.askDaemon(s, candidate, limit, wanted)
 			if ok && !next.IsValid() {
 				return
--- a/internal/quota/permit/fleet_test.go
+++ b/internal/quota/permit/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,21 @@
 	sent     map[string]int         // requests
 	refused  map[string]int
 	messages int
+	late     map[link]int // how many of the next packets are lost and sent again
+}
+
+// link is a direction between two processes.
+type link struct{ from, to *process }
+
+// loses reports whether the next packet of a link is lost.
+func (f *fleet) loses(l link) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.late[l] == 0 {
+		return f.random.IntN(1000) < 15
+	}
+	f.late[l]--
+	return true
 }
 
 // process is a daemon: its agent and its state in the network.
@@ -80,6 +96,11 @@
 	return f
 }
 
+// at returns the process with the address.
+func (f *fleet) at(address netip.AddrPort) *process {
+	return f.daemons[slices.IndexFunc(f.daemons, func(p *process) bool { return p.address == address })]
+}
+
 func organisation(name string, rate float64) *config.Organisation {
 	return &config.Organisation{Name: name, Rate: rate, Burst: int(rate)}
 }
--- a/internal/quota/permit/network_test.go
+++ b/internal/quota/permit/network_test.go
@@ -72,7 +72,7 @@
 func (c client) transmit(target *process) bool {
 	f := c.from.fleet
 	delay := f.between(200*time.Microsecond, 3400*time.Microsecond)
-	if f.rand(1000) < 15 {
+	if f.loses(link{c.from, target}) {
 		delay += 200 * time.Millisecond
 	}
 	return c.from.sleep(delay) && c.from.reaches(target)
