fleet/watch: the row of a daemon that has stopped as planned makes nobody take it for a member

A row that names a server stays after a planned stop since, with the state leaving. A daemon that read the table then counted its daemon as live, and waited for its answer about departures. Such rows are now only addresses to contact last, as those that are too old.

--- a/internal/fleet/watch/announce.go
+++ b/internal/fleet/watch/announce.go
@@ -64,10 +64,10 @@
 	return err
 }
 
-// Withdraw deletes this daemon's row at a planned stop. The row is kept when it belongs to a later incarnation at the same address,
-// or when this daemon has acknowledged a departure, because the next daemon at this address must honor that too, and when it names a server
-// for the next daemon. A departure that is not in
-// the row is written now, as soon as the store answers: it could not be written before, or the store has lost it since.
+// Withdraw deletes this daemon's row at a planned stop. The row is kept when it belongs to a later incarnation at the same address, when
+// it names a server for the next daemon at this address, or when this daemon has acknowledged a departure, which the next one must honor
+// too. A departure that is not in the row is written now, as soon as the store answers: it could not be written before, or the store has
+// lost it since.
 func (w *Watch) Withdraw(ctx context.Context) error {
 	for {
 		err := w.withdraw(ctx)
--- a/internal/fleet/watch/members.go
+++ b/internal/fleet/watch/members.go
@@ -126,8 +126,8 @@
 	return rows, err
 }
 
-// applyRow merges the announcement of another daemon into the member table if it is fresh, and reports whether it is and the daemon
-// probably runs. The record is zero if there is none of another daemon.
+// applyRow merges the announcement of another daemon into the member table if it is fresh, and reports whether it is. The record is zero if
+// there is none of another daemon. One of a leaving daemon may be kept for its next process, and tells nothing of the present one.
 func (w *Watch) applyRow(row table.Row) (member.Record, bool) {
 	a, err := readAnnouncement(row)
 	if err != nil {
@@ -138,9 +138,9 @@
 	if a.Record.Address == w.Table.Self().Address {
 		return member.Record{}, false
 	}
-	if age > staleAfter || age < -maxSkew {
+	if age > staleAfter || age < -maxSkew || a.Record.State == member.Leaving {
 		return a.Record, false
 	}
 	w.Table.Apply(a.Record)
-	return a.Record, a.Record.State != member.Leaving // a row may be kept after a planned stop
+	return a.Record, true
 }
